--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,628 @@
+"""The decision module alone: mechanism, rules, quotas, hosts. No bench, no wall clock."""
+
+from __future__ import annotations
+
+import ast
+import random
+import sys
+from pathlib import Path
+
+import pytest
+from conftest import PLAN, Driver, of, server, settings
+
+from yewstage import interface as api
+from yewstage import policy
+from yewstage.policy import Gateway, ramp
+
+SOURCE = Path(policy.__file__)
+
+
+# --- The ordinary path ---
+
+
+def test_ramp_by_hand() -> None:
+    lo, hi = policy.Q_MIN, policy.Q_MAX
+    assert ramp(0.0) == 1.0
+    assert ramp(lo) == 1.0
+    assert ramp((lo + hi) / 2) == pytest.approx(0.5)
+    assert ramp(hi) == policy.F_MIN
+    assert ramp(1.0) == policy.F_MIN
+
+
+def test_accumulator_lets_in_two_of_five_at_f_04() -> None:
+    d = Driver()
+    d.ask()
+    cell = d.gateway.cells[("read", "open")]
+    cell.f, cell.r = 0.4, 0.0
+    sent = [bool(of(d.ask()[1], api.Send)) for _ in range(10)]
+    assert sent == [False, False, True, False, True] * 2
+
+
+def test_q_moves_by_w_of_the_mean() -> None:
+    d = Driver()
+    d.gateway.q_seen = 100  # a fresh gateway's q is the plain mean
+    for _ in range(2):
+        rid, _ = d.ask()
+        d.end(rid, took=500)
+    assert d.gateway.q_n == 2
+    d.sweep()
+    assert d.gateway.q == pytest.approx(policy.W * 0.5)
+    rid, _ = d.ask()
+    d.sweep()
+    assert d.gateway.q == pytest.approx(policy.W * 0.5)  # holds with no outcomes while one is out
+
+
+def test_a_lone_gateway_finds_out_that_a_jam_is_over() -> None:
+    d = Driver()
+    d.gateway.q = 1.0
+    served = 0
+    for _ in range(20):  # two requests a second, answered fast
+        rid, out = d.ask(after=0)
+        if of(out, api.Send):
+            d.end(rid, took=50, after=50)
+            served += 1
+        d.sweep(5)
+    assert served >= 14
+
+
+def test_a_fresh_gateway_sees_a_jam_in_what_is_still_out() -> None:
+    d = Driver()
+    rids = [d.ask(after=20)[0] for _ in range(8)]
+    d.sweep(6)
+    assert d.gateway.f < 0.1  # nothing has come back, much is older than Qmax of its aim
+    for rid in rids:
+        d.end(rid, took=60)
+    d.sweep()
+    assert d.gateway.f == 1.0
+
+
+def test_pressed_sheds_least_worth_per_work_first() -> None:
+    d = Driver()
+    for _ in range(5):
+        d.ask("read")
+        d.ask("put")
+    d.gateway.q = (policy.Q_MIN + policy.Q_MAX) / 2
+    d.sweep()
+    cells = d.gateway.cells
+    assert cells[("put", "open")].f > 0.9 > cells[("read", "open")].f
+
+
+def test_own_stall_is_no_sample() -> None:
+    d = Driver()
+    rid, _ = d.ask()
+    d.end(rid, took=5000, after=5000)
+    assert d.gateway.q_n == 0
+    d.sweep()
+    rid, _ = d.ask()
+    d.end(rid, took=40, after=40)
+    assert d.gateway.q_n == 1
+
+
+def test_one_bad_host_does_not_cut_f() -> None:
+    d = Driver(servers=6)
+    d.gateway.hosts["h0"].slow = 10.0
+    held_on_bad = None
+    for _ in range(200):
+        rid, out = d.ask(after=5)
+        send = of(out, api.Send)[0]
+        if send.server == "h0":
+            held_on_bad = rid
+            d.end(rid, api.TIMED_OUT, took=1000)
+        else:
+            d.end(rid, took=50)
+    d.sweep(5)
+    assert d.gateway.f == 1.0
+    assert held_on_bad is None or d.gateway.hosts["h0"].slow > 1
+
+
+def test_an_unwell_host_gives_no_samples_but_a_slow_fleet_does() -> None:
+    for mid, samples in ((1.0, 0), (10.0, 1)):
+        d = Driver(servers=1)
+        rid, _ = d.ask()
+        d.gateway.hosts["h0"].slow, d.gateway.mid, d.gateway.ok_q = 10.0, mid, 0.5
+        d.end(rid, api.TIMED_OUT, took=90)
+        assert d.gateway.q_n == samples
+
+
+# --- One timely answer ---
+
+
+def answers(d: Driver, rid: str, served: set[str]) -> int:
+    finals = sum(1 for _, a in d.log if isinstance(a, api.Refuse | api.Fail) and a.request == rid)
+    return finals + (rid in served)
+
+
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize("copies", [False, True])
+def test_random_life_keeps_answers_effects_and_drains(seed: int, copies: bool) -> None:
+    rng = random.Random(seed)
+    d = Driver(servers=6, seed=seed, second_copies=copies)
+    gw, served, open_attempts = d.gateway, set(), {}
+    results = [api.OK, api.ERROR, api.FULL, api.TIMED_OUT, api.CONNECT_FAILED, api.RESET]
+    asked: dict[str, str] = {}
+    attempts: dict[str, list[list]] = {}  # [server, may have run, sent, open]
+    status = {f"h{i}": "up" for i in range(6)}
+
+    def note(out: list[api.Action]) -> None:
+        for act in out:
+            if isinstance(act, api.Send):
+                cls = asked[act.request]
+                past = attempts.setdefault(act.request, [])
+                risky = [a for a in past if a[1]]
+                assert status[act.server] == "up", "sent to a drained host"
+                assert answers(d, act.request, served) == 0, "sent after the final answer"
+                assert act.timeout_ms > 0
+                assert copies or not any(a[3] for a in past)
+                assert cls != "pay" or not risky, "unsafe sent twice"
+                if cls == "put" and risky:
+                    zone = {f"h{i}": "ab"[i % 2] for i in range(6)}
+                    assert all(zone[a[0]] == zone[act.server] for a in risky)
+                    assert d.now - risky[0][2] < 3000
+                past.append([act.server, True, d.now, True])
+                open_attempts[(act.request, len(past) - 1)] = d.now + act.timeout_ms
+            elif isinstance(act, api.Refuse):
+                cls = asked[act.request]
+                assert cls == "read" or not any(a[1] for a in attempts.get(act.request, []))
+
+    for step in range(700):
+        d.now += rng.expovariate(1 / 15)
+        if rng.random() < 0.5:
+            cls = rng.choice(["read", "put", "pay"])
+            asked[f"r{d.serial + 1}"] = cls
+            note(d.ask(cls, left=rng.choice([5, 400, 4000]))[1])
+        due = sorted(k for k, t in open_attempts.items() if t <= d.now)
+        pick = due or (sorted(open_attempts) if rng.random() < 0.6 else [])
+        if pick:
+            key = pick[0] if due else rng.choice(pick)
+            del open_attempts[key]
+            result = api.TIMED_OUT if due else rng.choice(results)
+            rec = attempts[key[0]][key[1]]
+            rec[1], rec[3] = result not in api.NEVER_RAN, False
+            done = answers(d, key[0], served) > 0
+            if result == api.OK and not done:
+                served.add(key[0])
+            final = done or result == api.OK
+            note(d.give(api.Outcome(key[0], key[1], rec[0], result, d.now - rec[2], final)))
+        if step % 40 == 0:
+            name = rng.choice(sorted(status))
+            status[name] = rng.choice(["up", "draining"])
+            note(d.give(api.ServerList("changes", (server(int(name[1:]), status=status[name]),))))
+        note(d.give(api.TimerDue("sweep")))
+    while open_attempts:
+        key = min(open_attempts)
+        del open_attempts[key]
+        rec = attempts[key[0]][key[1]]
+        rec[1], rec[3] = True, False
+        note(d.give(api.Outcome(key[0], key[1], rec[0], api.TIMED_OUT, 1000,
+                                answers(d, key[0], served) > 0), 1))
+    assert all(answers(d, rid, served) == 1 for rid in asked)
+    assert not gw.held
+
+
+def test_odd_requests_get_one_legal_answer() -> None:
+    d = Driver(servers=0)
+    assert len(of(d.ask()[1], api.Refuse)) == 1
+    d = Driver()
+    assert len(of(d.ask(cls="unknown")[1], api.Refuse)) == 1
+    assert len(of(d.ask(plan="unknown")[1], api.Refuse)) == 1
+    assert len(of(d.ask(left=0)[1], api.Refuse)) == 1
+    assert len(of(d.ask(left=-5)[1], api.Refuse)) == 1
+
+
+def test_late_and_unknown_events_are_ignored() -> None:
+    d = Driver()
+    rid, _ = d.ask()
+    d.end(rid)
+    assert d.end(rid) == []
+    assert d.give(api.Outcome("nobody", 0, "h0", api.OK, 5, True)) == []
+    assert d.give(api.CountReply("no.such", api.OK, 5)) == []
+    assert d.give(api.TimerDue("of an earlier life")) == []
+    assert d.give(api.ClientLeft("nobody")) == []
+
+
+def test_wrong_event_and_settings_say_what_to_mend() -> None:
+    d = Driver()
+    with pytest.raises(TypeError, match="not an event"):
+        d.give("hello")
+    for changes, word in [({"classes": ()}, "classes"), ({"me": 3}, "me"), ({"fleet_size": 0}, "fleet_size"),
+                          ({"plans": (api.Plan("p", rate=-1),)}, "rate")]:
+        with pytest.raises(ValueError, match=word):
+            Gateway(settings(**changes), 1)
+
+
+def test_a_try_cut_by_the_deadline_is_refused_once_its_aim_has_passed() -> None:
+    d = Driver()
+    for _ in range(50):
+        d.end(d.ask(left=3900, after=10)[0])
+    assert of(d.ask(left=2500)[1], api.Refuse)  # 1500 ms are gone, the aim was 1000
+    late_but_in_time = of(d.ask(left=3500)[1], api.Send)[0]  # 500 ms are gone
+    assert late_but_in_time.timeout_ms <= 500
+
+
+def test_clients_of_varied_patience_are_not_taken_for_late_ones() -> None:
+    d = Driver()
+    rng = random.Random(3)
+    for _ in range(200):
+        rid, out = d.ask(left=rng.uniform(1000, 4000), after=10)
+        assert of(out, api.Send)
+        d.end(rid)
+
+
+# --- Quotas ---
+
+
+def calls_of(d: Driver) -> list[api.Count]:
+    return [a for _, a in d.log if isinstance(a, api.Count)]
+
+
+def drive(d: Driver, n: int, others: float = 0.0, lose_at: int = -1, **how: object) -> int:
+    """Ask n times a ms apart; the counter answers at once, the others add `others` before each request."""
+    sent = 0
+    for i in range(n):
+        if i == lose_at:
+            d.totals = dict.fromkeys(d.totals, 0.0)
+        d.totals = {name: total + others for name, total in d.totals.items()}
+        rid, _ = d.ask(after=1, **how)
+        while d.answered < len(calls := calls_of(d)):
+            act = calls[d.answered]
+            d.answered += 1
+            d.totals[act.name] = d.totals.get(act.name, 0.0) + act.amount
+            d.give(api.CountReply(act.name, api.OK, d.totals[act.name]))
+        sent += any(isinstance(a, api.Send) and a.request == rid for _, a in d.log)
+    return sent
+
+
+def test_quota_alone_is_the_burst_and_then_the_rate() -> None:
+    d = Driver()
+    assert drive(d, 20, plan="basic") == 6
+    d.now += 2000  # two seconds refill four units
+    assert drive(d, 20, plan="basic") == 4
+
+
+def test_quota_counts_what_others_used() -> None:
+    d = Driver()
+    assert 3 <= drive(d, 12, others=1.0, plan="basic") <= 4  # the others take about every second unit
+
+
+def test_near_the_limit_a_request_waits_for_the_total_and_is_answered() -> None:
+    d = Driver()
+    drive(d, 5, plan="basic")
+    d.gateway.uses["c"].left = 0.0  # the estimate says no; the last total left one unit
+    rid, out = d.ask(plan="basic")
+    assert not of(out, api.Send) and not of(out, api.Refuse) and of(out, api.Count)
+    out = d.give(api.CountReply(calls_of(d)[-1].name, api.TIMED_OUT, 0.0), 30)
+    assert len(of(out, api.Send)) + len(of(out, api.Refuse)) == 1
+    assert rid not in d.gateway.asking
+
+
+def test_a_refused_reservation_is_given_back_while_the_counter_answers() -> None:
+    for heard, amounts in ((1.0, [1, -1]), (0.0, [1])):
+        d = Driver()
+        d.ask(plan="basic")
+        d.gateway.heard = heard
+        d.gateway.rng.random = lambda: 0.5
+        d.give(api.CountReply(calls_of(d)[0].name, api.OK, 100.0))
+        assert [c.amount for c in calls_of(d)] == amounts
+
+
+@pytest.mark.parametrize("left", [5, 60, 200])
+def test_a_try_with_little_time_left_is_not_held_for_a_total(left: float) -> None:
+    d = Driver(count_wait_ms=30)
+    rid, out = d.ask(plan="basic", left=left)
+    assert len(of(out, api.Send)) + len(of(out, api.Refuse)) == 1
+    assert rid not in d.gateway.asking
+
+
+def test_a_reply_that_never_comes_does_not_cost_the_answer() -> None:
+    d = Driver()
+    drive(d, 5, plan="basic")
+    d.gateway.uses["c"].left = 0.0
+    rid, out = d.ask(plan="basic")
+    d.sweep(3)
+    finals = [a for _, a in d.log if isinstance(a, api.Send | api.Refuse) and a.request == rid]
+    assert len(finals) == 1 and not d.gateway.asking
+
+
+def test_silent_counter_keeps_to_the_split() -> None:
+    d = Driver()
+    d.now += 10000
+    sent = 0
+    for _ in range(12):
+        _, out = d.ask(plan="basic")
+        for act in of(out, api.Count):
+            out = out + d.give(api.CountReply(act.name, api.TIMED_OUT, 0.0))
+        sent += len(of(out, api.Send))
+    assert sent <= PLAN.burst / 3 + 1
+
+
+def test_counter_that_comes_back_empty_does_not_open_the_quota_anew() -> None:
+    d = Driver()
+    assert drive(d, 20, lose_at=3, plan="basic") == 6
+    assert d.gateway.uses["c"].others >= 0  # a total that falls is no use given back by the others
+
+
+def test_overshoot_is_not_owed() -> None:
+    d = Driver()
+    drive(d, 8, others=5.0, plan="basic")  # the others sent far beyond the quota, which took nothing from it
+    d.now += 1000
+    drive(d, 1, plan="basic")
+    d.now += 1000
+    assert drive(d, 4, plan="basic") >= 1
+
+
+def test_true_units_are_settled() -> None:
+    d = Driver()
+    drive(d, 1, plan="basic", width=1)
+    d.end("r1", true_units=6)
+    assert drive(d, 3, plan="basic", width=1) == 0
+
+
+def test_one_request_customers_are_forgotten() -> None:
+    d = Driver()
+    for i in range(300):
+        rid, out = d.ask(plan="basic", customer=f"k{i}")
+        for act in of(out, api.Count):
+            d.give(api.CountReply(act.name, api.TIMED_OUT, 0.0))
+        if rid in d.gateway.held:
+            d.end(rid)
+    d.sweep(400)
+    assert not d.gateway.uses and not d.gateway.calls and not d.gateway.held
+
+
+# --- Ceiling ---
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_ceiling_never_passed_by_all_gateways_together(seed: int) -> None:
+    """Any order of late, lost and false totals, with restarts: the customer's store never dips below 0."""
+    rng = random.Random(seed)
+    plan = settings().plans[1]
+    now, store, last, sends = 5e5, plan.ceiling_burst, 5e5, 0
+    units: dict[str, int] = {}
+    fleet = [Driver(now=now, seed=i, me=i) for i in range(3)]
+
+    def note(d: Driver, out: list[api.Action]) -> None:
+        nonlocal store, last, sends
+        for act in of(out, api.Send):
+            store = min(plan.ceiling_burst, store + (now - last) * plan.ceiling_rate / 1000)
+            last = now
+            store -= units[act.request]
+            sends += 1
+            assert store >= -1e-6
+            note(d, d.give(api.Outcome(act.request, 0, act.server, api.OK, 50, True)))
+        for act in of(out, api.Count):
+            result = rng.choice([api.OK, api.TIMED_OUT, api.FULL])
+            note(d, d.give(api.CountReply(act.name, result, rng.choice([act.amount, 0.0, 50.0]))))
+
+    for step in range(3000):
+        now += rng.expovariate(1 / 10)
+        if rng.random() < 0.002:
+            i = rng.randrange(3)
+            fleet[i] = Driver(now=now, seed=step, me=i)
+        d = fleet[rng.choice([0, 0, 1, 2]) if step % 1000 < 700 else 2]
+        d.now, d.serial = now, step
+        units[f"r{step + 1}"] = size = rng.choice([1, 1, 2])
+        note(d, d.ask(plan="capped", units=size)[1])
+        note(d, d.give(api.TimerDue("sweep")))
+    assert sends > 100
+
+
+def test_ceiling_holds_for_a_width_in_a_large_fleet_with_restarts() -> None:
+    rng = random.Random(4)
+    plan = settings().plans[1]
+    now, store, last, sends = 5e5, plan.ceiling_burst, 5e5, 0
+    fleet = [Driver(now=now, seed=i, me=i, fleet_size=300, servers=2) for i in range(10)]
+    for step in range(4000):
+        now += rng.expovariate(1 / 5)
+        i = rng.randrange(10)
+        if rng.random() < 0.01:
+            fleet[i] = Driver(now=now, seed=step, me=i, fleet_size=300, servers=2)
+        d = fleet[i]
+        d.now, d.serial = now, step
+        rid, out = d.ask(plan="capped", width=10)
+        for act in of(out, api.Count):
+            result = rng.choice([api.OK, api.TIMED_OUT])
+            out = out + d.give(api.CountReply(act.name, result, rng.choice([0.0, 90.0])))
+        for _ in of(out, api.Send):
+            store = min(plan.ceiling_burst, store + (now - last) * plan.ceiling_rate / 1000) - 1
+            last, sends = now, sends + 1
+            assert store >= -1e-6
+        if rid in d.gateway.held:
+            d.end(rid)
+    assert sends > 50
+
+
+# --- Servers ---
+
+
+def test_cold_host_gets_no_more_than_its_budget() -> None:
+    d = Driver(servers=4)
+    for i in range(300):
+        rid, _ = d.ask(after=10)
+        d.end(rid, took=100)
+        if i % 10 == 9:
+            d.give(api.TimerDue("sweep"))
+    d.give(api.ServerList("changes", (server(9, up_since_ms=d.now),)))
+    to_cold = to_all = 0
+    for i in range(200):
+        rid, out = d.ask(after=10)
+        to_all += 1
+        to_cold += of(out, api.Send)[0].server == "h9"
+        d.end(rid, took=10 if of(out, api.Send)[0].server == "h9" else 100)
+        if i % 10 == 9:
+            d.give(api.TimerDue("sweep"))
+    assert to_cold <= policy.COLD_MARGIN * 3 * 0.4 * to_all / 4 + 1
+
+
+def test_cold_budget_by_hand() -> None:
+    d = Driver(servers=1)
+    gw = d.gateway
+    gw.warm_rate = 0.1  # work sent to a warm host each ms
+    d.give(api.ServerList("full", (server(9, up_since_ms=d.now - 5000),)))
+    cold = gw.hosts["h9"]
+    saved = 0.2 * 0.1 * 2000 / 2  # at most half a span's worth is saved up
+    assert gw._cold_room(cold, 0.2, saved - 0.1)
+    gw.latency["read"] = saved / 4.5
+    outs = [d.ask()[1] for _ in range(20)]
+    assert 4 <= sum(len(of(out, api.Send)) for out in outs) <= 5  # other hosts gone: the budget still holds
+
+
+@pytest.mark.parametrize("part", [0.02, 0.2, 0.7])
+def test_cold_parts_under_one_request_add_up_over_the_fleet(part: float) -> None:
+    sent = 0
+    for i in range(300):
+        d = Driver(servers=1, seed=i, fleet_size=300)
+        d.gateway.warm_rate, work = 0.1, 0.36 * 0.1 * 1000 / part  # 2 of 10 s: at least 0.36 warm
+        d.give(api.ServerList("full", (server(9, up_since_ms=d.now - 2000),)))
+        d.gateway.latency["read"] = work
+        sent += any(of(d.ask()[1], api.Send) for _ in range(10))
+    assert abs(sent - 300 * part) < 3 * (300 * part * (1 - part)) ** 0.5 + 1
+
+
+def test_fleet_without_a_yardstick_sends_a_cold_host_lone_requests() -> None:
+    sent = 0
+    for i in range(300):
+        d = Driver(servers=1, seed=i, fleet_size=300)
+        d.give(api.ServerList("full", (server(9, up_since_ms=d.now),)))
+        sent += len(of(d.ask()[1], api.Send))
+    assert sent <= 5
+
+
+def test_keys_are_repeated_only_while_they_are_remembered() -> None:
+    d = Driver(servers=4)
+    d.give(api.Request("k", "put", "open", "c", 4000.0))
+    held = d.gateway.held["k"]
+    first = held.attempts[0].host
+    same = [h for h in d.gateway.hosts.values() if h.zone == first.zone and h is not first][0]
+    other = [h for h in d.gateway.hosts.values() if h.zone != first.zone][0]
+    assert not d.gateway._may_send(held, same)  # the first one is still out
+    held.attempts[0].open = False
+    assert d.gateway._may_send(held, same) and not d.gateway._may_send(held, other)
+    d.gateway.now += 3000
+    assert not d.gateway._may_send(held, same)
+
+
+def test_host_back_from_connect_failures_counts_as_cold() -> None:
+    d = Driver(servers=1)
+    rid, _ = d.ask()
+    d.end(rid, api.CONNECT_FAILED)
+    rid, out = d.ask(after=600)
+    assert of(out, api.Send)
+    d.end(rid)
+    host = d.gateway.hosts["h0"]
+    assert d.gateway._warmth(host) < 0.3
+
+
+def test_failing_host_rests_and_is_tried_again() -> None:
+    d = Driver(servers=4)
+    d.sweep()
+    host = d.gateway.hosts["h0"]
+    d.gateway._down(host)
+    seen = {of(d.ask(after=1)[1], api.Send)[0].server for _ in range(20)}
+    assert "h0" not in seen
+    assert of(d.ask(after=policy.BACKOFF_MS)[1], api.Send)[0].server == "h0"
+
+
+def test_retries_are_budgeted() -> None:
+    d = Driver(servers=4)
+    sends = 0
+    for _ in range(300):
+        rid, out = d.ask(after=50)
+        sends += len(of(out, api.Send))
+        for _ in range(4):
+            if rid not in d.gateway.held:
+                break
+            sends += len(of(d.end(rid, api.FULL), api.Send))
+    assert sends <= 300 * (1 + policy.RETRY_SHARE) + policy.RETRY_BANK + 1
+
+
+# --- Answers that never come ---
+
+
+def test_attempts_end_early_only_while_answers_get_lost_and_may_be_repeated() -> None:
+    d = Driver(servers=8)
+
+    def first_timeout(cls: str) -> float:
+        rid, out = d.ask(cls, after=100)
+        timeout = of(out, api.Send)[0].timeout_ms
+        d.end(rid, took=50)
+        return timeout
+
+    assert first_timeout("read") > 900
+    for _ in range(4):
+        rid, _ = d.ask("pay", after=100)
+        d.end(rid, api.TIMED_OUT, took=990)
+    assert first_timeout("read") < 600
+    assert first_timeout("put") < 600
+    assert first_timeout("pay") > 900
+    for _ in range(60):
+        first_timeout("read")
+    assert first_timeout("read") > 900
+
+
+def test_lost_answers_are_no_pressure_but_late_ones_are() -> None:
+    for took, pressed in ((50, False), (700, True)):
+        d = Driver(servers=8)
+        for i in range(60):
+            rid, _ = d.ask(after=20)
+            if i % 4 == 0 and rid in d.gateway.held:
+                d.end(rid, api.TIMED_OUT, took=took)
+            if rid in d.gateway.held:
+                d.end(rid, took=took)
+            d.give(api.TimerDue("sweep"))
+        assert (d.gateway.f < 1) == pressed
+
+
+# --- A crowded counter ---
+
+
+def test_calls_thin_out_as_they_go_unanswered_and_come_back() -> None:
+    d = Driver()
+    d.gateway.rng.seed(5)
+
+    def calls(result: str, n: int = 60) -> int:
+        made = 0
+        for _ in range(n):
+            rid, out = d.ask(plan="basic", customer=f"k{d.serial}", after=20)
+            for act in of(out, api.Count):
+                made += 1
+                out = out + d.give(api.CountReply(act.name, result, act.amount))
+            if rid in d.gateway.held:
+                d.end(rid)
+        return made
+
+    assert calls(api.OK) == 60
+    assert calls(api.FULL) < 15
+    calls(api.OK, 300)
+    assert calls(api.OK) > 50
+
+
+@pytest.mark.parametrize("age_s", [2, 30])
+def test_silent_split_under_one_unit_adds_up_over_the_fleet(age_s: int) -> None:
+    """300 gateways, no counter, one customer: their second tries come to the split, whatever its size."""
+    sent = 0
+    for i in range(300):
+        d = Driver(seed=i, me=i, fleet_size=300, may_count=False)
+        d.give(api.TimerDue("sweep"))
+        d.now += age_s * 1000
+        for _ in range(3):
+            rid, out = d.ask(plan="basic", width=300)
+            sent += len(of(out, api.Send))
+    extra = sent - 300  # the first one of each gateway is let in: most customers are far from their quota
+    assert extra <= 2 * policy.SPLIT * min(PLAN.burst, PLAN.rate * age_s) + 3
+
+
+# --- The module itself ---
+
+
+def test_module_keeps_its_form() -> None:
+    lines = SOURCE.read_text().splitlines()
+    assert sum(1 for line in lines if line.strip()) <= 650
+    assert max(map(len, lines)) <= 110
+    for node in ast.walk(ast.parse(SOURCE.read_text())):
+        names = [a.name for a in node.names] if isinstance(node, ast.Import) else []
+        names += [node.module] if isinstance(node, ast.ImportFrom) else []
+        for name in names:
+            assert name == "yewstage" or name.split(".")[0] in sys.stdlib_module_names
+        if isinstance(node, ast.ImportFrom) and node.module == "yewstage":
+            assert [a.name for a in node.names] == ["interface"]
--- /dev/null
+++ b/yewstage/interface.py
@@ -0,0 +1,269 @@
+"""Settings, events and actions of the decision module. Neutral: no policy lives here.
+
+Every time is in milliseconds on the caller's clock, every amount of use in quota units.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+# Results of an attempt, and whether each one proves that the request never ran.
+OK, ERROR, FULL, TIMED_OUT = "ok", "error", "full", "timed_out"
+CONNECT_FAILED, RESET, CANCELLED, MOOT = "connect_failed", "reset", "cancelled", "moot"
+NEVER_RAN = frozenset((FULL, CONNECT_FAILED, MOOT))
+
+
+@dataclass(slots=True, frozen=True)
+class RequestClass:
+    """A class of request: what it is worth, when it is wanted, whether it may run again."""
+
+    name: str
+    aim_ms: float
+    deadline_ms: float
+    worth: float = 1.0
+    late_worth: float = 0.0
+    effect: str = "safe"  # safe, keyed, unsafe
+    key_scope: str = "all"  # all, zone, cell
+    window_ms: float = 0.0  # how long hosts remember a key
+    stream: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """A plan: quota store, ceiling store and what work counts for; the stores are per customer."""
+
+    name: str
+    rate: float = 0.0  # units a second; 0: no such quota
+    burst: float = 0.0
+    worth: float = 1.0
+    over_worth: float = 0.0
+    over_cost: float = 0.0
+    ceiling_rate: float = 0.0  # units a second; 0: no ceiling
+    ceiling_burst: float = 0.0
+    ceiling_slack: float = 0.0
+    parallel: int = 0  # attempts out at once; 0: no such quota
+
+
+@dataclass(slots=True, frozen=True)
+class Settings:
+    """What a gateway is told when it starts."""
+
+    classes: tuple[RequestClass, ...]
+    plans: tuple[Plan, ...] = ()
+    me: int = 0
+    fleet_size: int = 1
+    zone: str = ""
+    try_limit: int = 1
+    second_copies: bool = False
+    cancel: bool = False
+    retry_after: bool = False
+    max_retry_after_ms: float = 0.0
+    probing: bool = False
+    peers: bool = False
+    must_ask: bool = False  # the list of servers comes only on request
+    may_count: bool = False
+    count_wait_ms: float = 50.0
+    trued_up: bool = False
+    use_period_ms: float = 0.0
+    tick_ms: float = 1.0
+    answer_slack_ms: float = 0.0
+    drain_grace_ms: float = 0.0
+    cold_from: float = 1.0
+    cold_ms: float = 0.0
+    fall_multiple: float = 1.0
+    tip_after_ms: float = 0.0
+
+    def check(self) -> None:
+        """Refuse settings that make no sense, naming the field."""
+        if not self.classes:
+            raise ValueError("classes: at least one is needed")
+        if self.fleet_size < 1:
+            raise ValueError("fleet_size: must be 1 or more")
+        if not 0 <= self.me < self.fleet_size:
+            raise ValueError("me: must lie in 0 .. fleet_size - 1")
+        for c in self.classes:
+            if c.aim_ms <= 0 or c.deadline_ms <= 0:
+                raise ValueError(f"classes[{c.name}].aim_ms, deadline_ms: must be above 0")
+            if c.effect not in ("safe", "keyed", "unsafe"):
+                raise ValueError(f"classes[{c.name}].effect: {c.effect!r} is not safe, keyed or unsafe")
+            if c.key_scope not in ("all", "zone", "cell"):
+                raise ValueError(f"classes[{c.name}].key_scope: {c.key_scope!r} is not all, zone or cell")
+        for p in self.plans:
+            for name in ("rate", "burst", "ceiling_rate", "ceiling_burst", "ceiling_slack", "parallel"):
+                if getattr(p, name) < 0:
+                    raise ValueError(f"plans[{p.name}].{name}: must not be negative")
+        for name in ("cold_ms", "fall_multiple", "tip_after_ms", "tick_ms", "try_limit"):
+            if getattr(self, name) < 0:
+                raise ValueError(f"{name}: must not be negative")
+
+
+@dataclass(slots=True, frozen=True)
+class Server:
+    """One line of the list of servers."""
+
+    name: str
+    zone: str = ""
+    cell: int = 0
+    status: str = "up"  # up, draining, removed
+    nominal: float = 1.0
+    up_since_ms: float = 0.0  # 0: a long time back
+
+
+# Events
+
+
+@dataclass(slots=True, frozen=True)
+class ServerList:
+    """News of the servers: 'full' and 'kept' bring all of them, 'changes' some, 'failed' none."""
+
+    kind: str
+    servers: tuple[Server, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Request:
+    """A client's request, which is owed exactly one final answer."""
+
+    id: str
+    class_name: str
+    plan_name: str
+    customer: str
+    time_left_ms: float
+    units: float = 1.0
+    width: int = 1  # gateways that this customer's requests may come through
+    first: int = 0  # number of the first of them
+    repeat: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Outcome:
+    """How one attempt ended; `final` is set once the request is finished."""
+
+    request: str
+    attempt: int
+    server: str
+    result: str
+    took_ms: float
+    final: bool
+    use_percent: float = 0.0  # 1 + the customer's metered use; 0: not told
+    true_units: float = 0.0  # 0: not told
+    report: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class StreamStarted:
+    """A streamed answer has begun: the client owns this attempt now."""
+
+    request: str
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class ClientLeft:
+    """The client is gone; nothing more is owed."""
+
+    request: str
+
+
+@dataclass(slots=True, frozen=True)
+class TimerDue:
+    """A timer that the module asked for."""
+
+    name: str
+
+
+@dataclass(slots=True, frozen=True)
+class CountReply:
+    """What one Count call came to: result ok, full, connect_failed or timed_out."""
+
+    name: str
+    result: str
+    total: float
+    took_ms: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class ProbeReply:
+    """What one Probe found."""
+
+    server: str
+    result: str
+    took_ms: float
+    report: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class PeerMessage:
+    """A message from another gateway."""
+
+    sender: int
+    data: bytes
+
+
+# Actions
+
+
+@dataclass(slots=True, frozen=True)
+class Send:
+    """Start an attempt; attempts of a request are numbered 0, 1, 2... in the order of Sends."""
+
+    request: str
+    server: str
+    timeout_ms: float
+
+
+@dataclass(slots=True, frozen=True)
+class Refuse:
+    """Final answer: not served, and trying again does no harm."""
+
+    request: str
+    retry_after_ms: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class Fail:
+    """Final answer: failed, nothing promised."""
+
+    request: str
+
+
+@dataclass(slots=True, frozen=True)
+class Cancel:
+    """Stop waiting for one attempt."""
+
+    request: str
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class Timer:
+    """Ask for a TimerDue."""
+
+    name: str
+    in_ms: float
+
+
+@dataclass(slots=True, frozen=True)
+class Count:
+    """Add an amount to a shared count and learn its total."""
+
+    name: str
+    amount: float
+    keep_ms: float
+
+
+@dataclass(slots=True, frozen=True)
+class Subscribe:
+    """Ask to be told of changes to the list of servers."""
+
+
+@dataclass(slots=True, frozen=True)
+class Log:
+    """A line for the people on call."""
+
+    text: str
+
+
+Event = (ServerList | Request | Outcome | StreamStarted | ClientLeft | TimerDue | CountReply | ProbeReply
+         | PeerMessage)
+Action = Send | Refuse | Fail | Cancel | Timer | Count | Subscribe | Log
--- /dev/null
+++ b/yewstage/policy.py
@@ -0,0 +1,732 @@
+"""Every decision of yewstage. Settings, events and actions: yewstage/interface.py (times in milliseconds).
+
+A request's life: quota and ceiling, admission by SiRED, choice of a server, attempts, one final answer.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from collections import deque
+
+from yewstage import interface as api
+
+# --- Constants -------------------------------------------------------------------------------------------
+SWEEP_MS = 100.0  # spacing of the housekeeping timer and of the q updates: a tenth of the quickest trouble
+OUTCOMES = 125  # outcomes that also close a q interval (design page)
+W = 0.3  # weight of a new mean in q: at SWEEP_MS apart it forgets in about 0.3 s, under every aim seen
+FEW = 5.0  # outcomes in an estimate's memory: a mean of fewer weighs less, whatever its interval
+Q_MIN, Q_MAX, F_MIN = 0.2, 0.45, 0.05  # idle service takes 0.1 to 0.15 of an aim; its tail is longer
+STALL = 2.0  # a sweep this many spacings late is a stall of ours, not of the back end
+RATE_MEMORY_MS = 1000.0  # memory of observed rates (completions, work sent to warm hosts)
+GAIN = 0.2  # weight of one outcome in a host's or class's running mean
+BACKOFF_MS, BACKOFF_MAX_MS = 500.0, 4000.0  # a failing host's rest before one trial, doubled to the second
+STRIKES = 3  # slow or failed answers in a row that count as a host's failure
+BAD = 2.5  # a host this many times slower than the fleet is unwell: no q samples, no patience
+COLD_MARGIN = 0.5  # part of the cold budget that we use: capacity is only guessed and others may run ahead
+RETRY_SHARE, RETRY_BANK = 0.2, 10.0  # further attempts per admitted request, and how many may be saved up
+PATIENCE, LOST = 2.5, 0.06  # usual latencies before an answer is missed; share missed that shows a loss
+TRIES = 64  # last tries of a class that tell its usual time left
+ROOM = 0.5  # beyond-quota work is let in only while q is under this part of Q_MIN
+WINDOWS = 2.0  # a count's window, in burst / rate: what idle times left unused in one is not lent out later
+SPLIT = 1.5  # our part of a silent counter's even split while there is room: use is uneven, peers may be dead
+OTHERS_MS = 1000.0  # memory of the others' rate of use
+HEED, CROWD = 0.35, 4  # weight of one counter reply in a mean of them; the power of the mean that thins calls
+CALL_REST_MS = 1000.0  # one call in this time is made however few are answered: it finds the counter's return
+FORGET_WINDOWS = 6.0  # windows without a request after which a customer is forgotten
+KEEP_MAX_MS = 60000.0  # longest life of a count
+
+
+def ramp(q: float) -> float:
+    """The SiRED fraction for smoothed occupancy q."""
+    return max(F_MIN, min((Q_MAX - q) / (Q_MAX - Q_MIN), 1.0))
+
+
+class _Host:
+    """What this gateway knows of one server."""
+
+    __slots__ = ("name", "zone", "cell", "nominal", "up", "born", "cold_from_ms", "open", "slow", "strikes",
+                 "fails", "down_until", "died", "credit", "credit_at")
+
+    def __init__(self, server: api.Server) -> None:
+        self.name = server.name
+        self.open = 0
+        self.slow = 1.0  # running latency over its class's usual one
+        self.strikes = self.fails = 0
+        self.down_until = 0.0
+        self.died = False  # connections failed: what answers next may have just started
+        self.born = self.cold_from_ms = 0.0
+        self.credit = self.credit_at = 0.0  # work that we may send it while cold, as of when
+        self.update(server)
+
+    def update(self, server: api.Server) -> None:
+        self.zone, self.cell, self.nominal = server.zone, server.cell, max(server.nominal, 1e-6)
+        self.up = server.status == "up"
+        if server.up_since_ms > self.born:
+            self.born = self.cold_from_ms = server.up_since_ms
+            self.strikes = self.fails = 0
+            self.down_until, self.died, self.slow = 0.0, False, 1.0
+
+
+class _Attempt:
+    __slots__ = ("host", "sent", "open", "ran")
+
+    def __init__(self, host: _Host, sent: float) -> None:
+        self.host, self.sent = host, sent
+        self.open = self.ran = True  # may be running until an outcome proves that it never did
+
+
+class _Held:
+    """A request that is owed an answer, or whose attempts are still out."""
+
+    __slots__ = ("req", "cls", "use", "aim_at", "end_at", "attempts", "answered", "stream", "work")
+
+    def __init__(self, req: api.Request, cls: api.RequestClass, use: _Use, aim_at: float, end_at: float,
+                 work: float) -> None:
+        self.req, self.cls, self.use, self.work = req, cls, use, work
+        self.aim_at, self.end_at = aim_at, end_at
+        self.attempts: list[_Attempt] = []
+        self.answered = self.stream = False
+
+
+class _Use:
+    """One customer's use: the count of this window, and this gateway's part of the ceiling."""
+
+    __slots__ = ("plan", "width", "window", "name", "own", "added", "base", "base_own", "base_at", "base_use",
+                 "base_left", "most", "left", "left_at", "others", "calling", "in_call", "call_at", "asking",
+                 "open", "seen", "ceiling", "ceiling_at", "luck")
+
+    def __init__(self, plan: api.Plan, width: int, now: float, age: float) -> None:
+        self.plan, self.width, self.seen = plan, width, now
+        self.window, self.name = -1, ""
+        self.own = self.added = self.in_call = 0.0  # our use in the window; told; in a call
+        self.calling, self.call_at = False, 0.0
+        self.base: float | None = None  # last total read; None: nothing read in this life
+        self.base_own = self.base_use = self.base_at = 0.0  # what it held of ours, our use then, when
+        self.most = self.base_left = plan.burst  # left if the others use nothing; the same at base
+        self.others = plan.rate / 1000 * (1 - 1 / width)  # estimate of the others' use, units per ms
+        # Danger: a gateway back from the dead has spent what it no longer knows. It earns its split anew.
+        self.left, self.left_at = min(plan.burst, plan.rate * age / 1000) / width, now
+        self.asking: list[tuple[api.Request, float, float]] = []  # wait for a total: request, aim, end
+        self.open = 0
+        self.ceiling = self.ceiling_at = 0.0
+        self.luck = 1.0  # part of our asking that found something left
+
+
+class _Cell:
+    """Requests of one class and plan: their worth per work, share of the work, fraction let in."""
+
+    __slots__ = ("value", "work", "f", "r")
+
+    def __init__(self) -> None:
+        self.value = self.work = self.r = 0.0
+        self.f = 1.0
+
+
+class Gateway:
+    """The decisions of one gateway."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        settings.check()
+        self.s = settings
+        self.rng = random.Random(seed)
+        self.classes = {c.name: c for c in settings.classes}
+        self.plans = {p.name: p for p in settings.plans}
+        self.out: list[api.Action] = []
+        self.hosts: dict[str, _Host] = {}
+        self.held: dict[str, _Held] = {}
+        self.uses: dict[str, _Use] = {}
+        self.calls: dict[str, str] = {}  # name of a count -> customer
+        self.asking: dict[str, str] = {}  # requests that wait for a total -> customer
+        self.cells: dict[tuple[str, str], _Cell] = {}
+        self.latency = {c.name: c.aim_ms / 10 for c in settings.classes}  # usual latency per unit
+        self.lefts = {c.name: deque(maxlen=TRIES) for c in settings.classes}  # times left of the last tries
+        self.now = 0.0
+        self.born: float | None = None
+        self.sweep_due = 0.0
+        self.stalled_at = -1.0
+        self.q, self.f = 0.0, 1.0
+        self.q_sum, self.q_n, self.q_seen = 0.0, 0, 0
+        self.ok_q = self.lost = 0.0  # part of the aim that good answers take; share of answers that are lost
+        self.mid, self.many_fail = 1.0, False  # the hosts' median slowness; whether over half of them fail
+        self.done = self.done_rate = 0.0  # good completions since the last sweep, and per ms
+        self.warm_work = self.warm_rate = 0.0  # work sent to warm hosts, and per ms and host
+        self.bank = RETRY_BANK
+        self.heard, self.call_at = 1.0, 0.0  # part of our counter calls answered; the last one's time
+        self.said: dict[str, float] = {}
+
+    # --- Events -------------------------------------------------------------------------------------------
+
+    def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
+        """The actions that answer one event at `now_ms`; times never run backwards."""
+        self.now = max(self.now, now_ms)
+        self.out = []
+        if self.born is None:
+            self.born, self.sweep_due = self.now, self.now + SWEEP_MS
+            self.out.append(api.Timer("sweep", SWEEP_MS))
+            if self.s.must_ask:
+                self.out.append(api.Subscribe())
+        if self.now > self.sweep_due + STALL * SWEEP_MS:
+            # Danger: our own stall looks like a slow back end. What was out during it is no q sample.
+            # Holds also for a paused machine or a jammed network card. Hurts: a real jam is seen later.
+            self.stalled_at = self.now
+        match event:
+            case api.Request():
+                self._request(event)
+            case api.Outcome():
+                self._outcome(event)
+            case api.TimerDue(name="sweep"):
+                self._sweep()
+            case api.TimerDue(name="subscribe"):
+                self.out.append(api.Subscribe())
+            case api.CountReply():
+                self._count_reply(event)
+            case api.ServerList():
+                self._server_list(event)
+            case api.StreamStarted():
+                self._stream_started(event)
+            case api.ClientLeft():
+                self.asking.pop(event.request, None)
+                self._finish(self.held.get(event.request))
+            case api.TimerDue() | api.ProbeReply() | api.PeerMessage():
+                pass
+            case _:
+                raise TypeError(f"not an event of yewstage.interface: {event!r}")
+        return self.out
+
+    def _server_list(self, event: api.ServerList) -> None:
+        if event.kind == "failed":
+            self.out.append(api.Timer("subscribe", BACKOFF_MS * (1 + self.rng.random())))
+            return
+        if event.kind != "changes":
+            named = {s.name for s in event.servers}
+            self.hosts = {n: h for n, h in self.hosts.items() if n in named}
+        for server in event.servers:
+            if server.status == "removed":
+                self.hosts.pop(server.name, None)
+            elif server.name in self.hosts:
+                self.hosts[server.name].update(server)
+            else:
+                self.hosts[server.name] = _Host(server)
+
+    # --- Admission (SiRED) ------------------------------------------------------------------------------
+
+    def _request(self, req: api.Request) -> None:
+        cls, plan = self.classes.get(req.class_name), self.plans.get(req.plan_name)
+        if req.id in self.held or req.id in self.asking:
+            return
+        if cls is None or plan is None or req.time_left_ms <= 0 or not self.hosts:
+            self.out.append(api.Refuse(req.id))
+            return
+        end_at = self.now + req.time_left_ms
+        aim_at = end_at if cls.late_worth > 0 else min(self.now + cls.aim_ms - self._spent(req, cls), end_at)
+        if aim_at <= self.now:
+            self.out.append(api.Refuse(req.id))  # its aim has passed: whatever we did would be waste
+            return
+        use = self._use(req, plan)
+        # Danger: a try with little time left would be held past its end; it is decided at once.
+        if aim_at - self.now > self.s.count_wait_ms + 2 * SWEEP_MS and self._unsure(use, req.units):
+            if not self._admit(cls, plan, req.units):  # danger: asking for what f sheds crowds the counter
+                self._refuse_new(req, use, False)
+                return
+            # Exception to refusing at once: the total that settles it is a few ms away.
+            self.asking[req.id] = req.customer
+            use.asking.append((req, aim_at, end_at))
+            self._sync(use, req.customer, req.units)
+        else:
+            self._decide(req, cls, use, aim_at, end_at, False)
+
+    def _spent(self, req: api.Request, cls: api.RequestClass) -> float:
+        """Time that the client spent on earlier tries, where its time left tells.
+
+        Danger: late retries take quota and work from those in time. First tries share one time left; a
+        shorter one was cut by the class's deadline. Hurts: clients with a short patience of their own; so it
+        acts only while a third of the last tries agree on the usual time, and takes what the deadline shows.
+        """
+        recent = self.lefts[cls.name]
+        recent.append(req.time_left_ms)
+        usual = sorted(recent)[len(recent) * 7 // 10]
+        agree = sum(1 for left in recent if abs(left - usual) <= 0.01 * usual)
+        if len(recent) < TRIES // 2 or 3 * agree < len(recent) or req.time_left_ms > 0.99 * usual:
+            return 0.0
+        return max(cls.deadline_ms - req.time_left_ms, 0.0)
+
+    def _decide(self, req: api.Request, cls: api.RequestClass, use: _Use, aim_at: float, end_at: float,
+                admitted: bool) -> None:
+        """Send on or refuse, at once."""
+        plan = use.plan
+        over = not self._quota_has(use, req.units)
+        if over:
+            fits = plan.over_worth > plan.over_cost and self.q < ROOM * Q_MIN
+        else:
+            fits = admitted or self._admit(cls, plan, req.units)
+        if not fits or not self._ceiling_has(use, req.units):
+            self._refuse_new(req, use, over)
+            return
+        held = _Held(req, cls, use, aim_at, end_at, self.latency[cls.name] * max(req.units, 0.0))
+        host = self._pick(held) if held.aim_at > self.now else None
+        if host is None:
+            self._refuse_new(req, use, over)
+            return
+        self.held[req.id] = held
+        self.bank = min(self.bank + RETRY_SHARE, RETRY_BANK)
+        use.ceiling -= req.units
+        use.open += 1
+        if not over:
+            self._spend(use, req.units)
+        self._sync(use, req.customer)
+        self._send(held, host)
+
+    def _admit(self, cls: api.RequestClass, plan: api.Plan, units: float) -> bool:
+        """The accumulator: r += f; at 1 or more, subtract 1 and let in."""
+        cell = self.cells.setdefault((cls.name, plan.name), _Cell())
+        cell.value = cls.worth * plan.worth / max(self.latency[cls.name], 1e-6)
+        cell.work += self.latency[cls.name] * max(units, 0.0)
+        cell.r += cell.f
+        if cell.r < 1.0:
+            return False
+        cell.r -= 1.0
+        return True
+
+    def _refuse_new(self, req: api.Request, use: _Use, over: bool) -> None:
+        wait = 1000 * req.units / use.plan.rate if over and use.plan.rate else SWEEP_MS / self.f
+        self.out.append(api.Refuse(req.id, min(wait, self.s.max_retry_after_ms * self.s.retry_after)))
+
+    def _sample(self, held: _Held, attempt: _Attempt, event: api.Outcome) -> None:
+        """One outcome's occupancy: the part of the aim that it used up, or that a new one would."""
+        if attempt.sent < self.stalled_at or event.result in (api.CONNECT_FAILED, api.RESET, api.CANCELLED):
+            return
+        if self._unwell(attempt.host):
+            return  # danger: a few bad hosts cut f for all; they are the business of health
+        q = 1.0
+        if event.result in (api.OK, api.ERROR):
+            self.ok_q += (min(event.took_ms / held.cls.aim_ms, 1.0) - self.ok_q) / FEW
+            self.lost -= self.lost / (4 * FEW)
+            # Danger: foretold from two or three completions it is noise that cuts f for nothing.
+            foretold = sum(h.open for h in self.hosts.values() if not h.fails) / max(self.done_rate, 1e-9)
+            trust = 0.5 * min(self.done_rate * (self.now - self.born) / (3 * FEW), 1.0)
+            q = min((event.took_ms + trust * (foretold - event.took_ms)) / held.cls.aim_ms, 1.0)
+        elif event.result == api.TIMED_OUT and self.ok_q < Q_MIN:
+            # Danger: answers lost on their way, or stuck on single hosts, look like a jam. While the others
+            # come fast, nothing waits. Hurts: the start of a jam is seen some answers later.
+            self.lost += (1 - self.lost) / (4 * FEW)
+            return
+        self.q_sum += q
+        self.q_n += 1
+        if self.q_n >= OUTCOMES:
+            self._update_f()
+
+    def _update_f(self) -> None:
+        if self.q_n:
+            self.q_seen += self.q_n
+            w = min(W, self.q_n / FEW) if self.q_seen > FEW else self.q_n / self.q_seen
+            self.q = (1 - w) * self.q + w * self.q_sum / self.q_n
+            self.q_sum, self.q_n = 0.0, 0
+        elif not self.held:
+            # Danger: near fmin a gateway of two requests a second has one outcome in ten seconds; q would
+            # hold on long after a jam, so it fades while nothing is out. Hurts: long jams get more than fmin.
+            self.q *= 1 - SWEEP_MS / max(c.aim_ms for c in self.s.classes)
+        late = 0
+        if self.q_seen < FEW:
+            # Danger: outcomes show a jam an aim late, and fresh gateways would fill it until then. What is
+            # out for longer than Qmax of its aim counts as full. Hurts: lost answers press a fresh gateway.
+            late = sum(a.open and self.now - a.sent > Q_MAX * h.cls.aim_ms
+                       for h in self.held.values() for a in h.attempts)
+        self.f = ramp((FEW * self.q + late) / (FEW + late))
+        # Staggered ramps: worth per work decides whose ramp f reaches first; the sum over cells stays f.
+        total, above = sum(c.work for c in self.cells.values()), 0.0
+        for cell in sorted(self.cells.values(), key=lambda c: -c.value):
+            share = cell.work / total if total > 0 else 1.0
+            cell.f = max(F_MIN, min((self.f - above) / share, 1.0)) if share > 0 else self.f
+            above += share
+        if self.f < 0.9:
+            self._say("pressed", f"back end pressed: q {self.q:.2f}, letting in {self.f:.0%}")
+
+    # --- Quotas and ceiling -----------------------------------------------------------------------------
+
+    def _use(self, req: api.Request, plan: api.Plan) -> _Use:
+        use = self.uses.get(req.customer)
+        width = max(1, min(req.width, self.s.fleet_size))
+        if use is None or use.plan is not plan:
+            if use is not None:
+                self._settle(use)
+            use = self.uses[req.customer] = _Use(plan, width, self.now, self.now - (self.born or 0.0))
+            use.ceiling_at = self.born or 0.0
+        use.width, use.seen = max(use.width, width), self.now
+        if plan.rate > 0:  # windows start at a phase of the customer's own: no herd of calls at their edges
+            digest, length = hashlib.blake2s(req.customer.encode(), digest_size=8), self._window_ms(plan)
+            clock = self.now / length + int.from_bytes(digest.digest()[:2], "big") / 65536
+            if int(clock) != use.window:
+                name = f"{digest.hexdigest()}.{int(clock)}"
+                self._roll(use, int(clock), name, self.now - clock % 1 * length)
+        return use
+
+    @staticmethod
+    def _window_ms(plan: api.Plan) -> float:
+        return min(max(WINDOWS * 1000.0 * plan.burst / plan.rate, 1.0), KEEP_MAX_MS / 2)
+
+    def _roll(self, use: _Use, window: int, name: str, start: float) -> None:
+        """A new window: a new count. What was left unused is carried over, the burst at most.
+
+        Danger: a gateway that sees a customer once in many seconds rolls late; what the others used since the
+        window's start is in its total, so what was left is taken at that start, too.
+        """
+        self.calls.pop(use.name, None)
+        self._settle(use)
+        use.window, use.name = window, name
+        self._left(use, start)
+        known = use.most if use.base is None else max(use.left, 0.0)
+        use.base_at, use.base_left = max(start, use.left_at), known
+        use.own = use.base_use = use.own - use.added  # not told yet: told in the new window
+        use.added = use.base_own = 0.0
+        use.calling = False
+        use.base = None if use.base is None else 0.0
+
+    def _left(self, use: _Use, at: float | None = None) -> float:
+        """What is left of the quota: carried + rate x time - our use - the others' as read or estimated."""
+        span = max((self.now if at is None else at) - use.left_at, 0.0)
+        burst, rate = use.plan.burst, use.plan.rate / 1000
+        part = min(1.0, (SPLIT if self.f >= 1 else 1.0) / use.width)
+        use.most = min(burst, use.most + rate * span)
+        gain, most = (0.0, burst * part) if use.base is None else (rate - use.others, burst)
+        if use.base is None or self.heard < 0.5:  # nothing is known, or no more: our split at least
+            gain = max(gain, rate * part)
+        use.left = min(most, use.left + gain * span)
+        use.left_at += span
+        return use.left
+
+    def _unsure(self, use: _Use, units: float) -> bool:
+        """Nothing was read, or the estimate says no or maybe and the last total does not."""
+        if not self.s.may_count or use.plan.rate <= 0 or not self._may_call():
+            return False
+        doubt = (max(use.others, 0.0) * (self.now - use.base_at)) ** 0.5  # the others' use may vary so much
+        maybe = self._left(use) - doubt < units <= use.most
+        return use.base is None or (maybe and self.rng.random() < max(use.luck, self.heard ** CROWD))
+
+    def _may_call(self) -> bool:
+        """Danger: the crowd at the counter is us. Unanswered calls thin out ours; what was not told waits.
+
+        Holds against a slow, silent or small counter alike. Hurts: totals are older while it acts.
+        """
+        return self.rng.random() < self.heard ** CROWD or self.now > self.call_at + CALL_REST_MS
+
+    @staticmethod
+    def _spend(use: _Use, units: float) -> None:
+        use.own += units
+        use.left -= units
+        use.most -= units
+
+    def _quota_has(self, use: _Use, units: float) -> bool:
+        plan = use.plan
+        if plan.parallel and use.open >= max(1, plan.parallel // use.width):
+            return False
+        if plan.rate <= 0:
+            return True
+        if use.base is None and use.own == 0:
+            return True  # one request costs nearly nothing, and its count call tells us more
+        self._left(use)
+        if use.base is None or self.heard < 0.5:
+            use.left = self._draw(use.left, units)  # hurts: small parts serve by luck
+        return use.left >= units - 1e-9
+
+    def _ceiling_has(self, use: _Use, units: float) -> bool:
+        """This gateway's part of the ceiling, 1 / width of its rate and burst, empty at our start.
+
+        Invariant: the parts of all gateways never sum to more than the customer's store, whatever happens to
+        messages, counters and clocks: they fill no faster, hold no more, and a restart only
+        loses what was held.
+        """
+        plan = use.plan
+        if plan.ceiling_rate <= 0:
+            return True
+        full = plan.ceiling_burst / use.width
+        gained = (self.now - use.ceiling_at) * plan.ceiling_rate / 1000 / use.width
+        use.ceiling = min(full, use.ceiling + gained)
+        use.ceiling_at = self.now
+        return units <= use.ceiling + 1e-9
+
+    def _sync(self, use: _Use, customer: str, reserve: float = 0.0) -> None:
+        """Tell the counter, in batches that shrink as the customer nears its limit."""
+        newer = use.own - use.added + reserve  # asked and told in one; a refusal is taken off again
+        if not self.s.may_count or use.plan.rate <= 0 or use.calling:
+            return
+        if not reserve and (not newer or 0 < newer * use.width < self._left(use) or not self._may_call()):
+            return
+        use.calling, use.call_at, self.call_at = True, self.now, self.now
+        use.added += newer
+        use.in_call = newer
+        self.calls[use.name] = customer
+        self.out.append(api.Count(use.name, newer, min(2 * self._window_ms(use.plan), KEEP_MAX_MS)))
+
+    def _count_reply(self, reply: api.CountReply) -> None:
+        customer = self.calls.get(reply.name)
+        ok = reply.result == api.OK
+        self.heard += HEED * (ok - self.heard)
+        if self.heard < 0.5:
+            self._say("counter", "counter silent or crowded: calling less, quotas go by our estimates")
+        use = self.uses.get(customer) if customer is not None else None
+        if use is None or use.name != reply.name or not use.calling:
+            return
+        use.calling = False
+        if ok:
+            self._read(use, reply.total)
+        elif reply.result != api.TIMED_OUT:
+            use.added -= use.in_call  # a timed-out call may have counted: it is not added twice
+        self._settle(use)
+        if ok:
+            self._sync(use, customer)
+
+    def _settle(self, use: _Use) -> None:
+        """Decide the requests that waited for a total."""
+        waiting, use.asking = use.asking, []
+        if waiting:  # danger: all gateways ask again and again for a customer who floods them
+            found = use.left >= waiting[0][0].units
+            use.luck = max(use.luck + HEED * (found - use.luck), 1 / use.width)
+        for req, aim_at, end_at in waiting:
+            if self.asking.pop(req.id, None) is not None:
+                self._decide(req, self.classes[req.class_name], use, aim_at, end_at, True)
+
+    def _read(self, use: _Use, total: float) -> None:
+        """A total: what the others used since the last one comes off what is left."""
+        span = max(self.now - use.base_at, 1.0)
+        others = total - (use.base or 0.0) - (use.added - use.base_own)
+        self._left(use)
+        if total >= use.added - 1e-6 and others >= -1e-6:
+            full = use.base_left + use.plan.rate * span / 1000 - others - (use.own - use.base_use)
+            # Danger: what overshot took nothing from the store, so it must not be owed ever after.
+            use.left = use.most = max(min(full, use.most), 0.0)
+            keep = 0.0 if use.base is None else OTHERS_MS / (OTHERS_MS + span)
+            use.others = keep * use.others + (1 - keep) * others / span
+        # Else the counter lost its counts: what is left stays as we know it, the count goes on from here.
+        use.base, use.base_own, use.base_use = total, use.added, use.own
+        use.base_left, use.base_at = use.most, self.now
+
+    # --- Server choice and health ------------------------------------------------------------------------
+
+    def _warmth(self, host: _Host) -> float:
+        """The least part of its capacity that a host may have after its start."""
+        age = self.now - host.cold_from_ms
+        if not host.cold_from_ms or age >= self.s.cold_ms or self.s.cold_ms <= 0:
+            return 1.0
+        return self.s.cold_from + (1 - self.s.cold_from) * max(age, 0.0) / self.s.cold_ms
+
+    def _cold_room(self, host: _Host, warmth: float, work: float) -> bool:
+        """Whether our part of a cold host's budget holds `work`; a part of it is drawn for.
+
+        The yardstick is what this gateway itself sends to a warm host, so the parts of all gateways add up to
+        what the fleet sends to one, times warmth. Danger: parts under one request; one for each gateway would
+        tip the host, none leave it idle. Hurts: those with no yardstick yet send lone requests only.
+        """
+        if self.warm_rate <= 0:
+            return host.open == 0 and self.rng.random() * self.s.fleet_size < 1
+        rate = min(COLD_MARGIN * self.s.fall_multiple, 1.0) * warmth * self.warm_rate
+        span = self.now - max(host.credit_at, host.cold_from_ms)
+        host.credit = min(host.credit + rate * span, rate * self.s.tip_after_ms / 2)
+        host.credit_at = self.now
+        host.credit = self._draw(host.credit, work)
+        return host.credit >= work
+
+    def _draw(self, part: float, whole: float) -> float:
+        """A part of one unit serves nobody: a fair draw for the whole keeps the sum of all gateways right."""
+        if part >= whole or part <= 0:
+            return part
+        return whole if self.rng.random() * whole < part else 0.0
+
+    def _pick(self, held: _Held) -> _Host | None:
+        """A cold host while our part lasts, else the least loaded; a failing one gets lone trials."""
+        best, best_score, resting = None, 0.0, []
+        tried = [a.host for a in held.attempts]
+        for host in self.hosts.values():
+            if not self._may_send(held, host):
+                continue
+            warmth = self._warmth(host)
+            if warmth < 1 and not self._cold_room(host, warmth, held.work):
+                continue
+            if host.fails:
+                if host in tried:
+                    continue
+                if host.open or self.now < host.down_until:
+                    resting.append(host)
+                    continue
+                if held.cls.effect != "safe":
+                    continue
+                return host  # its rest is over: one safe request tries it
+            if warmth < 1:
+                return host
+            # Danger: speed is noise of what others send; weighing it in full herds us onto one server.
+            # No zone is preferred: where traffic leans to one for good, its servers alone would bear it.
+            score = (host.open + 1) * host.slow ** 0.5 / host.nominal
+            score *= 1 + 0.2 * self.rng.random()
+            if host in tried:
+                score *= 4
+            if best is None or score < best_score:
+                best, best_score = host, score
+        return best if best is not None else min(resting, key=lambda h: h.down_until, default=None)
+
+    def _unwell(self, host: _Host) -> bool:
+        """Worse than its fellows. When all are slow or failing none is: then it is f that must act."""
+        return host.slow > BAD * self.mid or (host.fails > 0 and not self.many_fail)
+
+    def _judge(self, held: _Held, host: _Host, event: api.Outcome) -> None:
+        """What an outcome says of its host."""
+        usual = self._usual(held)
+        if event.result == api.OK:
+            if host.died:
+                # Danger: a host back from the dead is cold long before the list says so.
+                host.cold_from_ms, host.died = max(host.cold_from_ms, self.now), False
+            host.strikes = host.fails = 0
+            host.slow += GAIN * (min(event.took_ms / usual, 20.0) - host.slow)
+            units = max(event.true_units or held.req.units, 1e-6)
+            self.latency[held.cls.name] += GAIN / 4 * (event.took_ms / units - self.latency[held.cls.name])
+            self.done += 1
+        elif event.result in (api.CONNECT_FAILED, api.RESET):
+            host.died = True
+            self._down(host)
+        elif event.result in (api.ERROR, api.TIMED_OUT, api.FULL):
+            host.slow += GAIN * (min(max(held.cls.aim_ms / usual, 2.0), 20.0) - host.slow)
+            late = event.result == api.TIMED_OUT and self._unwell(host)
+            host.strikes += late or event.result == api.ERROR
+            if host.fails or host.strikes >= STRIKES:
+                self._down(host)
+
+    def _down(self, host: _Host) -> None:
+        if host.fails and self.now < host.down_until:
+            return
+        host.down_until = self.now + min(BACKOFF_MS * 2 ** host.fails, BACKOFF_MAX_MS)
+        host.fails = min(host.fails + 1, 10)
+        self._say("host", f"{host.name} fails: resting it")
+
+    # --- Attempts and final answers -----------------------------------------------------------------------
+
+    def _may_send(self, held: _Held, host: _Host) -> bool:
+        """The rules on drains and repeats, for every send."""
+        if not host.up or len(held.attempts) >= self.s.try_limit or held.answered or held.stream:
+            return False
+        if not self.s.second_copies and any(a.open for a in held.attempts):
+            return False
+        risky = [a for a in held.attempts if a.ran]
+        if not risky or held.cls.effect == "safe":
+            return True
+        if held.cls.effect == "unsafe":
+            return False
+        if self.now - risky[0].sent > held.cls.window_ms - 2 * self.s.tick_ms:
+            return False
+        scope = held.cls.key_scope
+        return scope == "all" or all(
+            a.host.zone == host.zone and (scope == "zone" or a.host.cell == host.cell) for a in risky)
+
+    def _send(self, held: _Held, host: _Host) -> None:
+        """One attempt, given up when it can no longer be in time, or when it is better asked for again.
+
+        Danger: an answer that never comes costs its whole aim, whoever lost it: a path, a stuck or a slow
+        server. While answers get lost beside fast ones, what may be repeated ends early. Hurts: long jobs.
+        """
+        timeout = max(held.aim_at - self.now - self.s.tick_ms, min(1.0, held.end_at - self.now))
+        early = max(timeout / 2, PATIENCE * self._usual(held))
+        if (self.lost > LOST and held.cls.effect != "unsafe" and self.bank >= 1
+                and len(held.attempts) + 1 < self.s.try_limit and early + self._usual(held) < timeout):
+            timeout = early
+        held.attempts.append(_Attempt(host, self.now))
+        host.open += 1
+        if self._warmth(host) < 1:
+            host.credit -= held.work
+        else:
+            self.warm_work += held.work
+        self.out.append(api.Send(held.req.id, host.name, timeout))
+
+    def _answer(self, held: _Held) -> None:
+        """The final answer of a request that will not be served."""
+        may_have_run = any(a.ran for a in held.attempts)  # then a refusal would promise too much
+        self.out.append(api.Fail(held.req.id) if may_have_run else api.Refuse(held.req.id))
+        self._finish(held)
+
+    def _finish(self, held: _Held | None) -> None:
+        """No more is sent; attempts still out are called off, and awaited."""
+        if held is None:
+            return
+        still = [i for i, a in enumerate(held.attempts) if a.open]
+        if self.s.cancel and not held.stream and not held.answered:
+            self.out.extend(api.Cancel(held.req.id, i) for i in still)
+        held.answered = True
+        if not still and self.held.pop(held.req.id, None) is not None:
+            held.use.open -= 1
+
+    def _stream_started(self, event: api.StreamStarted) -> None:
+        held = self.held.get(event.request)
+        if held is not None:
+            held.stream = True
+
+    def _outcome(self, event: api.Outcome) -> None:
+        held = self.held.get(event.request)
+        if held is None or not 0 <= event.attempt < len(held.attempts):
+            return
+        attempt = held.attempts[event.attempt]
+        if not attempt.open:
+            return
+        attempt.open = False
+        attempt.host.open -= 1
+        attempt.ran = event.result not in api.NEVER_RAN
+        if event.result != api.MOOT:
+            self._sample(held, attempt, event)
+            self._judge(held, attempt.host, event)
+        if event.result == api.OK and event.true_units > 0 and held.use.plan.rate > 0:
+            self._spend(held.use, event.true_units - held.req.units)
+            self._sync(held.use, held.req.customer)
+        if event.final or event.result == api.OK or held.answered:
+            self._finish(held)
+        elif not any(a.open for a in held.attempts) and not self._again(held):
+            self._answer(held)
+
+    def _usual(self, held: _Held) -> float:
+        return self.latency[held.cls.name] * max(held.req.units, 1e-6)
+
+    def _again(self, held: _Held) -> bool:
+        """A further attempt if it can still be in time and is paid for."""
+        if self.bank < 1 or held.aim_at - self.now <= max(self._usual(held), 2 * self.s.tick_ms):
+            return False
+        host = self._pick(held)
+        if host is not None:
+            self.bank -= 1
+            self._send(held, host)
+        return host is not None
+
+    # --- Timers -------------------------------------------------------------------------------------------
+
+    def _sweep(self) -> None:
+        span = max(self.now - self.sweep_due + SWEEP_MS, 1.0)
+        # Danger: a rate of two a second means nothing over one second: its memory holds some outcomes, too.
+        memory = max(RATE_MEMORY_MS, 3 * FEW / max(self.done_rate, 1e-9))
+        memory = min(memory, self.now - self.born)
+        keep = memory / (memory + span)
+        self.done_rate = keep * self.done_rate + (1 - keep) * self.done / span
+        slow = sorted(h.slow for h in self.hosts.values() if h.up)
+        self.mid = max(slow[len(slow) // 2], 1.0) if slow else 1.0
+        self.many_fail = 2 * sum(1 for h in self.hosts.values() if h.up and h.fails) > len(slow)
+        warm = sum(1 for h in self.hosts.values() if h.up and not h.fails and self._warmth(h) >= 1)
+        if warm:
+            self.warm_rate = keep * self.warm_rate + (1 - keep) * self.warm_work / span / warm
+        self.done = self.warm_work = 0.0
+        for cell in self.cells.values():
+            cell.work *= keep
+        self._update_f()
+        for use in [u for u in self.uses.values() if u.asking]:
+            if self.now - use.call_at > self.s.count_wait_ms + SWEEP_MS:  # danger: a reply that never comes
+                use.calling = False
+                self._settle(use)
+        for customer in [c for c, u in self.uses.items() if self._stale(u)]:
+            self.calls.pop(self.uses.pop(customer).name, None)
+        self.sweep_due = self.now + SWEEP_MS
+        self.out.append(api.Timer("sweep", SWEEP_MS))
+
+    def _stale(self, use: _Use) -> bool:
+        idle, plan = self.now - use.seen, use.plan
+        memory = self._window_ms(plan) if plan.rate > 0 else RATE_MEMORY_MS
+        if use.open or use.asking or idle < FORGET_WINDOWS * memory:
+            return False
+        # A forgotten ceiling part starts anew from our start: only one that would be full again may go.
+        return plan.ceiling_rate <= 0 or idle * plan.ceiling_rate >= 1000 * plan.ceiling_burst
+
+    def _say(self, cause: str, text: str) -> None:
+        if self.now - self.said.get(cause, -1e9) >= 5000:
+            self.said[cause] = self.now
+            self.out.append(api.Log(text))
