Serve the decision module on real sockets

One asyncio process (uvloop, httptools) round the unchanged module: clients, hosts, counter, discovery and a core that only translates.

--- /dev/null
+++ b/yewstage/net/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway on real sockets: everything round the decision module."""
--- /dev/null
+++ b/yewstage/net/config.py
@@ -0,0 +1,138 @@
+"""The configuration that a gateway is started with: file and environment to typed values."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+from yewstage import interface as api
+from yewstage import wire
+from yewstage.net.discovery import Listing, parse_listing
+
+Address = tuple[str, int]
+DEFAULT_SOCKETS = 1024
+
+
+class ConfigError(ValueError):
+    """A configuration that no gateway can be started with; the text names the field."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """What one gateway is told when it starts."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    counter: Address | None
+    seed: int
+    sockets: int
+    settings: api.Settings
+    known: Listing
+    dial_ms: float
+    idle_ms: float
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """The configuration that `ROUTER_CONFIG` names; the single variables go before the file."""
+    path = environ.get("ROUTER_CONFIG")
+    if not path:
+        raise ConfigError("ROUTER_CONFIG: is not set")
+    try:
+        raw = json.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"ROUTER_CONFIG: cannot be read: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError("ROUTER_CONFIG: must hold a JSON object")
+    for field, variable in (("name", "ROUTER_NAME"), ("listen", "ROUTER_LISTEN"),
+                            ("discovery", "ROUTER_DISCOVERY")):
+        if environ.get(variable):
+            raw[field] = environ[variable]
+    return parse(raw)
+
+
+def parse(raw: dict[str, object]) -> Config:
+    """The object of the file as a `Config`."""
+    pairs = dict(_flatten("", _object(raw, "settings")))
+    settings = _settings(pairs)
+    counter = raw.get("counter")
+    if settings.may_count and not counter:
+        raise ConfigError("counter: is missing, though the settings allow calls")
+    try:
+        known = parse_listing(raw["known"]) if raw.get("known") else Listing(0, True, (), {})
+    except ValueError as error:
+        raise ConfigError(f"known: {error}") from None
+    return Config(
+        name=str(raw.get("name", "")), listen=address(raw, "listen"), discovery=address(raw, "discovery"),
+        counter=address(raw, "counter") if counter else None, seed=_seed(raw), sockets=_sockets(raw),
+        settings=settings, known=known, dial_ms=_positive(pairs, "bounds.dial_timeout_ms", 250.0),
+        idle_ms=_positive(pairs, "bounds.conn_idle_ms", 15000.0))
+
+
+def address(raw: Mapping[str, object], field: str) -> Address:
+    """A field of the form HOST:PORT."""
+    host, colon, port = str(raw.get(field, "")).rpartition(":")
+    if not colon or not host or not (port.isascii() and port.isdigit() and int(port) < 65536):
+        raise ConfigError(f"{field}: {raw.get(field)!r} is not HOST:PORT")
+    return host.strip("[]"), int(port)
+
+
+def _object(raw: Mapping[str, object], field: str) -> dict[str, object]:
+    value = raw.get(field)
+    if not isinstance(value, dict):
+        raise ConfigError(f"{field}: must be an object")
+    return value
+
+
+def _flatten(path: str, value: object) -> Iterator[tuple[str, str]]:
+    """Nested settings as the path=value pairs of the simulator's wire."""
+    if isinstance(value, dict):
+        for key, item in value.items():
+            yield from _flatten(f"{path}.{key}" if path else str(key), item)
+    elif isinstance(value, list):
+        if any(isinstance(item, dict) for item in value):
+            yield f"{path}.count", str(len(value))
+            for i, item in enumerate(value):
+                yield from _flatten(f"{path}.{i}", item)
+        else:
+            yield path, ",".join(map(str, value))
+    elif isinstance(value, bool):
+        yield path, "true" if value else "false"
+    elif value is not None:
+        yield path, str(value)
+
+
+def _settings(pairs: dict[str, str]) -> api.Settings:
+    try:
+        settings = wire.settings([f"{key}={value}" for key, value in pairs.items()])
+        settings.check()
+    except ValueError as error:
+        raise ConfigError(f"settings: {error}") from None
+    return settings
+
+
+def _positive(pairs: dict[str, str], key: str, default: float) -> float:
+    try:
+        value = wire.number(pairs[key]) if key in pairs else default
+    except ValueError as error:
+        raise ConfigError(f"settings: {key}: {error}") from None
+    if value <= 0:
+        raise ConfigError(f"settings: {key}: must be above 0")
+    return value
+
+
+def _seed(raw: Mapping[str, object]) -> int:
+    try:
+        return int(str(raw.get("seed", "")), 16)
+    except ValueError:
+        raise ConfigError(f"seed: {raw.get('seed')!r} is not a hex number") from None
+
+
+def _sockets(raw: Mapping[str, object]) -> int:
+    limits = raw.get("limits") or {}
+    value = limits.get("sockets", DEFAULT_SOCKETS) if isinstance(limits, dict) else None
+    if not isinstance(value, int) or value < 64:
+        raise ConfigError("limits.sockets: must be a whole number of 64 or more")
+    return value
--- /dev/null
+++ b/yewstage/net/core.py
@@ -0,0 +1,319 @@
+"""The core: owns the decision module, its clock, timers and open requests. Translation only."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from yewstage import interface as api
+from yewstage.net.config import Config
+from yewstage.net.counter import Counter
+from yewstage.net.discovery import Discovery, Listing
+from yewstage.net.hosts import Attempt, Hosts
+from yewstage.net.http1 import Reply
+from yewstage.policy import Gateway
+
+log = logging.getLogger(__name__)
+
+UPSTREAM_SHARE = 0.3  # of the descriptors
+TRANSIT_MS = 4.0  # what a request may have spent on its way to us and its answer may on its way back
+GUARD_MS = 8.0  # the guard answers this long before the client's time is up
+MODULE_MS = 20.0  # the module is told of an end this much earlier, so that it comes first
+BEAT_S = 0.05  # spacing of the heartbeat that measures our own lag
+LAG_MS = 5.0  # a heartbeat later than this is a stall
+LIST_WAIT_S = 1.0  # how long a start waits for discovery before it serves with the list it was given
+
+
+class Clock:
+    """The module's clock: Unix time in milliseconds, which all gateways share, but never set back."""
+
+    def __init__(self) -> None:
+        self._offset = time.time() - time.monotonic()
+
+    def now_ms(self) -> float:
+        """The time now."""
+        return (self._offset + time.monotonic()) * 1000
+
+
+class Client(Protocol):
+    """Who is owed an answer."""
+
+    def answer(self, status: int, body: bytes = b"", content_type: bytes = b"",
+               retry_after_ms: float = 0.0) -> None:
+        """Pass the one final answer on."""
+
+
+@dataclass(slots=True)
+class Order:
+    """A valid request of a client: what the module is told, and what goes on to a host."""
+
+    class_name: str
+    plan_name: str
+    customer: str
+    time_left_ms: float
+    units: float
+    width: int
+    first: int
+    repeat: bool
+    head: bytes  # request line and headers for the host, but for X-Deadline
+    body: bytes
+
+
+class _Open:
+    """A request until it is answered and its last attempt is over."""
+
+    __slots__ = ("id", "client", "order", "end_at", "guard", "attempts", "out")
+
+    def __init__(self, rid: str, client: Client, order: Order, end_at: float) -> None:
+        self.id, self.order, self.end_at = rid, order, end_at
+        self.client: Client | None = client  # None: answered, or gone
+        self.guard: asyncio.TimerHandle | None = None
+        self.attempts: list[Attempt | None] = []  # None: never sent
+        self.out = 0
+
+
+class Core:
+    """Events of the sockets in, actions of the module out."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        self.settings = config.settings
+        self._loop = loop
+        self._clock = Clock()
+        self._gateway = Gateway(config.settings, config.seed)
+        self._hosts = Hosts(loop, int(UPSTREAM_SHARE * config.sockets), config.dial_ms, config.idle_ms,
+                            self._ended)
+        self._discovery = Discovery(loop, config.discovery, self._listed)
+        self._counter = (Counter(loop, config.counter, config.settings.count_wait_ms, self._post)
+                         if config.counter is not None else None)
+        self._known = config.known
+        self._requests: dict[str, _Open] = {}
+        self._serial = 0
+        self._events: deque[api.Event] = deque()
+        self._handling = False
+        self._lag_ms = 0.0
+        self._started = self._beat_due = 0.0
+        self._heard = False  # discovery has answered in this life
+        self.draining = False
+        self.when_empty: Callable[[], None] | None = None
+
+    # --- Life ---------------------------------------------------------------------------------------------
+
+    def start(self) -> None:
+        """Begin with the known list, then listen to discovery and the counter."""
+        self._started = time.monotonic()
+        self._apply(self._known, "kept")
+        self._hosts.start()
+        self._discovery.start()
+        if self._counter is not None:
+            self._counter.start()
+        self._beat_due = time.monotonic() + BEAT_S
+        self._loop.call_later(BEAT_S, self._beat)
+
+    def stop(self) -> None:
+        """Close everything towards the back end."""
+        self._discovery.stop()
+        self._hosts.stop()
+        if self._counter is not None:
+            self._counter.stop()
+
+    def ready(self) -> bool:
+        """Whether requests can be served: hosts are known, by discovery's word if it speaks at all."""
+        if self.draining or not self._hosts.names():
+            return False
+        return self._heard or time.monotonic() - self._started > LIST_WAIT_S
+
+    def unanswered(self) -> int:
+        """Requests that are owed an answer."""
+        return sum(1 for r in self._requests.values() if r.client is not None)
+
+    def fail_all(self) -> None:
+        """Answer all that is open as failed: the process is about to end."""
+        for request in list(self._requests.values()):
+            self._give_up(request)
+
+    def _beat(self) -> None:
+        """Measure how far we run behind: what is read in this turn may have waited for us so long."""
+        now = time.monotonic()
+        late = (now - self._beat_due) * 1000
+        if late > LAG_MS:
+            self._lag_ms = late
+            self._loop.call_later(0.001, self._caught_up)
+        self._beat_due = now + BEAT_S
+        self._loop.call_later(BEAT_S, self._beat)
+
+    def _caught_up(self) -> None:
+        self._lag_ms = 0.0
+
+    # --- Clients ------------------------------------------------------------------------------------------
+
+    def request(self, client: Client, order: Order) -> str:
+        """Take a request; its id tells `left` which one is meant."""
+        self._serial += 1
+        rid = f"r{self._serial}"
+        # The client's time runs from when it sent the request, not from when we came to read it.
+        left_ms = order.time_left_ms - TRANSIT_MS - self._lag_ms
+        request = _Open(rid, client, order, time.monotonic() + (left_ms - GUARD_MS) / 1000)
+        self._requests[rid] = request
+        request.guard = self._loop.call_later(max(left_ms - GUARD_MS, 0.0) / 1000, self._guard, request)
+        self._post(api.Request(rid, order.class_name, order.plan_name, order.customer, left_ms - MODULE_MS,
+                               order.units, order.width, order.first, order.repeat))
+        return rid
+
+    def left(self, rid: str) -> None:
+        """The client is gone."""
+        request = self._requests.get(rid)
+        if request is not None and request.client is not None:
+            self._close(request)
+            self._post(api.ClientLeft(rid))
+
+    def _guard(self, request: _Open) -> None:
+        # Guards the first rule: whatever the module or a socket does, the client gets its answer in time.
+        log.warning("a request ran to its deadline unanswered: failed by the guard")
+        self._give_up(request)
+
+    def _give_up(self, request: _Open) -> None:
+        if request.client is not None:
+            self._answer(request, 504)
+            self._post(api.ClientLeft(request.id))
+
+    def _answer(self, request: _Open | None, status: int, reply: Reply | None = None,
+                retry_after_ms: float = 0.0) -> None:
+        """The one final answer; a second one is dropped."""
+        if request is None or request.client is None:
+            return
+        client = request.client
+        self._close(request)
+        if reply is None:
+            client.answer(status, retry_after_ms=retry_after_ms)
+        else:
+            client.answer(status, reply.body, reply.headers.get(b"content-type", b""))
+
+    def _close(self, request: _Open) -> None:
+        request.client = None
+        request.guard.cancel()
+        self._forget(request)
+
+    def _forget(self, request: _Open) -> None:
+        if request.client is None and not request.out:
+            self._requests.pop(request.id, None)
+        if self.draining and self.when_empty is not None and not self.unanswered():
+            self._loop.call_soon(self.when_empty)
+
+    # --- Hosts --------------------------------------------------------------------------------------------
+
+    def _listed(self, listing: Listing) -> None:
+        self._heard = True
+        self._apply(listing, "full" if listing.whole else "changes")
+
+    def _apply(self, listing: Listing, kind: str) -> None:
+        gone = {s.name for s in listing.servers if s.status == "removed"}
+        if kind != "changes":  # a whole list replaces the old one
+            gone |= self._hosts.names() - {s.name for s in listing.servers}
+        self._hosts.update(listing.addresses, gone)
+        if listing.servers or kind != "changes":
+            self._post(api.ServerList(kind, listing.servers))
+
+    def _send(self, act: api.Send) -> None:
+        request = self._requests.get(act.request)
+        number = len(request.attempts) if request is not None else 0
+        left_s = request.end_at - time.monotonic() if request is not None else 0.0
+        if request is None or request.client is None or left_s <= 0 or number >= self.settings.try_limit:
+            if request is not None:
+                request.attempts.append(None)
+            self._post(api.Outcome(act.request, number, act.server, api.MOOT, 0.0,
+                                   request is None or request.client is None))
+            return
+        wait_s = min(act.timeout_ms / 1000, left_s) if act.timeout_ms else left_s
+        order = request.order
+        payload = b"%bX-Deadline: %dm\r\n\r\n%b" % (order.head, max(wait_s * 1000, 1), order.body)
+        attempt = Attempt(act.request, number, act.server, payload, time.monotonic())
+        request.attempts.append(attempt)
+        request.out += 1
+        self._hosts.send(attempt, max(wait_s, 0.0))
+
+    def _ended(self, attempt: Attempt, result: str, reply: Reply | None) -> None:
+        request = self._requests[attempt.request]
+        request.out -= 1
+        # What lay unread while we stalled is not the host's latency.
+        took = (time.monotonic() - attempt.sent_at) * 1000
+        took = max(took - (self._lag_ms if reply is not None else 0.0), 0.0)
+        units = 0.0
+        if result == api.OK:
+            units = _number(reply.headers.get(b"billed-units"))
+            self._answer(request, 200, reply)
+        final = request.client is None
+        self._forget(request)
+        self._post(api.Outcome(attempt.request, attempt.number, attempt.server, result, took, final,
+                               true_units=units))
+
+    def _cancel(self, act: api.Cancel) -> None:
+        request = self._requests.get(act.request)
+        if request is not None and act.attempt < len(request.attempts):
+            attempt = request.attempts[act.attempt]
+            if attempt is not None:
+                self._hosts.cancel(attempt)
+
+    # --- The module ---------------------------------------------------------------------------------------
+
+    def _post(self, event: api.Event) -> None:
+        """Hand events to the module in their order, also those that its own actions give rise to."""
+        self._events.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._events:
+                self._handle(self._events.popleft())
+        finally:
+            self._handling = False
+
+    def _handle(self, event: api.Event) -> None:
+        try:
+            actions = self._gateway.handle(self._clock.now_ms(), event)
+        except Exception:
+            # Guards all other requests against one that the module breaks on.
+            log.exception("the module failed on %s", type(event).__name__)
+            if isinstance(event, api.Request):
+                self._answer(self._requests.get(event.id), 500)
+            return
+        for act in actions:
+            try:
+                self._act(act)
+            except Exception:
+                log.exception("an action failed: %s", type(act).__name__)
+
+    def _act(self, act: api.Action) -> None:
+        match act:
+            case api.Send():
+                self._send(act)
+            case api.Refuse():
+                self._answer(self._requests.get(act.request), 503, retry_after_ms=act.retry_after_ms)
+            case api.Fail():
+                self._answer(self._requests.get(act.request), 502)
+            case api.Cancel():
+                self._cancel(act)
+            case api.Timer():
+                self._loop.call_later(max(act.in_ms, 0.0) / 1000, self._post, api.TimerDue(act.name))
+            case api.Count():
+                if self._counter is None:
+                    self._post(api.CountReply(act.name, api.CONNECT_FAILED, 0.0))
+                else:
+                    self._counter.call(act)
+            case api.Subscribe():
+                pass  # the watch is always on
+            case api.Log():
+                log.info("%s", act.text)
+
+
+def _number(text: bytes | None) -> float:
+    """A header's positive number; 0 where there is none."""
+    try:
+        value = float(text or 0)
+    except ValueError:
+        return 0.0
+    return value if 0 < value < 1e9 else 0.0
--- /dev/null
+++ b/yewstage/net/counter.py
@@ -0,0 +1,218 @@
+"""The counter: calls written one behind another over a few kept connections."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections import deque
+from collections.abc import Callable
+
+from yewstage import interface as api
+from yewstage.net.http1 import Reply, ReplyProtocol
+
+CONNECTIONS = 4  # a slow part of the counter holds up what is written behind it on the same connection
+DIAL_S = 0.25
+BACKOFF_S, BACKOFF_MAX_S = 0.05, 1.0
+SILENT_S = 1.0  # an answer this late is not coming: the counter's machine is gone
+GRACE_S = 0.001  # one turn of the loop, in which what has arrived is read before a time-out counts
+
+
+class _Call:
+    __slots__ = ("act", "sent_at", "timer", "written", "done")
+
+    def __init__(self, act: api.Count, now: float) -> None:
+        self.act, self.sent_at = act, now
+        self.timer: asyncio.TimerHandle | None = None
+        self.written = self.done = False
+
+
+class Counter:
+    """Every call gets exactly one `CountReply`."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], wait_ms: float,
+                 replied: Callable[[api.CountReply], None]) -> None:
+        self._loop, self._address, self._wait_s, self._replied = loop, address, wait_ms / 1000, replied
+        self._slots = [_Slot(self) for _ in range(CONNECTIONS)]
+
+    def start(self) -> None:
+        """Open the connections before the first call needs one."""
+        for slot in self._slots:
+            slot.dial()
+
+    def stop(self) -> None:
+        """Close all connections."""
+        for slot in self._slots:
+            slot.stop()
+
+    def call(self, act: api.Count) -> None:
+        """Write one call on the connection with the fewest calls out."""
+        call = _Call(act, self._loop.time())
+        up = [slot for slot in self._slots if slot.usable()]
+        if not up:
+            self.end(call, api.CONNECT_FAILED)
+            return
+        call.timer = self._loop.call_later(self._wait_s, self._overdue, call)
+        min(up, key=_Slot.load).write(call)
+
+    def end(self, call: _Call, result: str, total: float = 0.0) -> None:
+        """Report what a call came to, once."""
+        if call.done:
+            return
+        call.done = True
+        if call.timer is not None:
+            call.timer.cancel()
+        took = (self._loop.time() - call.sent_at) * 1000
+        self._replied(api.CountReply(call.act.name, result, total, took))
+
+    def _overdue(self, call: _Call) -> None:
+        # Guards against our own stall: the answer may be here and unread.
+        call.timer = self._loop.call_later(GRACE_S, self._time_out, call)
+
+    def _time_out(self, call: _Call) -> None:
+        # The call stays in its connection's line, so that its late answer is not taken for the next one's.
+        self.end(call, api.TIMED_OUT if call.written else api.CONNECT_FAILED)
+
+    def open(self) -> tuple[asyncio.AbstractEventLoop, tuple[str, int]]:
+        """Where to dial."""
+        return self._loop, self._address
+
+
+class _Slot:
+    """One kept connection: calls out on it in order, and its redialling."""
+
+    def __init__(self, counter: Counter) -> None:
+        self._counter = counter
+        self._connection: _Connection | None = None
+        self._dial: asyncio.Task | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._calls: deque[_Call] = deque()
+        self._failures = 0
+        self._stopped = False
+        self._rests_until = 0.0
+
+    def usable(self) -> bool:
+        """Whether a call may be written, or wait for a dial that is under way."""
+        loop, _ = self._counter.open()
+        return self._connection is not None or self._dial is not None or loop.time() >= self._rests_until
+
+    def load(self) -> int:
+        """Calls out, those on a connection that is not up yet counting for more."""
+        return len(self._calls) + (0 if self._connection is not None else CONNECTIONS)
+
+    def stop(self) -> None:
+        self._stopped = True
+        if self._dial is not None:
+            self._dial.cancel()
+        if self._connection is not None:
+            self._connection.drop()
+
+    def write(self, call: _Call) -> None:
+        self._calls.append(call)
+        if self._connection is not None:
+            self._send(call)
+        elif self._dial is None:
+            self.dial()
+
+    def dial(self) -> None:
+        """Open the connection."""
+        loop, address = self._counter.open()
+        self._dial = loop.create_task(loop.create_connection(lambda: _Connection(self), *address))
+        self._dial.add_done_callback(self._dialled)
+        self._timer = loop.call_later(DIAL_S, self._dial.cancel)
+
+    def _dialled(self, task: asyncio.Task) -> None:
+        self._dial = None
+        self._timer.cancel()
+        if task.cancelled() or task.exception() is not None:
+            self._broken()
+            return
+        self._connection = task.result()[1]
+        # A call that has run out while it waited was reported as not added: it must not be written now.
+        self._calls = deque(call for call in self._calls if not call.done)
+        for call in self._calls:
+            self._send(call)
+
+    def _send(self, call: _Call) -> None:
+        loop, _ = self._counter.open()
+        act = call.act
+        self._connection.write(
+            f"POST /v1/count/{act.name}?add={_decimal(act.amount)}&ttl_ms={max(1, round(act.keep_ms))}"
+            " HTTP/1.1\r\nHost: counter\r\nContent-Length: 0\r\n\r\n".encode())
+        call.written = not self._connection.unsent
+        if len(self._calls) == 1:
+            loop.call_later(SILENT_S, self._check, call)
+
+    def flushed(self) -> None:
+        """All that was written has left this process."""
+        for call in self._calls:
+            call.written = True
+
+    def _check(self, call: _Call) -> None:
+        # Guards against a counter that is cut off: its open connections stay open and silent for good.
+        if not self._calls:
+            return
+        if self._calls[0] is call and self._connection is not None:
+            self._connection.drop()
+        elif self._calls[0] is not call:
+            loop, _ = self._counter.open()
+            head = self._calls[0]
+            wait = max(head.sent_at + SILENT_S - loop.time(), GRACE_S)
+            loop.call_later(wait, self._check, head)
+
+    def replied(self, reply: Reply, reusable: bool) -> None:
+        """The answer to the oldest call on this connection."""
+        if not self._calls:
+            self._connection.drop()  # an answer that nobody asked for
+            return
+        self._failures = 0
+        call = self._calls.popleft()
+        if not reusable:
+            self._connection.drop()
+        if reply.status == 200:
+            try:
+                total = float(reply.body)
+            except ValueError:
+                total = math.nan
+            if math.isfinite(total):
+                self._counter.end(call, api.OK, total)
+            else:
+                self._counter.end(call, api.TIMED_OUT)  # it may have been added; to what is not known
+        else:
+            self._counter.end(call, api.FULL)
+
+    def lost(self) -> None:
+        """The connection is gone."""
+        self._connection = None
+        self._broken()
+
+    def _broken(self) -> None:
+        """Report what was out; the next call dials again, after a rest if this goes on."""
+        loop, _ = self._counter.open()
+        self._failures += 1
+        if self._failures > 1:
+            rest = min(BACKOFF_S * 2 ** min(self._failures - 2, 10), BACKOFF_MAX_S)
+            self._rests_until = loop.time() + rest
+        calls, self._calls = self._calls, deque()
+        for call in calls:
+            self._counter.end(call, api.TIMED_OUT if call.written else api.CONNECT_FAILED)
+
+
+def _decimal(amount: float) -> str:
+    """An amount as a plain decimal number, never in exponent form."""
+    return f"{amount:.6f}".rstrip("0").rstrip(".")
+
+
+class _Connection(ReplyProtocol):
+    def __init__(self, slot: _Slot) -> None:
+        super().__init__()
+        self._slot = slot
+
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        self._slot.flushed()
+
+    def replied(self, reply: Reply, reusable: bool) -> None:
+        self._slot.replied(reply, reusable)
+
+    def lost(self) -> None:
+        self._slot.lost()
--- /dev/null
+++ b/yewstage/net/discovery.py
@@ -0,0 +1,183 @@
+"""Discovery: a watch on the list of hosts that outlives whatever the agent does."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from yewstage import interface as api
+from yewstage.net.http1 import LONGEST_LIST, Reply, ReplyProtocol
+
+log = logging.getLogger(__name__)
+
+WAIT_MS = 20000
+SILENT_S = 2.0  # how long an answer may be overdue before the connection is given up
+BACKOFF_S, BACKOFF_MAX_S = 0.05, 2.0
+STATES = {"ready": "up", "draining": "draining", "gone": "removed"}
+
+
+@dataclass(slots=True, frozen=True)
+class Listing:
+    """One answer of discovery: hosts by instance id, and where to dial them."""
+
+    generation: int
+    whole: bool
+    servers: tuple[api.Server, ...]
+    addresses: dict[str, tuple[str, int]]
+
+
+def parse_listing(raw: object) -> Listing:
+    """Discovery's JSON as a `Listing`; ValueError where it is not one."""
+    if not isinstance(raw, dict) or not isinstance(raw.get("instances"), list):
+        raise ValueError("is no list of instances")
+    generation = raw.get("generation")
+    if not isinstance(generation, int) or isinstance(generation, bool):
+        raise ValueError(f"generation {generation!r} is not a whole number")
+    servers, addresses = [], {}
+    for entry in raw["instances"]:
+        server, address = _instance(entry)
+        servers.append(server)
+        if address is not None:
+            addresses[server.name] = address
+    return Listing(generation, bool(raw.get("reset")), tuple(servers), addresses)
+
+
+def _instance(entry: object) -> tuple[api.Server, tuple[str, int] | None]:
+    if not isinstance(entry, dict) or not isinstance(entry.get("instanceId"), str) or not entry["instanceId"]:
+        raise ValueError("an instance without instanceId")
+    name = entry["instanceId"]
+    # Guards against a state that a later discovery may add: what is not known to be ready gets no new work.
+    status = STATES.get(entry.get("lifecycle"), "draining")
+    host, _, port = str(entry.get("hostPort", "")).rpartition(":")
+    if status != "removed" and not (host and port.isascii() and port.isdigit() and int(port) < 65536):
+        raise ValueError(f"{name}: hostPort {entry.get('hostPort')!r} is not HOST:PORT")
+    try:
+        # The module's clock is Unix time in milliseconds, so startedAtMs needs no more than reading.
+        server = api.Server(name, str(entry.get("zone", "")), int(entry.get("cell", 0)), status,
+                            float(entry.get("weight", 1.0)), float(entry.get("startedAtMs", 0)))
+    except (TypeError, ValueError):
+        raise ValueError(f"{name}: cell, weight or startedAtMs is not a number") from None
+    return server, ((host.strip("[]"), int(port)) if status != "removed" else None)
+
+
+class Discovery:
+    """Keeps one watch going and hands on each answer."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int],
+                 told: Callable[[Listing], None]) -> None:
+        self._loop, self._address, self._told = loop, address, told
+        self._generation: int | None = None  # None: the whole list is wanted
+        self._connection: _Watch | None = None
+        self._dial: asyncio.Task | None = None
+        self._silent: asyncio.TimerHandle | None = None
+        self._failures = 0
+        self._stopped = False
+
+    def start(self) -> None:
+        """Ask for the whole list, then for what changes."""
+        self._ask()
+
+    def stop(self) -> None:
+        """End the watch for good."""
+        self._stopped = True
+        if self._silent is not None:
+            self._silent.cancel()
+        if self._dial is not None:
+            self._dial.cancel()
+        if self._connection is not None:
+            self._connection.drop()
+
+    def _ask(self) -> None:
+        if self._stopped:
+            return
+        if self._connection is not None:
+            self._write(self._connection)
+            return
+        self._watch_silence(SILENT_S)
+        self._dial = self._loop.create_task(
+            self._loop.create_connection(lambda: _Watch(self), *self._address))
+        self._dial.add_done_callback(self._dialled)
+
+    def _dialled(self, task: asyncio.Task) -> None:
+        self._dial = None
+        if task.cancelled() or task.exception() is not None:
+            self._retry()
+            return
+        self._connection = task.result()[1]
+        self._ask()
+
+    def _write(self, connection: _Watch) -> None:
+        query = "" if self._generation is None else f"?after={self._generation}&wait_ms={WAIT_MS}"
+        self._watch_silence(SILENT_S if self._generation is None else WAIT_MS / 1000 + SILENT_S)
+        connection.waiting = True
+        connection.write(f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
+
+    def _watch_silence(self, seconds: float) -> None:
+        if self._silent is not None:
+            self._silent.cancel()
+        self._silent = self._loop.call_later(seconds, self._given_up)
+
+    def _given_up(self) -> None:
+        # Guards against an agent that is silent for good: without this the watch would hang on one socket.
+        log.warning("discovery: no answer, asking again; the list is kept")
+        if self._dial is not None:
+            self._dial.cancel()
+        elif self._connection is not None:
+            self._connection.drop()
+
+    def replied(self, connection: _Watch, reply: Reply, reusable: bool) -> None:
+        """An answer: hand it on and ask for what comes next at once."""
+        try:
+            if reply.status != 200:
+                raise ValueError(f"status {reply.status}")
+            listing = parse_listing(json.loads(reply.body))
+            if not listing.whole and (self._generation is None or listing.generation < self._generation):
+                raise ValueError("changes to a list that was never sent")
+        except ValueError as error:
+            log.warning("discovery: bad answer, the list is kept: %s", error)
+            self._generation = None  # whatever was missed comes with the whole list
+            connection.drop()
+            return
+        self._failures, self._generation = 0, listing.generation
+        if not reusable:
+            self._connection = None
+            connection.drop()
+        self._ask()  # before the list is acted on: a late watch is a new one
+        self._told(listing)
+
+    def lost(self, connection: _Watch) -> None:
+        """The agent closed or reset the connection."""
+        if connection is self._connection:
+            self._connection = None
+            self._retry()
+
+    def _retry(self) -> None:
+        if self._silent is not None:
+            self._silent.cancel()
+        if self._stopped:
+            return
+        self._failures += 1
+        wait = min(BACKOFF_S * 2 ** min(self._failures - 1, 10), BACKOFF_MAX_S)
+        self._silent = self._loop.call_later(wait, self._ask)
+
+
+class _Watch(ReplyProtocol):
+    """The connection to the agent."""
+
+    def __init__(self, owner: Discovery) -> None:
+        super().__init__(LONGEST_LIST)
+        self._owner = owner
+        self.waiting = False
+
+    def replied(self, reply: Reply, reusable: bool) -> None:
+        if not self.waiting:
+            self.drop()  # an answer that nobody asked for
+            return
+        self.waiting = False
+        self._owner.replied(self, reply, reusable)
+
+    def lost(self) -> None:
+        self._owner.lost(self)
--- /dev/null
+++ b/yewstage/net/hosts.py
@@ -0,0 +1,246 @@
+"""Upstream hosts: connections and the pool of each, socket results as outcomes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from functools import partial
+
+from yewstage import interface as api
+from yewstage.net.http1 import Reply, ReplyProtocol
+
+GRACE_S = 0.002  # a turn of the loop or two, in which what has arrived is read before a time-out counts
+IDLE_SHARE = 0.5  # idle connections are retired after this part of the host's idle limit
+SWEEP_S = 1.0
+DIALS = 64  # dials under way at once
+
+
+class Attempt:
+    """One Send until its one outcome."""
+
+    __slots__ = ("request", "number", "server", "payload", "sent_at", "connection", "dial", "timer",
+                 "dial_timer", "done")
+
+    def __init__(self, request: str, number: int, server: str, payload: bytes, sent_at: float) -> None:
+        self.request, self.number, self.server = request, number, server
+        self.payload, self.sent_at = payload, sent_at
+        self.connection: _Connection | None = None
+        self.dial: asyncio.Task | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.dial_timer: asyncio.TimerHandle | None = None
+        self.done = False
+
+
+class _Host:
+    __slots__ = ("name", "address", "idle")
+
+    def __init__(self, name: str, address: tuple[str, int]) -> None:
+        self.name, self.address = name, address
+        self.idle: list[_Connection] = []  # the freshest last
+
+
+class Hosts:
+    """Sends attempts and reports how each one ended, exactly once."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, most: int, dial_ms: float, idle_ms: float,
+                 ended: Callable[[Attempt, str, Reply | None], None]) -> None:
+        self._loop, self._most, self._ended = loop, most, ended
+        self._dial_s, self._idle_s = dial_ms / 1000, IDLE_SHARE * idle_ms / 1000
+        self._hosts: dict[str, _Host] = {}
+        self._connections: set[_Connection] = set()
+        self._dials = 0
+        self._stopped = False
+
+    def start(self) -> None:
+        """Begin to retire idle connections."""
+        self._loop.call_later(SWEEP_S, self._sweep)
+
+    def stop(self) -> None:
+        """Close all connections."""
+        self._stopped = True
+        for connection in list(self._connections):
+            connection.drop()
+
+    def update(self, addresses: dict[str, tuple[str, int]], gone: set[str]) -> None:
+        """Where to dial each host, and which to dial no more. What is out goes on."""
+        for name in gone:
+            host = self._hosts.pop(name, None)
+            if host is not None:
+                self._close_idle(host)
+        for name, address in addresses.items():
+            host = self._hosts.get(name)
+            if host is None or host.address != address:
+                if host is not None:
+                    self._close_idle(host)
+                self._hosts[name] = _Host(name, address)
+
+    def names(self) -> set[str]:
+        """The hosts that can be dialled."""
+        return set(self._hosts)
+
+    def send(self, attempt: Attempt, timeout_s: float) -> None:
+        """Write an attempt to an idle connection, or to a new one."""
+        host = self._hosts.get(attempt.server)
+        if host is None:
+            self._end(attempt, api.CONNECT_FAILED)
+            return
+        attempt.timer = self._loop.call_later(timeout_s, self._overdue, attempt)
+        while host.idle:
+            connection = host.idle.pop()
+            if not connection.transport.is_closing():
+                connection.begin(attempt)
+                return
+        self._dial(host, attempt)
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Give an attempt up by ending its connection."""
+        if not attempt.done:
+            self._abandon(attempt)
+            self._end(attempt, api.CANCELLED)
+
+    def _dial(self, host: _Host, attempt: Attempt) -> None:
+        # Guards the descriptors: a dial beyond the bound ends as one that never came up.
+        if self._dials >= DIALS or not self._room():
+            self._end(attempt, api.CONNECT_FAILED)
+            return
+        self._dials += 1
+        attempt.dial = self._loop.create_task(
+            self._loop.create_connection(lambda: _Connection(self, host), *host.address))
+        attempt.dial.add_done_callback(partial(self._dialled, attempt))
+        attempt.dial_timer = self._loop.call_later(self._dial_s, self._dial_overdue, attempt)
+
+    def _room(self) -> bool:
+        if len(self._connections) + self._dials < self._most:
+            return True
+        idle = [host for host in self._hosts.values() if host.idle]
+        if idle:  # the connection that has stood idle longest gives way
+            min(idle, key=lambda host: host.idle[0].idle_since).idle.pop(0).drop()
+        return bool(idle)
+
+    def _dialled(self, attempt: Attempt, task: asyncio.Task) -> None:
+        self._dials -= 1
+        attempt.dial = None
+        attempt.dial_timer.cancel()
+        if task.cancelled() or task.exception() is not None:
+            self._end(attempt, api.CONNECT_FAILED)
+            return
+        connection: _Connection = task.result()[1]
+        if attempt.done or self._stopped:
+            connection.drop()
+        else:
+            connection.begin(attempt)
+
+    def _overdue(self, attempt: Attempt) -> None:
+        # Guards against our own stall: the answer may be here and unread. Timers run before sockets are read,
+        # so the time-out itself waits for one more turn of the loop.
+        attempt.timer = self._loop.call_later(GRACE_S, self._time_out, attempt)
+
+    def _time_out(self, attempt: Attempt) -> None:
+        connection = attempt.connection
+        sent = connection is not None and not connection.unsent
+        self._abandon(attempt)
+        self._end(attempt, api.TIMED_OUT if sent else api.CONNECT_FAILED)
+
+    def _dial_overdue(self, attempt: Attempt) -> None:
+        attempt.dial_timer = self._loop.call_later(GRACE_S, self._dial_time_out, attempt)
+
+    def _dial_time_out(self, attempt: Attempt) -> None:
+        if attempt.dial is not None:
+            self._abandon(attempt)
+            self._end(attempt, api.CONNECT_FAILED)
+
+    @staticmethod
+    def _abandon(attempt: Attempt) -> None:
+        """End the connection of an attempt: it is never used again."""
+        if attempt.dial is not None:
+            attempt.dial.cancel()
+        if attempt.connection is not None:
+            attempt.connection.attempt = None
+            attempt.connection.drop()
+
+    def _end(self, attempt: Attempt, result: str, reply: Reply | None = None) -> None:
+        if attempt.done:
+            return
+        attempt.done = True
+        attempt.connection = None
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        self._ended(attempt, result, reply)
+
+    # From connections
+
+    def opened(self, connection: _Connection) -> None:
+        """A connection is up."""
+        self._connections.add(connection)
+
+    def closed(self, connection: _Connection) -> None:
+        """A connection is gone: an attempt on it never ran unless its last byte was written."""
+        self._connections.discard(connection)
+        if connection in connection.host.idle:
+            connection.host.idle.remove(connection)
+        attempt, connection.attempt = connection.attempt, None
+        if attempt is not None:
+            self._end(attempt, api.CONNECT_FAILED if connection.unsent else api.RESET)
+
+    def replied(self, connection: _Connection, attempt: Attempt, reply: Reply, reusable: bool) -> None:
+        """A whole answer: the connection is free again, the attempt is over."""
+        host = connection.host
+        if reusable and not connection.unsent and self._hosts.get(host.name) is host:
+            connection.idle_since = self._loop.time()
+            host.idle.append(connection)
+        else:
+            connection.drop()
+        self._end(attempt, _result(reply), reply)
+
+    def _close_idle(self, host: _Host) -> None:
+        idle, host.idle = host.idle, []
+        for connection in idle:
+            connection.drop()
+
+    def _sweep(self) -> None:
+        # Guards against writing to a connection that the host is about to close: that ends as a reset, after
+        # which the request may have run.
+        if self._stopped:
+            return
+        before = self._loop.time() - self._idle_s
+        for host in self._hosts.values():
+            while host.idle and host.idle[0].idle_since < before:
+                host.idle.pop(0).drop()
+        self._loop.call_later(SWEEP_S, self._sweep)
+
+
+def _result(reply: Reply) -> str:
+    if reply.status == 200:
+        return api.OK
+    if reply.status in (503, 504) and reply.headers.get(b"x-not-run") == b"1":
+        return api.FULL
+    return api.ERROR
+
+
+class _Connection(ReplyProtocol):
+    """One connection to a host; carries one attempt at a time."""
+
+    def __init__(self, pool: Hosts, host: _Host) -> None:
+        super().__init__()
+        self._pool, self.host = pool, host
+        self.attempt: Attempt | None = None
+        self.idle_since = 0.0
+
+    def begin(self, attempt: Attempt) -> None:
+        """Write an attempt's request."""
+        self.attempt, attempt.connection = attempt, self
+        self.write(attempt.payload)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self._pool.opened(self)
+
+    def replied(self, reply: Reply, reusable: bool) -> None:
+        attempt, self.attempt = self.attempt, None
+        if attempt is None:
+            self.drop()  # an answer that nobody asked for
+            return
+        self._pool.replied(self, attempt, reply, reusable)
+
+    def lost(self) -> None:
+        self._pool.closed(self)
