Test the real program over loopback sockets; drain by connections

Tests drive the program between a fake host, counter and discovery: bad input, resets, silence, stall, SIGTERM, SIGKILL, full descriptors, moved hosts. Seen: a head of 40 KB was taken when it came in one read, since only heads without an end were bounded; the head's headers are counted now. The exit after SIGTERM looked at open requests only, so a request written to an accepted connection but not read yet could be lost; now the exit waits for the last connection, and what stands in the backlog is accepted before the listener goes.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,14 @@
-"""Shared helpers: small settings and a hand-driven gateway."""
+"""Shared helpers: a hand-driven gateway, and the real program between fakes on loopback sockets."""
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
+import json
+import os
+import sys
+from collections.abc import Callable, Coroutine
+from pathlib import Path
 
 from yewstage import interface as api
 from yewstage.policy import Gateway
@@ -67,3 +73,222 @@
 
 def of(out: list[api.Action], kind: type) -> list:
     return [a for a in out if isinstance(a, kind)]
+
+
+# --- The real program over loopback sockets ---------------------------------------------------------------
+
+ROOT = Path(__file__).parent.parent
+LOOP = "127.0.0.1"
+RID = b"9b1f03aa5c7e2d41"
+GRADES = [
+    {"name": "read", "objective_ms": 3000.0, "deadline_ms": 6000.0, "worth": 3.0, "effect": "safe"},
+    {"name": "put", "objective_ms": 3000.0, "deadline_ms": 6000.0, "worth": 2.0, "effect": "keyed",
+     "key_scope": "all", "window_ms": 4000.0},
+    {"name": "pay", "objective_ms": 3000.0, "deadline_ms": 6000.0, "worth": 2.0, "effect": "unsafe"},
+]
+PACKAGES = [{"name": "team", "refill": 500.0, "burst": 1000.0, "worth_factor": 1.0}]
+Behave = Callable[["Seen"], bytes | None]
+
+
+def reply(body: bytes = b"ok", status: int = 200, headers: bytes = b"") -> bytes:
+    return b"HTTP/1.1 %d X\r\n%bContent-Length: %d\r\n\r\n%b" % (status, headers, len(body), body)
+
+
+def message(cls: str = "read", *, customer: str = "00000000b4d65521", plan: str = "team", body: bytes = b"",
+            deadline: str = "6000m", rid: bytes = RID, method: str = "", drop: str = "", more: str = "",
+            key: bool = True, target: str = "") -> bytes:
+    """A client's request as bytes; `drop` leaves a header out, `more` adds lines."""
+    method = method or ("GET" if cls == "read" else "POST")
+    lines = {"Host": "origin.svc", "X-Request-Id": rid.decode(), "X-Class": cls, "Plan": plan,
+             "X-Deadline": deadline, "Quota-Info": "units=2,spread=1,first=0"}
+    if method == "POST":
+        lines["Content-Length"] = str(len(body))
+        if key:
+            lines["Idempotency-Key"] = "5c0f6e1a"
+    lines.pop(drop, None)
+    head = "".join(f"{name}: {value}\r\n" for name, value in lines.items())
+    return f"{method} {target or '/api/' + customer} HTTP/1.1\r\n{head}{more}\r\n".encode() + body
+
+
+@dataclasses.dataclass
+class Seen:
+    """A message that a fake has read, and the connection that it came on."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+    writer: asyncio.StreamWriter
+
+
+async def read_message(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Seen:
+    """One request or answer, whole."""
+    line, *rest = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    headers = {k.lower(): v for k, _, v in (r.partition(": ") for r in rest if r)}
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return Seen(line, headers, body, writer)
+
+
+class Fake:
+    """A scripted HTTP server: `behave` turns a request into bytes; None is silence, b"" a reset."""
+
+    def __init__(self, behave: Behave) -> None:
+        self.behave = behave
+        self.seen: list[Seen] = []
+        self.closed = 0  # connections that the other side ended
+        self.changed = asyncio.Event()
+
+    async def start(self) -> Fake:
+        self.server = await asyncio.start_server(self._serve, LOOP, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                seen = await read_message(reader, writer)
+                self.seen.append(seen)
+                self.changed.set()
+                answer = self.behave(seen)
+                if answer == b"":
+                    writer.transport.abort()
+                    return
+                if answer is not None:
+                    writer.write(answer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed += 1
+            self.changed.set()
+        finally:
+            writer.close()
+
+    async def until(self, ready: Callable[[Fake], bool]) -> None:
+        """Wait for what the fake sees; a test that waits in vain ends at its own limit."""
+        while not ready(self):
+            self.changed.clear()
+            await self.changed.wait()
+
+    def stop(self) -> None:
+        self.server.close()
+
+
+def adding(seen: Seen, totals: dict[str, float]) -> bytes:
+    """The counter: add, and tell the total."""
+    name, query = seen.line.split()[1].removeprefix("/v1/count/").split("?")
+    totals[name] = totals.get(name, 0.0) + float(query.split("&")[0].removeprefix("add="))
+    return reply(f"{totals[name]:g}".encode())
+
+
+class Directory:
+    """Discovery: the whole list at once, a watch held until `tell`."""
+
+    def __init__(self, instances: list[dict]) -> None:
+        self.generation, self.instances = 1, instances
+        self.waiting: list[Seen] = []
+        self.fake = Fake(self._behave)
+
+    def _behave(self, seen: Seen) -> bytes | None:
+        if "after=" not in seen.line:
+            return self.listing(self.instances, True)
+        self.waiting.append(seen)
+        return None
+
+    def listing(self, instances: list[dict], whole: bool) -> bytes:
+        raw = {"generation": self.generation, "reset": whole, "instances": instances}
+        return reply(json.dumps(raw).encode())
+
+    async def tell(self, instances: list[dict], whole: bool = False) -> None:
+        """Answer the watch that is out, and wait for the next one."""
+        await self.answer_watch(lambda: self.listing(instances, whole))
+
+    async def answer_watch(self, data: Callable[[], bytes]) -> None:
+        await self.fake.until(lambda fake: bool(self.waiting))
+        self.generation += 1
+        count = len(self.fake.seen)
+        self.waiting.pop().writer.write(data())
+        await self.fake.until(lambda fake: len(fake.seen) > count)
+
+
+def instance(name: str, port: int, lifecycle: str = "ready") -> dict:
+    return {"instanceId": name, "hostPort": f"{LOOP}:{port}", "zone": "a", "machineType": "m", "cell": 0,
+            "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0}
+
+
+class Rig:
+    """The real program between fake hosts, a fake counter and a fake discovery."""
+
+    def __init__(self, folder: Path, *behaves: Behave, **limits: int) -> None:
+        self.folder, self.limits = folder, limits
+        self.hosts = [Fake(b) for b in behaves]
+        self.totals: dict[str, float] = {}
+        self.counter = Fake(lambda seen: adding(seen, self.totals))
+        self.process: asyncio.subprocess.Process | None = None
+        self.port = 0
+        self.log: list[str] = []
+
+    async def __aenter__(self) -> Rig:
+        for host in self.hosts:
+            await host.start()
+        await self.counter.start()
+        self.directory = Directory([instance(f"s-{i}", h.port) for i, h in enumerate(self.hosts)])
+        await self.directory.fake.start()
+        await self.launch()
+        return self
+
+    async def launch(self) -> None:
+        """Start the program, again on the same port if it ran before, and wait until it is ready."""
+        config = {
+            "name": "n0", "listen": f"{LOOP}:{self.port}", "discovery": f"{LOOP}:{self.directory.fake.port}",
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **self.limits},
+            "counter": f"{LOOP}:{self.counter.port}",
+            "known": {"generation": 0, "reset": True, "instances": []},
+            "settings": {
+                "grades": GRADES, "packages": PACKAGES, "fleet_size": 1, "me": 0, "zone": "a", "tick_ms": 4.0,
+                "bounds": {"try_limit": 3, "cancel": True, "retry_after": True, "max_retry_after_ms": 1000.0,
+                           "dial_timeout_ms": 250.0, "conn_idle_ms": 30000.0},
+                "family_info": {"may_count": True, "count_wait_ms": 30.0, "trued_up": True}}}
+        path = self.folder / "config.json"
+        path.write_text(json.dumps(config))
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "yewstage", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "ROUTER_CONFIG": str(path)})
+        while "listening on" not in (line := (await self.process.stderr.readline()).decode()):
+            assert line, "the program ended at its start"
+        self.port = int(line.rsplit(":", 1)[1])
+        self.reading = asyncio.create_task(self._read_log())
+        while (await self.ask(b"GET /ready HTTP/1.1\r\n\r\n")).line.split()[1] != "200":
+            await asyncio.sleep(0.02)
+
+    async def _read_log(self) -> None:
+        while line := (await self.process.stderr.readline()).decode():
+            self.log.append(line)
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection(LOOP, self.port)
+
+    async def ask(self, data: bytes) -> Seen:
+        """One request on a connection of its own; its answer."""
+        reader, writer = await self.connect()
+        writer.write(data)
+        try:
+            return await read_message(reader, writer)
+        finally:
+            writer.close()
+
+    async def status(self, data: bytes) -> int:
+        return int((await self.ask(data)).line.split()[1])
+
+    async def __aexit__(self, *exc: object) -> None:
+        if self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        self.reading.cancel()
+        for fake in (*self.hosts, self.counter, self.directory.fake):
+            fake.stop()
+
+
+def on_loop(scenario: Callable[[], Coroutine], limit_s: float = 30.0) -> None:
+    """Run a scenario; one that waits for what never happens fails at the limit."""
+    async def bounded() -> None:
+        async with asyncio.timeout(limit_s):
+            await scenario()
+    asyncio.run(bounded())
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,337 @@
+"""The real program over loopback sockets: every failure it must live through, seen from outside."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from conftest import (
+    ROOT,
+    Rig,
+    Seen,
+    instance,
+    message,
+    on_loop,
+    read_message,
+    reply,
+)
+
+
+def serve(seen: Seen) -> bytes:
+    return reply(b"served")
+
+
+def silent(seen: Seen) -> None:
+    return None
+
+
+def reset(seen: Seen) -> bytes:
+    return b""
+
+
+def test_serves_and_passes_on_unchanged(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, lambda seen: reply(b"\0body", headers=b"Billed-Units: 5\r\n")) as rig:
+            answer = await rig.ask(message("put", body=b"x" * 3000, target="/api/v2/00000000b4d65521?a=1"))
+            assert (answer.line.split()[1], answer.body) == ("200", b"\0body")
+            (seen,) = rig.hosts[0].seen
+            assert seen.line == "POST /api/v2/00000000b4d65521?a=1 HTTP/1.1"
+            assert seen.body == b"x" * 3000
+            assert seen.headers["x-request-id"] == "9b1f03aa5c7e2d41"
+            assert seen.headers["idempotency-key"] == "5c0f6e1a"
+            assert 0 < int(seen.headers["x-deadline"].removesuffix("m")) <= 6000
+            # The units of the guess, then what the answer billed beyond it, reach the counter.
+            await rig.counter.until(lambda fake: sum(rig.totals.values()) >= 2)
+    on_loop(scenario)
+
+
+def test_answers_keep_their_order_on_one_connection(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, lambda seen: reply(seen.headers["x-request-id"].encode())) as rig:
+            reader, writer = await rig.connect()
+            writer.write(b"".join(message(rid=b"id-%d" % i) for i in range(5)))
+            bodies = [(await read_message(reader, writer)).body for _ in range(5)]
+            assert bodies == [b"id-%d" % i for i in range(5)]
+            assert len(rig.hosts[0].seen) == 5
+    on_loop(scenario)
+
+
+BAD = [
+    (b"nonsense\r\n\r\n", 400),
+    (b"GET / HTTP/9.9\r\n\r\n", 400),
+    (message(target="/other"), 404),
+    (message(target="/api/xyz"), 400),
+    (message(customer="0000000200000000"), 400),
+    (message(customer="00000001fffffff"), 400),
+    (message("nope"), 400),
+    (message(plan="nope"), 400),
+    (message(deadline="soon"), 400),
+    (message(deadline="-5m"), 400),
+    (message(deadline="1e3m"), 400),
+    (message(method="POST"), 400),
+    (message("put", method="GET"), 400),
+    (message("put", key=False), 400),
+    (message(rid=b"two words"), 400),
+    (message(more="X-Class: read\r\n"), 400),
+    (message(drop="Quota-Info", more="Quota-Info: units=0,spread=1,first=0\r\n"), 400),
+    (message(drop="Quota-Info", more="Quota-Info: units=nan,spread=1,first=0\r\n"), 400),
+    (message(more="Filler: " + "x" * 40000 + "\r\n"), 400),
+    (message("put", body=b"x" * (64 * 1024 + 1)), 413),
+    (message("put", drop="Content-Length", more="Transfer-Encoding: chunked\r\n")
+     + b"11000\r\n" + b"x" * 0x11000 + b"\r\n0\r\n\r\n", 413),
+    *((message(drop=name), 400) for name in ("X-Request-Id", "X-Class", "Plan", "X-Deadline", "Quota-Info")),
+]
+
+
+def test_bad_input_reaches_no_host(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve) as rig:
+            for data, status in BAD:
+                assert await rig.status(data) == status, data[:200]
+            assert not rig.hosts[0].seen
+            assert await rig.status(message("put", body=b"x" * 64 * 1024)) == 200  # the largest allowed
+            assert rig.process.returncode is None
+    on_loop(scenario)
+
+
+def test_bad_input_behind_an_open_request_waits_for_its_answer(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, silent) as rig:
+            reader, writer = await rig.connect()
+            writer.write(message() + b"nonsense\r\n\r\n")
+            await rig.hosts[0].until(lambda fake: len(fake.seen) == 1)
+            rig.hosts[0].seen[0].writer.write(reply(b"first"))
+            assert (await read_message(reader, writer)).body == b"first"
+            assert (await read_message(reader, writer)).line.split()[1] == "400"
+            assert await reader.read() == b""
+    on_loop(scenario)
+
+
+@pytest.mark.parametrize(("cls", "status", "attempts"), [("read", 200, 2), ("put", 200, 2), ("pay", 502, 1)])
+def test_reset_after_the_last_byte_may_have_run(tmp_path: Path, cls: str, status: int, attempts: int) -> None:
+    async def scenario() -> None:
+        answers = iter((b"", reply(b"served")))
+        async with Rig(tmp_path, lambda _: next(answers), lambda _: next(answers)) as rig:
+            assert await rig.status(message(cls)) == status
+            assert sum(len(host.seen) for host in rig.hosts) == attempts
+    on_loop(scenario)
+
+
+@pytest.mark.parametrize(("answer", "status", "attempts"), [
+    (reply(b"", 503, b"X-Not-Run: 1\r\n"), 200, 2),
+    (reply(b"", 504, b"X-Not-Run: 1\r\n"), 200, 2),
+    (reply(b"", 503), 502, 1),
+    (reply(b"", 500), 502, 1),
+    (reply(b"", 500, b"X-Not-Run: 1\r\n"), 502, 1),
+    (reply(b"", 204), 502, 1),
+    (b"HTTP/1.1 nonsense\r\n\r\n", 502, 1),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", 502, 1),
+])
+def test_only_x_not_run_lets_an_unsafe_request_go_again(tmp_path: Path, answer: bytes, status: int,
+                                                        attempts: int) -> None:
+    async def scenario() -> None:
+        answers = iter((answer, reply(b"served")))
+
+        def behave(seen: Seen) -> bytes:
+            data = next(answers)
+            if data.endswith(b"half"):
+                seen.writer.write(data)
+                seen.writer.close()  # ends in the middle of its answer
+                return None
+            return data
+
+        async with Rig(tmp_path, behave) as rig:
+            assert await rig.status(message("pay")) == status
+            assert len(rig.hosts[0].seen) == attempts
+    on_loop(scenario)
+
+
+def test_a_refused_connection_never_ran(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve, serve) as rig:
+            rig.hosts[0].stop()  # its port refuses from now on
+            for i in range(8):
+                assert await rig.status(message("pay", rid=b"id-%d" % i)) == 200
+            assert len(rig.hosts[1].seen) == 8
+    on_loop(scenario)
+
+
+def test_silence_is_failed_in_time_and_its_connection_not_used_again(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, lambda seen: None if seen.headers["x-request-id"] == "quiet" else serve(seen)
+                       ) as rig:
+            assert await rig.status(message("pay", rid=b"quiet", deadline="400m")) in (502, 504)
+            await rig.hosts[0].until(lambda fake: fake.closed == 1)  # the host is told by the close
+            assert await rig.status(message(rid=b"next")) == 200
+            assert [s.headers["x-request-id"] for s in rig.hosts[0].seen] == ["quiet", "next"]
+    on_loop(scenario)
+
+
+def test_a_client_that_closes_has_its_work_dropped(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, silent) as rig:
+            _, writer = await rig.connect()
+            writer.write(message())
+            await rig.hosts[0].until(lambda fake: len(fake.seen) == 1)
+            writer.close()
+            await rig.hosts[0].until(lambda fake: fake.closed == 1)
+            assert len(rig.hosts[0].seen) == 1
+    on_loop(scenario)
+
+
+def test_kept_connections_are_used_again(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve) as rig:
+            reader, writer = await rig.connect()
+            for i in range(5):
+                writer.write(message(rid=b"id-%d" % i))
+                assert (await read_message(reader, writer)).body == b"served"
+            assert len({id(s.writer) for s in rig.hosts[0].seen}) == 1
+    on_loop(scenario)
+
+
+def test_an_answer_read_after_a_stall_beats_its_time_out(tmp_path: Path) -> None:
+    """Our own stall must not turn an answer that came in time into a time-out."""
+    async def scenario() -> None:
+        async with Rig(tmp_path, silent) as rig:
+            asked = asyncio.create_task(rig.status(message("pay")))
+            await rig.hosts[0].until(lambda fake: len(fake.seen) == 1)
+            rig.process.send_signal(signal.SIGSTOP)
+            rig.hosts[0].seen[0].writer.write(reply(b"served"))
+            await rig.hosts[0].seen[0].writer.drain()
+            await asyncio.sleep(3.3)  # past the attempt's time-out of 3 s, not past the client's 6 s
+            rig.process.send_signal(signal.SIGCONT)
+            assert await asked == 200
+    on_loop(scenario)
+
+
+def test_sigterm_accepts_a_little_longer_finishes_and_exits(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, silent) as rig:
+            first = asyncio.create_task(rig.ask(message(rid=b"first")))
+            await rig.hosts[0].until(lambda fake: len(fake.seen) == 1)
+            idle_reader, _ = await rig.connect()
+            rig.process.send_signal(signal.SIGTERM)
+            while not any("draining" in line for line in rig.log):
+                await asyncio.sleep(0.01)
+            late = asyncio.create_task(rig.ask(message(rid=b"late")))
+            await rig.hosts[0].until(lambda fake: len(fake.seen) == 2)
+            assert await idle_reader.read() == b""  # closed though the others are still served
+            assert rig.process.returncode is None
+            for seen in rig.hosts[0].seen:
+                seen.writer.write(reply(b"served"))
+            for answer in (await first, await late):
+                assert answer.body == b"served"
+                assert answer.headers["connection"] == "close"
+            assert await rig.process.wait() == 0
+    on_loop(scenario)
+
+
+def test_sigterm_answers_what_cannot_finish_and_exits_before_sigkill(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, silent) as rig:
+            asked = asyncio.create_task(rig.status(message("pay", deadline="60000m")))
+            await rig.hosts[0].until(lambda fake: len(fake.seen) == 1)
+            rig.process.send_signal(signal.SIGTERM)
+            assert await asked in (502, 504)
+            async with asyncio.timeout(3.7):
+                assert await rig.process.wait() == 0
+    on_loop(scenario)
+
+
+def test_sigkill_and_restart_on_the_same_port(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve) as rig:
+            assert await rig.status(message()) == 200
+            reader, _ = await rig.connect()
+            rig.process.kill()
+            await rig.process.wait()
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                await reader.readexactly(1)
+            await rig.launch()
+            assert await rig.status(message(rid=b"after")) == 200
+    on_loop(scenario)
+
+
+def test_clients_beyond_the_descriptors_wait_and_accept_goes_on(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve, sockets=64) as rig:
+            crowd = [await rig.connect() for _ in range(80)]
+            for i, (reader, writer) in enumerate(crowd[:32]):  # those that there is room for are served
+                writer.write(message(rid=b"id-%d" % i))
+                assert (await read_message(reader, writer)).line.split()[1] == "200"
+            for _, writer in crowd:
+                writer.close()
+            assert await rig.status(message(rid=b"after")) == 200
+            assert rig.process.returncode is None
+    on_loop(scenario)
+
+
+def test_a_draining_host_gets_nothing_new_and_a_whole_list_replaces(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve, serve) as rig:
+            await rig.directory.tell([instance("s-0", rig.hosts[0].port, "draining")])
+            for i in range(6):
+                assert await rig.status(message(rid=b"id-%d" % i)) == 200
+            assert len(rig.hosts[0].seen) == 0
+            await rig.directory.tell([instance("s-0", rig.hosts[0].port)], whole=True)  # s-1 is not in it
+            for i in range(6):
+                assert await rig.status(message(rid=b"more-%d" % i)) == 200
+            assert (len(rig.hosts[0].seen), len(rig.hosts[1].seen)) == (6, 6)
+    on_loop(scenario)
+
+
+def test_a_host_may_move_to_another_address(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve, serve) as rig:
+            await rig.directory.tell([instance("s-1", rig.hosts[1].port, "gone")])
+            assert await rig.status(message(rid=b"before")) == 200
+            await rig.directory.tell([instance("s-0", rig.hosts[1].port)])
+            assert await rig.status(message(rid=b"moved")) == 200
+            assert [s.headers["x-request-id"] for s in rig.hosts[1].seen] == ["moved"]
+    on_loop(scenario)
+
+
+@pytest.mark.parametrize("nonsense", [reply(b"{"), reply(b'{"generation":9,"reset":true,"instances":[{}]}'),
+                                      reply(b"", 500), b"nonsense\r\n\r\n"])
+def test_discoverys_nonsense_keeps_the_list(tmp_path: Path, nonsense: bytes) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve) as rig:
+            await rig.directory.answer_watch(lambda: nonsense)  # returns once it has asked again
+            assert await rig.status(message()) == 200
+    on_loop(scenario)
+
+
+def test_a_counter_that_breaks_does_not_stop_service(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve) as rig:
+            for i, behave in enumerate((silent, reset, lambda _: reply(b"", 503), lambda _: reply(b"x"))):
+                rig.counter.behave = behave
+                for j in range(3):  # a customer not seen before makes the module ask
+                    data = message(rid=b"%d-%d" % (i, j), customer=f"{1 + 3 * i + j:016x}")
+                    assert await rig.status(data) == 200
+            rig.counter.stop()
+            assert await rig.status(message(rid=b"last", customer="0000000000000099")) == 200
+    on_loop(scenario)
+
+
+@pytest.mark.parametrize(("raw", "field"), [
+    ("{", "ROUTER_CONFIG"),
+    ('{"settings": []}', "settings"),
+    ('{"settings": {"grades": []}, "listen": "x"}', "classes"),
+    ('{"settings": {"grades": [{"name": "a", "objective_ms": "soon"}]}}', "grades.0.objective_ms"),
+    ('{"settings": {"grades": [{"name": "a", "objective_ms": 1, "deadline_ms": 2}]}}', "listen"),
+])
+def test_bad_configuration_ends_the_start_with_one_line(tmp_path: Path, raw: str, field: str) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(raw)
+    done = subprocess.run([sys.executable, "-m", "yewstage"], cwd=ROOT, capture_output=True, text=True,
+                          check=False, env={**os.environ, "ROUTER_CONFIG": str(path)})
+    assert done.returncode == 2
+    assert len(done.stderr.splitlines()) == 1
+    assert field in done.stderr
--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -19,6 +19,7 @@
 ACCEPT_S = 0.5  # after SIGTERM, connections still come for 0.4 s
 LONGEST_S = 3.0  # SIGKILL comes 0.7 s after the longest deadline, or this if that is less, at the soonest
 LAST_S = 0.4
+CHECK_S = 0.02
 LINES_PER_S = 20
 
 
@@ -51,7 +52,6 @@
 
     def __init__(self, core: Core, server: Server, loop: asyncio.AbstractEventLoop) -> None:
         self._core, self._server, self._loop = core, server, loop
-        self._closed = False
         self.done = asyncio.Event()
         longest = max(c.deadline_ms for c in core.settings.classes) / 1000
         self._last_s = min(longest, LONGEST_S) + LAST_S
@@ -62,23 +62,24 @@
             return
         logging.info("draining")
         self._core.draining = True
-        self._core.when_empty = self._check
         self._loop.call_later(ACCEPT_S, self._stop_accepting)
         self._loop.call_later(self._last_s, self._end)
 
     def _stop_accepting(self) -> None:
-        self._closed = True
         self._server.stop_accepting()
         self._check()
 
     def _check(self) -> None:
-        if self._closed and not self._core.unanswered():
-            self._loop.call_later(0.05, self.done.set)  # the last answers leave
+        # An answer closes its connection while we drain, so with the last connection all is answered.
+        if self._server.close_idle():
+            self.done.set()
+        else:
+            self._loop.call_later(CHECK_S, self._check)
 
     def _end(self) -> None:
         # Guards against SIGKILL: what is open then would be lost, an answer now is none too late.
         self._core.fail_all()
-        self._loop.call_later(0.05, self.done.set)
+        self._loop.call_later(CHECK_S, self.done.set)
 
 
 async def serve(config: Config) -> None:
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -46,7 +46,7 @@
 class _Message:
     """One request as parsed."""
 
-    __slots__ = ("url", "headers", "body", "size", "method", "keep_alive", "twice")
+    __slots__ = ("url", "headers", "body", "size", "method", "keep_alive", "twice", "head")
 
     def __init__(self) -> None:
         self.url = b""
@@ -55,6 +55,7 @@
         self.size = 0
         self.method = b""
         self.keep_alive = True
+        self.head = 0  # bytes of its headers
         self.twice = False  # a header that we go by came twice
 
 
@@ -131,6 +132,7 @@
         self._keep_alive = True
         self._ending = False
         self._pumping = self._paused = False
+        self._blocked = False  # the client does not read its answers
         self._head = 0  # bytes of the head being read
         self.since = 0.0  # when the message being read began, or the connection became idle
 
@@ -155,6 +157,13 @@
             self._reject(400)  # guards the memory: a head without an end
         self._pump()
 
+    def pause_writing(self) -> None:
+        self._blocked = True  # guards the memory: no further request is taken until the answers are read
+
+    def resume_writing(self) -> None:
+        self._blocked = False
+        self._pump()
+
     def eof_received(self) -> None:
         """The client has gone away; the transport closes itself."""
 
@@ -176,7 +185,10 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         name = name.lower()
-        if name in WANTED:
+        self._message.head += len(name) + len(value)
+        if self._message.head > LONGEST_HEAD:
+            self._reject(400)
+        elif name in WANTED:
             headers = self._message.headers
             self._message.twice |= name in headers
             headers[name] = value
@@ -220,7 +232,7 @@
             return
         self._pumping = True
         try:
-            while self._queue and not self._busy:
+            while self._queue and not self._busy and not self._blocked:
                 self._take(self._queue.popleft())
         finally:
             self._pumping = False
@@ -256,6 +268,8 @@
         """The one answer to the request that is open."""
         self._open, self._busy = None, False
         self.since = self._server.now()
+        if self.transport.is_closing():
+            return
         keep = self._keep_alive and not self._core.draining
         parts = [LINES[status], b"Content-Length: %d\r\n" % len(body)]
         if content_type:
@@ -280,16 +294,15 @@
         self.transport.write_eof()
         self._server.loop.call_later(LINGER_S, self.transport.close)
 
-    def overdue(self, now: float) -> bool:
+    def check(self, now: float) -> None:
         """Close if the client has been idle, or slow to send its request, for too long."""
         if self._busy or self._ending:
-            return False
+            return
         if self._message is not None and now - self.since > HEAD_S:
             self._keep_alive, self._busy = False, True
             self.answer(408)
         elif self._message is None and now - self.since > IDLE_S:
-            self.transport.close()
-        return self._ending
+            self.transport.abort()  # what it has not read by now it will not read
 
     def close_if_idle(self) -> None:
         """Close unless a request is owed its answer or is being read."""
@@ -325,13 +338,19 @@
         return self._socket.getsockname()[:2]
 
     def stop_accepting(self) -> None:
-        """Close the listening socket and all connections that carry nothing."""
+        """Close the listening socket, once what has come to it is accepted."""
+        if self._accepting:
+            self._accept()
         self._pause()
         if self._socket is not None:
             self._socket.close()
             self._socket = None
+
+    def close_idle(self) -> bool:
+        """Close the connections that carry nothing; True once none is left."""
         for connection in list(self.connections):
             connection.close_if_idle()
+        return not self.connections and not self._pending
 
     def closed(self, connection: ClientConnection) -> None:
         """A connection is gone; there is room for another."""
@@ -374,5 +393,5 @@
     def _sweep(self) -> None:
         now = self.now()
         for connection in list(self.connections):
-            connection.overdue(now)
+            connection.check(now)
         self.loop.call_later(SWEEP_S, self._sweep)
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import resource
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -135,4 +136,5 @@
     value = limits.get("sockets", DEFAULT_SOCKETS) if isinstance(limits, dict) else None
     if not isinstance(value, int) or value < 64:
         raise ConfigError("limits.sockets: must be a whole number of 64 or more")
-    return value
+    allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]  # the system's own limit may be lower
+    return value if allowed == resource.RLIM_INFINITY else min(value, allowed)
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -6,7 +6,6 @@
 import logging
 import time
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -99,7 +98,6 @@
         self._started = self._beat_due = 0.0
         self._heard = False  # discovery has answered in this life
         self.draining = False
-        self.when_empty: Callable[[], None] | None = None
 
     # --- Life ---------------------------------------------------------------------------------------------
 
@@ -127,10 +125,6 @@
             return False
         return self._heard or time.monotonic() - self._started > LIST_WAIT_S
 
-    def unanswered(self) -> int:
-        """Requests that are owed an answer."""
-        return sum(1 for r in self._requests.values() if r.client is not None)
-
     def fail_all(self) -> None:
         """Answer all that is open as failed: the process is about to end."""
         for request in list(self._requests.values()):
@@ -201,8 +195,6 @@
     def _forget(self, request: _Open) -> None:
         if request.client is None and not request.out:
             self._requests.pop(request.id, None)
-        if self.draining and self.when_empty is not None and not self.unanswered():
-            self._loop.call_soon(self.when_empty)
 
     # --- Hosts --------------------------------------------------------------------------------------------
 
