Redial a silent counter by one timer; drop clients that read no last answer

Read in review: each first call on a free connection began a chain of silence checks of its own; now a connection has one. An ending connection whose client never reads its answer was kept for ever; now it goes after the idle time.

--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -183,6 +183,23 @@
     on_loop(scenario)
 
 
+def test_a_silent_counter_is_dialled_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A counter that is cut off leaves its connection open; the calls must not go there for ever."""
+    async def scenario() -> None:
+        fake = Fake(lambda seen: None)
+        counter, got = await counter_with(monkeypatch, fake, 30)
+        counter.call(api.Count("a", 1, 1000))
+        assert (await got.get()).result == api.TIMED_OUT
+        await fake.until(lambda fake: fake.closed == 1)
+        fake.behave = lambda seen: reply(b"1")
+        counter.call(api.Count("a", 1, 1000))
+        await fake.until(lambda fake: len(fake.seen) == 2)
+        assert fake.seen[0].writer is not fake.seen[1].writer
+        counter.stop()
+        fake.stop()
+    on_loop(scenario, 10)
+
+
 def test_a_counter_that_refuses_added_nothing_and_comes_back(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
         def behave(seen: Seen) -> bytes:
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -297,13 +297,16 @@
             self.transport.close()
             return
         self.transport.write_eof()
-        self._server.loop.call_later(LINGER_S, self.transport.close)
+        self._server.loop.call_later(LINGER_S, self.transport.abort)
 
     def check(self, now: float) -> None:
         """Close if the client has been idle, or slow to send its request, for too long."""
-        if self._busy or self._ending:
+        if self._busy:
             return
-        if self._message is not None and now - self.since > HEAD_S:
+        if self._ending:
+            if now - self.since > IDLE_S:
+                self.transport.abort()  # guards the descriptors: it does not read its last answer
+        elif self._message is not None and now - self.since > HEAD_S:
             self._keep_alive, self._busy = False, True
             self.answer(408)
         elif self._message is None and now - self.since > IDLE_S:
--- a/yewstage/net/counter.py
+++ b/yewstage/net/counter.py
@@ -72,8 +72,8 @@
         # The call stays in its connection's line, so that its late answer is not taken for the next one's.
         self.end(call, api.TIMED_OUT if call.written else api.CONNECT_FAILED)
 
-    def open(self) -> tuple[asyncio.AbstractEventLoop, tuple[str, int]]:
-        """Where to dial."""
+    def target(self) -> tuple[asyncio.AbstractEventLoop, tuple[str, int]]:
+        """The loop, and where to dial."""
         return self._loop, self._address
 
 
@@ -84,15 +84,15 @@
         self._counter = counter
         self._connection: _Connection | None = None
         self._dial: asyncio.Task | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        self._dial_timer: asyncio.TimerHandle | None = None
+        self._check_timer: asyncio.TimerHandle | None = None
         self._calls: deque[_Call] = deque()
         self._failures = 0
-        self._stopped = False
         self._rests_until = 0.0
 
     def usable(self) -> bool:
         """Whether a call may be written, or wait for a dial that is under way."""
-        loop, _ = self._counter.open()
+        loop, _ = self._counter.target()
         return self._connection is not None or self._dial is not None or loop.time() >= self._rests_until
 
     def load(self) -> int:
@@ -100,7 +100,6 @@
         return len(self._calls) + (0 if self._connection is not None else CONNECTIONS)
 
     def stop(self) -> None:
-        self._stopped = True
         if self._dial is not None:
             self._dial.cancel()
         if self._connection is not None:
@@ -115,14 +114,14 @@
 
     def dial(self) -> None:
         """Open the connection."""
-        loop, address = self._counter.open()
+        loop, address = self._counter.target()
         self._dial = loop.create_task(loop.create_connection(lambda: _Connection(self), *address))
         self._dial.add_done_callback(self._dialled)
-        self._timer = loop.call_later(DIAL_S, self._dial.cancel)
+        self._dial_timer = loop.call_later(DIAL_S, self._dial.cancel)
 
     def _dialled(self, task: asyncio.Task) -> None:
         self._dial = None
-        self._timer.cancel()
+        self._dial_timer.cancel()
         if task.cancelled() or task.exception() is not None:
             self._broken()
             return
@@ -133,31 +132,31 @@
             self._send(call)
 
     def _send(self, call: _Call) -> None:
-        loop, _ = self._counter.open()
+        loop, _ = self._counter.target()
         act = call.act
         self._connection.write(
             f"POST /v1/count/{act.name}?add={_decimal(act.amount)}&ttl_ms={max(1, round(act.keep_ms))}"
             " HTTP/1.1\r\nHost: counter\r\nContent-Length: 0\r\n\r\n".encode())
         call.written = not self._connection.unsent
-        if len(self._calls) == 1:
-            loop.call_later(SILENT_S, self._check, call)
+        if self._check_timer is None:
+            self._check_timer = loop.call_later(SILENT_S, self._check)
 
     def flushed(self) -> None:
         """All that was written has left this process."""
         for call in self._calls:
             call.written = True
 
-    def _check(self, call: _Call) -> None:
+    def _check(self) -> None:
         # Guards against a counter that is cut off: its open connections stay open and silent for good.
-        if not self._calls:
+        self._check_timer = None
+        if not self._calls or self._connection is None:
             return
-        if self._calls[0] is call and self._connection is not None:
+        loop, _ = self._counter.target()
+        left_s = self._calls[0].sent_at + SILENT_S - loop.time()
+        if left_s > 0:
+            self._check_timer = loop.call_later(left_s, self._check)
+        else:
             self._connection.drop()
-        elif self._calls[0] is not call:
-            loop, _ = self._counter.open()
-            head = self._calls[0]
-            wait = max(head.sent_at + SILENT_S - loop.time(), GRACE_S)
-            loop.call_later(wait, self._check, head)
 
     def replied(self, reply: Reply, reusable: bool) -> None:
         """The answer to the oldest call on this connection."""
@@ -187,7 +186,7 @@
 
     def _broken(self) -> None:
         """Report what was out; the next call dials again, after a rest if this goes on."""
-        loop, _ = self._counter.open()
+        loop, _ = self._counter.target()
         self._failures += 1
         if self._failures > 1:
             rest = min(BACKOFF_S * 2 ** min(self._failures - 2, 10), BACKOFF_MAX_S)
--- a/yewstage/net/discovery.py
+++ b/yewstage/net/discovery.py
@@ -72,7 +72,7 @@
         self._generation: int | None = None  # None: the whole list is wanted
         self._connection: _Watch | None = None
         self._dial: asyncio.Task | None = None
-        self._silent: asyncio.TimerHandle | None = None
+        self._timer: asyncio.TimerHandle | None = None  # the end of our patience, or of a rest
         self._failures = 0
         self._stopped = False
 
@@ -83,8 +83,8 @@
     def stop(self) -> None:
         """End the watch for good."""
         self._stopped = True
-        if self._silent is not None:
-            self._silent.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
         if self._dial is not None:
             self._dial.cancel()
         if self._connection is not None:
@@ -116,9 +116,9 @@
         connection.write(f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
 
     def _watch_silence(self, seconds: float) -> None:
-        if self._silent is not None:
-            self._silent.cancel()
-        self._silent = self._loop.call_later(seconds, self._given_up)
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_later(seconds, self._given_up)
 
     def _given_up(self) -> None:
         # Guards against an agent that is silent for good: without this the watch would hang on one socket.
@@ -155,13 +155,13 @@
             self._retry()
 
     def _retry(self) -> None:
-        if self._silent is not None:
-            self._silent.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
         if self._stopped:
             return
         self._failures += 1
         wait = min(BACKOFF_S * 2 ** min(self._failures - 1, 10), BACKOFF_MAX_S)
-        self._silent = self._loop.call_later(wait, self._ask)
+        self._timer = self._loop.call_later(wait, self._ask)
 
 
 class _Watch(ReplyProtocol):
