--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -89,7 +89,8 @@
      "key_scope": "all", "window_ms": 4000.0},
     {"name": "pay", "objective_ms": 3000.0, "deadline_ms": 6000.0, "worth": 2.0, "effect": "unsafe"},
 ]
-PACKAGES = [{"name": "team", "refill": 500.0, "burst": 1000.0, "worth_factor": 1.0}]
+PACKAGES = [{"name": "team", "refill": 500.0, "burst": 1000.0, "worth_factor": 1.0},
+            {"name": "small", "refill": 1.0, "burst": 4.0, "worth_factor": 1.0, "over_cost": 1.0}]
 Behave = Callable[["Seen"], bytes | None]
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -61,6 +61,17 @@
     on_loop(scenario)
 
 
+def test_a_refusal_comes_at_once_with_advice(tmp_path: Path) -> None:
+    """What the module gives up on is not held: other answers on the way to it do not matter."""
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve) as rig:
+            answers = [await rig.ask(message(plan="small", rid=b"id-%d" % i)) for i in range(6)]
+            refused = [a for a in answers if a.line.split()[1] == "503"]
+            assert refused and len(rig.hosts[0].seen) == len(answers) - len(refused)
+            assert all(0 < float(a.headers["retry-after"]) <= 1 for a in refused)
+    on_loop(scenario, 5)  # six that were held to near their deadlines of 6 s would take longer
+
+
 BAD = [
     (b"nonsense\r\n\r\n", 400),
     (b"GET / HTTP/9.9\r\n\r\n", 400),
