--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -21,6 +21,8 @@
     reply,
 )
 
+from yewstage.net.hosts import REST_S
+
 
 def serve(seen: Seen) -> bytes:
     return reply(b"served")
@@ -202,6 +204,7 @@
             for i in range(5):
                 writer.write(message(rid=b"id-%d" % i))
                 assert (await read_message(reader, writer)).body == b"served"
+                await asyncio.sleep(5 * REST_S)
             assert len({id(s.writer) for s in rig.hosts[0].seen}) == 1
     on_loop(scenario)
 
@@ -347,3 +350,129 @@
     assert done.returncode == 2
     assert len(done.stderr.splitlines()) == 1
     assert field in done.stderr
+
+
+SPOILT = [
+    b"noise\r\n\r\n",
+    b"HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nno",
+    b"HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nno",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nno",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nno",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nno",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\nzz\r\n",
+    b"HTTP/1.1 200 OK\r\n\r\nno",
+    b"HTTP/1.1 200 OK\r\nX-Pad: " + b"p" * 300_000,
+    b"HTTP/1.1 103 Early Hints\r\n\r\n" * 20_000,
+]
+
+
+@pytest.mark.parametrize("answer", SPOILT)
+def test_a_spoilt_answer_is_a_failed_attempt_and_no_fault_of_its_host(tmp_path: Path, answer: bytes) -> None:
+    """It ends its attempt at once, may have run, and neither its bytes nor its connection are used."""
+    async def scenario() -> None:
+        async with Rig(tmp_path, lambda seen: answer if seen.headers["x-request-id"] == "bad" else serve(seen)
+                       ) as rig:
+            assert await rig.status(message("pay", rid=b"bad")) == 502  # unsafe: not sent again
+            await rig.hosts[0].until(lambda fake: fake.closed == 1)
+            for i in range(3):  # a host that was thought to have died would be left to rest
+                assert await rig.status(message("pay", rid=b"id-%d" % i)) == 200
+            assert rig.process.returncode is None
+    on_loop(scenario, 5)
+
+
+@pytest.mark.parametrize("late", [False, True])
+@pytest.mark.parametrize("more", [reply(b"copy"), b"noise\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-"])
+def test_what_follows_a_good_answer_is_nobodys_answer(tmp_path: Path, more: bytes, late: bool) -> None:
+    """A second copy, right behind the answer or a packet later, must not become the next request's answer."""
+    async def scenario() -> None:
+        def behave(seen: Seen) -> bytes:
+            answer = reply(seen.headers["x-request-id"].encode())
+            if not late:
+                return answer + more
+            seen.writer.write(answer)
+            asyncio.get_running_loop().call_later(REST_S / 4, seen.writer.write, more)
+            return None
+
+        async with Rig(tmp_path, behave) as rig:
+            reader, writer = await rig.connect()
+            for i in range(10):
+                writer.write(message("pay", rid=b"id-%d" % i))
+                assert (await read_message(reader, writer)).body == b"id-%d" % i
+            assert len({id(s.writer) for s in rig.hosts[0].seen}) == 10
+    on_loop(scenario)
+
+
+def test_interim_answers_come_before_the_answer(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        early = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"
+        async with Rig(tmp_path, lambda seen: early + serve(seen)) as rig:
+            assert (await rig.ask(message())).body == b"served"
+    on_loop(scenario)
+
+
+@pytest.mark.parametrize("figure", [b"1_0", b"-1", b"5", b"1e9", b"nan", b"", b"9" * 400])
+def test_a_billed_figure_that_no_request_can_have_is_none(tmp_path: Path, figure: bytes) -> None:
+    """Guards a customer's quota: beyond `most_units` (4) nothing is billed, and the guess of 2 stays."""
+    async def scenario() -> None:
+        async with Rig(tmp_path, lambda seen: reply(b"ok", headers=b"Billed-Units: %b\r\n" % figure)) as rig:
+            for i in range(30):
+                assert await rig.status(message(rid=b"id-%d" % i)) == 200
+            await rig.counter.until(lambda fake: sum(rig.totals.values()) > 0)
+            assert sum(rig.totals.values()) <= 60
+    on_loop(scenario)
+
+
+def test_sighup_goes_over_to_the_discovery_and_counter_of_the_file(tmp_path: Path) -> None:
+    """Also where the environment named discovery at the start; what is out meanwhile is served."""
+    async def scenario() -> None:
+        async with Rig(tmp_path, silent, serve) as rig:
+            await rig.directory.tell([instance("s-1", rig.hosts[1].port, "gone")])
+            asked = asyncio.create_task(rig.ask(message(rid=b"old")))
+            await rig.hosts[0].until(lambda fake: len(fake.seen) == 1)
+            old_directory, old_counter = rig.directory, rig.counter
+            for _ in range(2):
+                await rig.reload([instance("s-1", rig.hosts[1].port)])
+                await rig.directory.fake.until(lambda fake: any("after=" in s.line for s in fake.seen))
+            await old_directory.fake.until(lambda fake: fake.closed > 0)
+            assert "after=" not in rig.directory.fake.seen[0].line  # the whole list first
+            assert await rig.status(message(rid=b"new", customer="0000000000000007")) == 200
+            assert [s.headers["x-request-id"] for s in rig.hosts[1].seen] == ["new"]
+            rig.hosts[0].seen[0].writer.write(reply(b"served"))
+            assert (await asked).body == b"served"
+            await rig.counter.until(lambda fake: len(fake.seen) > 0)
+            assert old_counter is not rig.counter
+            await old_counter.until(lambda fake: fake.closed > 0)
+    on_loop(scenario)
+
+
+@pytest.mark.parametrize("raw", ["{", "[]", '{"settings": {"grades": []}}', None])
+def test_sighup_with_a_bad_file_changes_nothing(tmp_path: Path, raw: str | None) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve) as rig:
+            path = tmp_path / "config.json"
+            path.unlink()
+            if raw is not None:
+                path.write_text(raw)
+            for count in (1, 2):
+                rig.process.send_signal(signal.SIGHUP)
+                while sum("configuration is kept" in line for line in rig.log) < count:
+                    await asyncio.sleep(0.01)
+            assert await rig.status(message()) == 200
+            assert rig.directory.fake.closed == 0
+    on_loop(scenario)
+
+
+def test_sighup_during_the_drain_does_not_end_it_otherwise(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, silent) as rig:
+            asked = asyncio.create_task(rig.ask(message()))
+            await rig.hosts[0].until(lambda fake: len(fake.seen) == 1)
+            rig.process.send_signal(signal.SIGTERM)
+            await rig.reload([instance("s-0", rig.hosts[0].port)])
+            await rig.directory.fake.until(lambda fake: len(fake.seen) > 0)
+            rig.hosts[0].seen[0].writer.write(reply(b"served"))
+            assert (await asked).body == b"served"
+            rig.process.send_signal(signal.SIGHUP)
+            assert await rig.process.wait() == 0
+    on_loop(scenario)
--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -83,6 +83,17 @@
         self._loop.call_later(CHECK_S, self.done.set)
 
 
+def _reload(core: Core) -> None:
+    """SIGHUP: a file that is no good changes nothing."""
+    try:
+        config = load(os.environ, again=True)
+    except ConfigError as error:
+        logging.error("reload: the configuration is kept: %s", error)
+        return
+    core.reload(config)
+    logging.info("reloaded: discovery %s:%d", *config.discovery)
+
+
 async def serve(config: Config) -> None:
     """Run until SIGTERM or SIGINT has been served."""
     loop = asyncio.get_running_loop()
@@ -91,12 +102,15 @@
     shutdown = Shutdown(core, server, loop)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, shutdown.begin)
+    loop.add_signal_handler(signal.SIGHUP, _reload, core)
     core.start()
     host, port = server.start(config.listen)
     logging.info("listening on %s:%d", host, port)
     gc.freeze()
     gc.set_threshold(GC_ALLOCATIONS)  # requests leave next to no cycles: look for them seldom
     await shutdown.done.wait()
+    # Guards the exit status: the loop's handlers go first, and a SIGHUP without one ends the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     core.stop()
 
 
--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -5,12 +5,15 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 # Results of an attempt, and whether each one proves that the request never ran.
 OK, ERROR, FULL, TIMED_OUT = "ok", "error", "full", "timed_out"
 CONNECT_FAILED, RESET, CANCELLED, MOOT = "connect_failed", "reset", "cancelled", "moot"
-NEVER_RAN = frozenset((FULL, CONNECT_FAILED, MOOT))
+SPOILT = "spoilt"  # an answer came that cannot be read: it may have run, and says little of the server
+NO_ROOM = "no_room"  # a bound of our own kept it from being sent: it says nothing of the server
+NEVER_RAN = frozenset((FULL, CONNECT_FAILED, MOOT, NO_ROOM))
 
 
 @dataclass(slots=True, frozen=True)
@@ -62,6 +65,7 @@
     peers: bool = False
     must_ask: bool = False  # the list of servers comes only on request
     may_count: bool = False
+    most_units: float = math.inf  # the largest request
     count_wait_ms: float = 50.0
     trued_up: bool = False
     use_period_ms: float = 0.0
@@ -174,7 +178,8 @@
 
 @dataclass(slots=True, frozen=True)
 class CountReply:
-    """What one Count call came to: result ok, full, connect_failed or timed_out."""
+    """What one Count call came to: result ok, full, connect_failed or timed_out; spoilt: it was answered, so
+    added, but with no total."""
 
     name: str
     result: str
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -37,8 +37,11 @@
     idle_ms: float
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """The configuration that `ROUTER_CONFIG` names; the single variables go before the file."""
+def load(environ: Mapping[str, str], again: bool = False) -> Config:
+    """The configuration that `ROUTER_CONFIG` names; the single variables go before the file.
+
+    When it is read again the file has the news: the environment tells where discovery was at the start.
+    """
     path = environ.get("ROUTER_CONFIG")
     if not path:
         raise ConfigError("ROUTER_CONFIG: is not set")
@@ -50,7 +53,7 @@
         raise ConfigError("ROUTER_CONFIG: must hold a JSON object")
     for field, variable in (("name", "ROUTER_NAME"), ("listen", "ROUTER_LISTEN"),
                             ("discovery", "ROUTER_DISCOVERY")):
-        if environ.get(variable):
+        if environ.get(variable) and not (again and field == "discovery"):
             raw[field] = environ[variable]
     return parse(raw)
 
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -120,6 +120,12 @@
         if self._counter is not None:
             self._counter.stop()
 
+    def reload(self, config: Config) -> None:
+        """Go over to the discovery and the counter that a new configuration names; all else stays."""
+        self._discovery.move(config.discovery)
+        if self._counter is not None and config.counter is not None:
+            self._counter.move(config.counter)
+
     def ready(self) -> bool:
         """Whether requests can be served: hosts are known, by discovery's word if it speaks at all."""
         if self.draining or not self._hosts.names():
@@ -249,7 +255,7 @@
             took = max(took - self._behind_ms(now), 0.0)
         units = 0.0
         if result == api.OK:
-            units = _number(reply.headers.get(b"billed-units"))
+            units = reply.amount(b"billed-units", self.settings.most_units)
             self._answer(request, 200, reply)
         final = request.client is None
         self._forget(request)
@@ -313,12 +319,3 @@
                 pass  # the watch is always on
             case api.Log():
                 log.info("%s", act.text)
-
-
-def _number(text: bytes | None) -> float:
-    """A header's positive number; 0 where there is none."""
-    try:
-        value = float(text or 0)
-    except ValueError:
-        return 0.0
-    return value if 0 < value < 1e9 else 0.0
--- a/yewstage/net/counter.py
+++ b/yewstage/net/counter.py
@@ -3,17 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections import deque
 from collections.abc import Callable
 
 from yewstage import interface as api
-from yewstage.net.http1 import Reply, ReplyProtocol
+from yewstage.net.http1 import Reply, ReplyProtocol, number
 
 CONNECTIONS = 4  # a slow part of the counter holds up what is written behind it on the same connection
 DIAL_S = 0.25
 BACKOFF_S, BACKOFF_MAX_S = 0.05, 1.0
 SILENT_S = 1.0  # an answer this late is not coming: the counter's machine is gone
+NOTHING_ADDED = frozenset((400, 404, 503))
 GRACE_S = 0.001  # one turn of the loop, in which what has arrived is read before a time-out counts
 
 
@@ -31,8 +31,11 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], wait_ms: float,
                  replied: Callable[[api.CountReply], None]) -> None:
-        self._loop, self._address, self._wait_s, self._replied = loop, address, wait_ms / 1000, replied
-        self._slots = [_Slot(self) for _ in range(CONNECTIONS)]
+        self._loop, self._wait_s, self._replied = loop, wait_ms / 1000, replied
+        self._slots = self._open(address)
+
+    def _open(self, address: tuple[str, int]) -> list[_Slot]:
+        return [_Slot(self, self._loop, address) for _ in range(CONNECTIONS)]
 
     def start(self) -> None:
         """Open the connections before the first call needs one."""
@@ -44,15 +47,26 @@
         for slot in self._slots:
             slot.stop()
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Call at another address from now on; what is out on the old connections finishes there."""
+        old, self._slots = self._slots, self._open(address)
+        self.start()
+        for slot in old:
+            for call in slot.retire():
+                self._place(call)
+
     def call(self, act: api.Count) -> None:
         """Write one call on the connection with the fewest calls out."""
         call = _Call(act, self._loop.time())
+        call.timer = self._loop.call_later(self._wait_s, self._overdue, call)
+        self._place(call)
+
+    def _place(self, call: _Call) -> None:
         up = [slot for slot in self._slots if slot.usable()]
-        if not up:
+        if up:
+            min(up, key=_Slot.load).write(call)
+        else:
             self.end(call, api.CONNECT_FAILED)
-            return
-        call.timer = self._loop.call_later(self._wait_s, self._overdue, call)
-        min(up, key=_Slot.load).write(call)
 
     def end(self, call: _Call, result: str, total: float = 0.0) -> None:
         """Report what a call came to, once."""
@@ -72,16 +86,12 @@
         # The call stays in its connection's line, so that its late answer is not taken for the next one's.
         self.end(call, api.TIMED_OUT if call.written else api.CONNECT_FAILED)
 
-    def target(self) -> tuple[asyncio.AbstractEventLoop, tuple[str, int]]:
-        """The loop, and where to dial."""
-        return self._loop, self._address
-
 
 class _Slot:
     """One kept connection: calls out on it in order, and its redialling."""
 
-    def __init__(self, counter: Counter) -> None:
-        self._counter = counter
+    def __init__(self, counter: Counter, loop: asyncio.AbstractEventLoop, address: tuple[str, int]) -> None:
+        self._counter, self._loop, self._address = counter, loop, address
         self._connection: _Connection | None = None
         self._dial: asyncio.Task | None = None
         self._dial_timer: asyncio.TimerHandle | None = None
@@ -89,11 +99,12 @@
         self._calls: deque[_Call] = deque()
         self._failures = 0
         self._rests_until = 0.0
+        self._retired = False  # closes with its last call
 
     def usable(self) -> bool:
         """Whether a call may be written, or wait for a dial that is under way."""
-        loop, _ = self._counter.target()
-        return self._connection is not None or self._dial is not None or loop.time() >= self._rests_until
+        return (self._connection is not None or self._dial is not None
+                or self._loop.time() >= self._rests_until)
 
     def load(self) -> int:
         """Calls out, those on a connection that is not up yet counting for more."""
@@ -105,6 +116,18 @@
         if self._connection is not None:
             self._connection.drop()
 
+    def retire(self) -> list[_Call]:
+        """Close once the calls that are out are answered; returns those that were never written."""
+        self._retired = True
+        if self._connection is not None:
+            if not self._calls:
+                self.stop()
+            return []
+        waiting = [call for call in self._calls if not call.done]
+        self._calls.clear()
+        self.stop()
+        return waiting
+
     def write(self, call: _Call) -> None:
         self._calls.append(call)
         if self._connection is not None:
@@ -114,10 +137,10 @@
 
     def dial(self) -> None:
         """Open the connection."""
-        loop, address = self._counter.target()
-        self._dial = loop.create_task(loop.create_connection(lambda: _Connection(self), *address))
+        self._dial = self._loop.create_task(
+            self._loop.create_connection(lambda: _Connection(self), *self._address))
         self._dial.add_done_callback(self._dialled)
-        self._dial_timer = loop.call_later(DIAL_S, self._dial.cancel)
+        self._dial_timer = self._loop.call_later(DIAL_S, self._dial.cancel)
 
     def _dialled(self, task: asyncio.Task) -> None:
         self._dial = None
@@ -126,20 +149,22 @@
             self._broken()
             return
         self._connection = task.result()[1]
+        if self._retired:
+            self._connection.drop()
+            return
         # A call that has run out while it waited was reported as not added: it must not be written now.
         self._calls = deque(call for call in self._calls if not call.done)
         for call in self._calls:
             self._send(call)
 
     def _send(self, call: _Call) -> None:
-        loop, _ = self._counter.target()
         act = call.act
         self._connection.write(
             f"POST /v1/count/{act.name}?add={_decimal(act.amount)}&ttl_ms={max(1, round(act.keep_ms))}"
             " HTTP/1.1\r\nHost: counter\r\nContent-Length: 0\r\n\r\n".encode())
         call.written = not self._connection.unsent
         if self._check_timer is None:
-            self._check_timer = loop.call_later(SILENT_S, self._check)
+            self._check_timer = self._loop.call_later(SILENT_S, self._check)
 
     def flushed(self) -> None:
         """All that was written has left this process."""
@@ -151,33 +176,32 @@
         self._check_timer = None
         if not self._calls or self._connection is None:
             return
-        loop, _ = self._counter.target()
-        left_s = self._calls[0].sent_at + SILENT_S - loop.time()
+        left_s = self._calls[0].sent_at + SILENT_S - self._loop.time()
         if left_s > 0:
-            self._check_timer = loop.call_later(left_s, self._check)
+            self._check_timer = self._loop.call_later(left_s, self._check)
         else:
             self._connection.drop()
 
     def replied(self, reply: Reply, reusable: bool) -> None:
         """The answer to the oldest call on this connection."""
-        if not self._calls:
-            self._connection.drop()  # an answer that nobody asked for
-            return
         self._failures = 0
         call = self._calls.popleft()
-        if not reusable:
-            self._connection.drop()
-        if reply.status == 200:
-            try:
-                total = float(reply.body)
-            except ValueError:
-                total = math.nan
-            if math.isfinite(total):
-                self._counter.end(call, api.OK, total)
-            else:
-                self._counter.end(call, api.TIMED_OUT)  # it may have been added; to what is not known
-        else:
+        total = number(reply.body.strip()) if reply.status == 200 else None
+        if reply.status in NOTHING_ADDED:
             self._counter.end(call, api.FULL)
+        elif total is not None:
+            self._counter.end(call, api.OK, total)
+        else:
+            # Guards the totals: what answers without a number has added, but can be trusted with no more.
+            self._counter.end(call, api.SPOILT)
+            self.spoilt()
+        if not reusable or (self._retired and not self._calls):
+            self._connection.drop()
+
+    def spoilt(self) -> None:
+        """Noise where answers should be: no call behind it will be told its total either."""
+        self._connection.drop()
+        self._end_all(api.SPOILT)
 
     def lost(self) -> None:
         """The connection is gone."""
@@ -186,14 +210,16 @@
 
     def _broken(self) -> None:
         """Report what was out; the next call dials again, after a rest if this goes on."""
-        loop, _ = self._counter.target()
         self._failures += 1
         if self._failures > 1:
             rest = min(BACKOFF_S * 2 ** min(self._failures - 2, 10), BACKOFF_MAX_S)
-            self._rests_until = loop.time() + rest
+            self._rests_until = self._loop.time() + rest
+        self._end_all(api.TIMED_OUT)
+
+    def _end_all(self, written: str) -> None:
         calls, self._calls = self._calls, deque()
         for call in calls:
-            self._counter.end(call, api.TIMED_OUT if call.written else api.CONNECT_FAILED)
+            self._counter.end(call, written if call.written else api.CONNECT_FAILED)
 
 
 def _decimal(amount: float) -> str:
@@ -213,5 +239,8 @@
     def replied(self, reply: Reply, reusable: bool) -> None:
         self._slot.replied(reply, reusable)
 
+    def spoilt(self) -> None:
+        self._slot.spoilt()
+
     def lost(self) -> None:
         self._slot.lost()
--- a/yewstage/net/discovery.py
+++ b/yewstage/net/discovery.py
@@ -90,6 +90,18 @@
         if self._connection is not None:
             self._connection.drop()
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Watch at another address, from the whole list on; the list is kept until that has come."""
+        if self._stopped:
+            return
+        connection, dial, self._connection, self._dial = self._connection, self._dial, None, None
+        if dial is not None:
+            dial.cancel()
+        if connection is not None:
+            connection.drop()
+        self._address, self._generation, self._failures = address, None, 0
+        self._ask()
+
     def _ask(self) -> None:
         if self._stopped:
             return
@@ -102,8 +114,13 @@
         self._dial.add_done_callback(self._dialled)
 
     def _dialled(self, task: asyncio.Task) -> None:
+        failed = task.cancelled() or task.exception() is not None
+        if task is not self._dial:  # the watch has moved on meanwhile
+            if not failed:
+                task.result()[1].drop()
+            return
         self._dial = None
-        if task.cancelled() or task.exception() is not None:
+        if failed:
             self._retry()
             return
         self._connection = task.result()[1]
@@ -112,7 +129,6 @@
     def _write(self, connection: _Watch) -> None:
         query = "" if self._generation is None else f"?after={self._generation}&wait_ms={WAIT_MS}"
         self._watch_silence(SILENT_S if self._generation is None else WAIT_MS / 1000 + SILENT_S)
-        connection.waiting = True
         connection.write(f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
 
     def _watch_silence(self, seconds: float) -> None:
@@ -130,6 +146,8 @@
 
     def replied(self, connection: _Watch, reply: Reply, reusable: bool) -> None:
         """An answer: hand it on and ask for what comes next at once."""
+        if connection is not self._connection:
+            return
         try:
             if reply.status != 200:
                 raise ValueError(f"status {reply.status}")
@@ -170,14 +188,12 @@
     def __init__(self, owner: Discovery) -> None:
         super().__init__(LONGEST_LIST)
         self._owner = owner
-        self.waiting = False
 
     def replied(self, reply: Reply, reusable: bool) -> None:
-        if not self.waiting:
-            self.drop()  # an answer that nobody asked for
-            return
-        self.waiting = False
         self._owner.replied(self, reply, reusable)
 
+    def spoilt(self) -> None:
+        log.warning("discovery: an answer that cannot be read, the list is kept")
+
     def lost(self) -> None:
         self._owner.lost(self)
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections.abc import Callable
 from functools import partial
 
@@ -13,6 +14,7 @@
 IDLE_SHARE = 0.5  # idle connections are retired after this part of the host's idle limit
 SWEEP_S = 1.0
 DIALS = 64  # dials under way at once
+REST_S = 0.01  # an answered connection is used again after this: what follows an answer late is seen by then
 
 
 class Attempt:
@@ -85,12 +87,21 @@
             self._end(attempt, api.CONNECT_FAILED)
             return
         attempt.timer = self._loop.call_later(timeout_s, self._overdue, attempt)
-        while host.idle:
-            connection = host.idle.pop()
-            if not connection.transport.is_closing():
-                connection.begin(attempt)
-                return
-        self._dial(host, attempt)
+        connection = self._rested(host)
+        if connection is not None:
+            connection.begin(attempt)
+        else:
+            self._dial(host, attempt)
+
+    def _rested(self, host: _Host) -> _Connection | None:
+        """The freshest idle connection on which nothing has followed its last answer."""
+        before = self._loop.time() - REST_S
+        for i in range(len(host.idle) - 1, -1, -1):
+            connection = host.idle[i]
+            if connection.idle_since <= before and connection.quiet():
+                del host.idle[i]
+                return connection
+        return None
 
     def cancel(self, attempt: Attempt) -> None:
         """Give an attempt up by ending its connection."""
@@ -99,9 +110,9 @@
             self._end(attempt, api.CANCELLED)
 
     def _dial(self, host: _Host, attempt: Attempt) -> None:
-        # Guards the descriptors: a dial beyond the bound ends as one that never came up.
+        # Guards the descriptors. The bound is ours, so what it stops is not told as the host's failure.
         if self._dials >= DIALS or not self._room():
-            self._end(attempt, api.CONNECT_FAILED)
+            self._end(attempt, api.NO_ROOM)
             return
         self._dials += 1
         attempt.dial = self._loop.create_task(
@@ -192,6 +203,12 @@
             connection.drop()
         self._end(attempt, _result(reply), reply)
 
+    def spoilt(self, connection: _Connection) -> None:
+        """What came is no answer: the attempt may have run."""
+        attempt, connection.attempt = connection.attempt, None
+        if attempt is not None:
+            self._end(attempt, api.SPOILT)
+
     def _close_idle(self, host: _Host) -> None:
         idle, host.idle = host.idle, []
         for connection in idle:
@@ -233,14 +250,22 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        self._poll = select.poll()
+        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
         self._pool.opened(self)
 
+    def quiet(self) -> bool:
+        """Whether nothing has come that is still unread: data that would pass for the next answer, or the end
+        of the connection, after which what is written may have run."""
+        return not self.transport.is_closing() and not self._poll.poll(0)
+
     def replied(self, reply: Reply, reusable: bool) -> None:
         attempt, self.attempt = self.attempt, None
-        if attempt is None:
-            self.drop()  # an answer that nobody asked for
-            return
-        self._pool.replied(self, attempt, reply, reusable)
+        if attempt is not None:
+            self._pool.replied(self, attempt, reply, reusable)
+
+    def spoilt(self) -> None:
+        self._pool.spoilt(self)
 
     def lost(self) -> None:
         self._pool.closed(self)
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -35,6 +35,8 @@
 CALL_REST_MS = 1000.0  # one call in this time is made however few are answered: it finds the counter's return
 FORGET_WINDOWS = 6.0  # windows without a request after which a customer is forgotten
 KEEP_MAX_MS = 60000.0  # longest life of a count
+# Results that tell nothing of occupancy.
+NO_SAMPLE = frozenset((api.CONNECT_FAILED, api.RESET, api.CANCELLED, api.SPOILT, api.NO_ROOM))
 
 
 def ramp(q: float) -> float:
@@ -294,7 +296,7 @@
 
     def _sample(self, held: _Held, attempt: _Attempt, event: api.Outcome) -> None:
         """One outcome's occupancy: the part of the aim that it used up, or that a new one would."""
-        if attempt.sent < self.stalled_at or event.result in (api.CONNECT_FAILED, api.RESET, api.CANCELLED):
+        if attempt.sent < self.stalled_at or event.result in NO_SAMPLE:
             return
         if self._unwell(attempt.host):
             return  # danger: a few bad hosts cut f for all; they are the business of health
@@ -461,7 +463,8 @@
     def _count_reply(self, reply: api.CountReply) -> None:
         customer = self.calls.get(reply.name)
         ok = reply.result == api.OK
-        self.heard += HEED * (ok - self.heard)
+        # Danger: a spoilt answer is one all the same; taken for silence it would call a good counter crowded.
+        self.heard += HEED * ((ok or reply.result == api.SPOILT) - self.heard)
         if self.heard < 0.5:
             self._say("counter", "counter silent or crowded: calling less, quotas go by our estimates")
         use = self.uses.get(customer) if customer is not None else None
@@ -470,8 +473,8 @@
         use.calling = False
         if ok:
             self._read(use, reply.total)
-        elif reply.result != api.TIMED_OUT:
-            use.added -= use.in_call  # a timed-out call may have counted: it is not added twice
+        elif reply.result not in (api.TIMED_OUT, api.SPOILT):
+            use.added -= use.in_call  # a call that may have counted is not added twice
         self._settle(use)
         if ok:
             self._sync(use, customer)
@@ -674,8 +677,10 @@
             self._sync(held.use, held.req.customer)
         if event.final or event.result == api.OK or held.answered:
             self._finish(held)
-        elif not any(a.open for a in held.attempts) and not self._again(held):
-            self._answer(held)
+        elif not any(a.open for a in held.attempts):
+            # Danger: another server does not mend a bound of our own; asking it again at once is a loop.
+            if event.result == api.NO_ROOM or not self._again(held):
+                self._answer(held)
 
     def _usual(self, held: _Held) -> float:
         return self.latency[held.cls.name] * max(held.req.units, 1e-6)
--- a/yewstage/wire.py
+++ b/yewstage/wire.py
@@ -123,6 +123,7 @@
         probing=yes("bounds.probing"), peers=yes("bounds.peers"),
         must_ask=pairs.get("membership_mode", "pushed") == "on_request",
         may_count=yes("family_info.may_count"), count_wait_ms=num("family_info.count_wait_ms", 50.0),
+        most_units=num("family_info.most_units") or math.inf,
         trued_up=yes("family_info.trued_up"), use_period_ms=num("family_info.use_period_ms"),
         tick_ms=num("tick_ms", 1.0), answer_slack_ms=num("rules.answer_slack_ms"),
         drain_grace_ms=num("rules.stop_sending_within_ms"), cold_from=num("rules.cold_from", 1.0),
