--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -7,6 +7,7 @@
 import logging
 import re
 import socket
+import time
 from collections import deque
 from functools import lru_cache
 
@@ -21,18 +22,21 @@
 BACKLOG = 256
 CLIENT_SHARE = 0.5  # of the descriptors
 LONGEST_HEAD = 32 * 1024
-HEAD_S = 10.0  # how long a request may take to come in
-IDLE_S = 75.0  # how long an idle connection is kept
-LINGER_S = 1.0  # how long the rest of a rejected request is read before its connection is closed
-SWEEP_S = 1.0
+LONGEST_FRAME = 2 * LONGEST_BODY  # a body as it stands on the wire, with its chunk lines
+MOST_AHEAD = 16  # requests that may wait behind the open one on a connection
+READ_S = 2.0  # how long a request may take to come in, the first one from the connect on
+IDLE_S = 4.0  # how long a connection is kept after its last answer
+LINGER_S, LINGER_BYTES = 1.0, 1024 * 1024  # how much of a rejected request is read before the close
+SWEEP_S = 0.25
 ACCEPT_PAUSE_S = 0.05
+ACCEPTS = 16  # connections taken in one turn of the loop: others have work to do, too
 
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout",
-           413: b"Content Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
+           409: b"Conflict", 413: b"Content Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
            503: b"Service Unavailable", 504: b"Gateway Timeout"}
 LINES = {status: b"HTTP/1.1 %d %b\r\n" % (status, reason) for status, reason in REASONS.items()}
 WANTED = frozenset((b"x-request-id", b"x-class", b"plan", b"x-deadline", b"quota-info", b"x-retry",
-                    b"idempotency-key", b"content-length", b"content-type", b"expect"))
+                    b"idempotency-key", b"content-length", b"content-type", b"transfer-encoding", b"expect"))
 WORD = re.compile(rb"[!-~]{1,128}")
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
 DEADLINE = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
@@ -41,13 +45,17 @@
 
 
 class BadRequestError(ValueError):
-    """A request that is answered 400."""
+    """A request that is turned away, and its connection closed."""
+
+    def __init__(self, text: str, status: int = 400) -> None:
+        super().__init__(text)
+        self.status = status
 
 
 class _Message:
     """One request as parsed."""
 
-    __slots__ = ("url", "headers", "body", "size", "method", "keep_alive", "twice", "head")
+    __slots__ = ("url", "headers", "body", "size", "method", "keep_alive", "twice", "head", "read_at")
 
     def __init__(self) -> None:
         self.url = b""
@@ -58,48 +66,67 @@
         self.keep_alive = True
         self.head = 0  # bytes of its headers
         self.twice = False  # a header that we go by came twice
+        self.read_at = 0.0
 
 
-class Names:
-    """The classes and plans that a request may name, as they stand in its headers."""
+class Terms:
+    """What a request may name: classes and plans as they stand in its headers, units, sets of gateways."""
 
     def __init__(self, settings: api.Settings) -> None:
         self.classes = {c.name.encode(): c for c in settings.classes}
         self.plans = {p.name.encode(): p.name for p in settings.plans}
-
-
-def order(message: _Message, names: Names) -> Order:
-    """A request for `/api/` as an `Order`; BadRequestErrorError where it breaks the protocol."""
+        self._most_units, self._gateways = settings.most_units, settings.fleet_size
+        self.quota_info = lru_cache(maxsize=1024)(self._quota_info)  # a few values make up all traffic
+
+    def _quota_info(self, value: bytes) -> tuple[float, int, int]:
+        """`units=2,spread=3,first=1`. Guards quotas and ceilings, in which a wild figure would stay."""
+        fields = dict(part.strip().partition("=")[::2] for part in value.decode("latin-1").split(","))
+        units, spread, first = (fields.get(name, "") for name in ("units", "spread", "first"))
+        if not (UNITS.fullmatch(units) and WHOLE.fullmatch(spread) and WHOLE.fullmatch(first)):
+            raise BadRequestError("Quota-Info")
+        if not (0 < float(units) <= self._most_units and 1 <= int(spread) <= self._gateways
+                and int(first) < self._gateways):
+            raise BadRequestError("Quota-Info: out of range")
+        return float(units), int(spread), int(first)
+
+
+def order(message: _Message, terms: Terms) -> Order:
+    """A request for `/api/` as an `Order`; BadRequestError where it breaks the protocol."""
     headers = message.headers
-    if message.twice:
-        raise BadRequestError("a header came twice")
     path, _, _ = message.url.partition(b"?")
     customer = path.rpartition(b"/")[2]
     if not CUSTOMER.fullmatch(customer) or int(customer, 16) >= 2 ** 33:
         raise BadRequestError("customer")
-    cls = names.classes.get(headers.get(b"x-class", b""))
-    plan = names.plans.get(headers.get(b"plan", b""))
+    cls = terms.classes.get(headers.get(b"x-class", b""))
+    plan = terms.plans.get(headers.get(b"plan", b""))
     if cls is None or plan is None:
         raise BadRequestError("class or plan")
     deadline = DEADLINE.fullmatch(headers.get(b"x-deadline", b""))
     if deadline is None:
         raise BadRequestError("X-Deadline")
     time_left_ms = float(deadline[1]) / (1 if deadline[2] == b"m" else 1000)
-    units, width, first = _quota_info(headers.get(b"quota-info", b""))
-    return Order(cls.name, plan, customer.decode().lower(), time_left_ms, units, width, first,
-                 headers.get(b"x-retry") == b"1", _head(message, cls), b"".join(message.body))
+    units, width, first = terms.quota_info(headers.get(b"quota-info", b""))
+    # No client of a class waits for longer than its deadline, whatever it says.
+    return Order(headers.get(b"x-request-id", b""), cls.name, plan, customer.decode().lower(),
+                 min(time_left_ms, cls.deadline_ms), units, width, first, headers.get(b"x-retry") == b"1",
+                 message.read_at, _head(message, cls), b"".join(message.body))
+
 
+def check_framing(message: _Message) -> None:
+    """Turn away at its head what could be read in two ways, or is longer than may be passed on.
 
-@lru_cache(maxsize=1024)  # a few values make up all traffic
-def _quota_info(value: bytes) -> tuple[float, int, int]:
-    """`units=2,spread=3,first=1`."""
-    fields = dict(part.strip().partition("=")[::2] for part in value.decode("latin-1").split(","))
-    units, spread, first = (fields.get(name, "") for name in ("units", "spread", "first"))
-    if not (UNITS.fullmatch(units) and WHOLE.fullmatch(spread) and WHOLE.fullmatch(first)):
-        raise BadRequestError("Quota-Info")
-    if float(units) <= 0 or int(spread) < 1:
-        raise BadRequestError("Quota-Info")
-    return float(units), int(spread), int(first)
+    Guards against a request hidden in another's body: which bytes are body must not be a matter of opinion.
+    """
+    length = message.headers.get(b"content-length")
+    coding = message.headers.get(b"transfer-encoding")
+    if message.twice:
+        raise BadRequestError("a header came twice")
+    if coding is not None and (length is not None or coding.strip().lower() != b"chunked"):
+        raise BadRequestError("Transfer-Encoding")
+    if length is not None and not length.isdigit():
+        raise BadRequestError("Content-Length")
+    if length is not None and int(length) > LONGEST_BODY:
+        raise BadRequestError("Content-Length", 413)
 
 
 def _head(message: _Message, cls: api.RequestClass) -> bytes:
@@ -136,30 +163,37 @@
         self._busy = False  # a request is owed an answer
         self._keep_alive = True
         self._ending = False
+        self._status = 400  # for what is found to be bad while it is parsed
+        self._answered = False  # at least one request
         self._pumping = self._paused = False
         self._blocked = False  # the client does not read its answers
-        self._head = 0  # bytes of the head being read
-        self.since = 0.0  # when the message being read began, or the connection became idle
+        self._taken = 0  # bytes of the message being read, or of a rejected one's rest
+        self.since = 0.0  # when it was opened, became idle, or the message being read began
 
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
-        self.since = self._server.now()
-        self._server.connections.add(self)
+        self._server.opened(self)
 
     def data_received(self, data: bytes) -> None:
+        self._taken += len(data)
         if self._ending:
+            if self._taken > LINGER_BYTES:
+                self.transport.abort()
             return
-        if self._message is None and not self._busy:
-            self.since = self._server.now()
-        self._head += len(data)
+        if self._message is None and not self._busy and self._answered:
+            self._server.waits(self)
         try:
             self._parser.feed_data(data)
+            in_head = self._message is not None and self._message.method == b""
+            if self._taken > (LONGEST_HEAD if in_head else LONGEST_HEAD + LONGEST_FRAME):
+                self._reject(400)  # guards the memory: a head without an end
+        except httptools.HttpParserUpgrade:  # not offered: the request is answered, and is the last
+            self._ending = True
+            self._queue[-1].keep_alive = False
         except httptools.HttpParserError:
-            self._reject(400)
-        if self._head > LONGEST_HEAD and not self._ending:
-            self._reject(400)  # guards the memory: a head without an end
+            self._reject(self._status)
         self._pump()
 
     def pause_writing(self) -> None:
@@ -180,9 +214,11 @@
             self._core.left(self._open)
             self._open = None
 
-    # httptools
+    # httptools; what these raise reaches data_received as an HttpParserError
 
     def on_message_begin(self) -> None:
+        if len(self._queue) > MOST_AHEAD:
+            raise BadRequestError("too many requests at once")  # guards the memory and others' turns
         self._message = _Message()
 
     def on_url(self, url: bytes) -> None:
@@ -192,36 +228,37 @@
         name = name.lower()
         self._message.head += len(name) + len(value)
         if self._message.head > LONGEST_HEAD:
-            self._reject(400)
-        elif name in WANTED:
+            raise BadRequestError("head")
+        if name in WANTED:
             headers = self._message.headers
             self._message.twice |= name in headers
             headers[name] = value
 
     def on_headers_complete(self) -> None:
         message = self._message
-        self._head = -LONGEST_BODY * 2  # from here on the body's own bound holds
-        length = message.headers.get(b"content-length", b"0")
-        if length.isdigit() and int(length) > LONGEST_BODY:
-            self._reject(413)
-        elif message.headers.get(b"expect", b"").lower() == b"100-continue" and not self._busy:
+        message.method = self._parser.get_method()
+        try:
+            check_framing(message)
+        except BadRequestError as error:
+            self._status = error.status
+            raise
+        if message.headers.get(b"expect", b"").lower() == b"100-continue" and not self._busy:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
         message = self._message
         message.size += len(data)
-        if message.size <= LONGEST_BODY:
-            message.body.append(data)
-        else:
-            self._reject(413)
+        if message.size > LONGEST_BODY:
+            self._status = 413
+            raise BadRequestError("body", 413)
+        message.body.append(data)
 
     def on_message_complete(self) -> None:
         message, self._message = self._message, None
-        self._head = 0
-        message.method = self._parser.get_method()
+        self._taken = 0
         message.keep_alive = self._parser.should_keep_alive()
-        if not self._ending:
-            self._queue.append(message)
+        message.read_at = time.monotonic()
+        self._queue.append(message)
 
     # Requests and answers
 
@@ -229,6 +266,7 @@
         """Answer what cannot be taken, after all that came before it, and read no more of it."""
         if not self._ending:
             self._ending = True
+            self._message = None
             self._queue.append(status)
 
     def _pump(self) -> None:
@@ -248,33 +286,37 @@
 
     def _take(self, item: _Message | int) -> None:
         self._busy = True
-        if isinstance(item, int):
-            self._keep_alive = False
-            self.answer(item)
-            return
-        self._keep_alive = item.keep_alive
-        path = item.url.partition(b"?")[0]
-        if path == b"/ready" and item.method == b"GET":
+        self._server.owes(self)
+        try:
+            if isinstance(item, int):
+                raise BadRequestError("unreadable", item)
+            self._keep_alive = item.keep_alive
+            self._serve(item)
+        except BadRequestError as error:
+            self._keep_alive = False  # guards against a flood on one connection: it has to come again
+            self.answer(error.status)
+
+    def _serve(self, message: _Message) -> None:
+        path = message.url.partition(b"?")[0]
+        if path == b"/ready" and message.method == b"GET":
             self.answer(200 if self._core.ready() else 503)
         elif not path.startswith(b"/api/"):
-            self.answer(404)
+            raise BadRequestError("path", 404)
         else:
-            try:
-                wanted = order(item, self._server.names)
-            except BadRequestError:
-                self.answer(400)
-                return
+            wanted = order(message, self._server.terms)
             rid = self._core.request(self, wanted)
+            if rid is None:
+                raise BadRequestError("an id that is in use", 409)
             if self._busy:  # else it is answered already
                 self._open = rid
 
     def answer(self, status: int, body: bytes = b"", content_type: bytes = b"",
                retry_after_ms: float = 0.0) -> None:
         """The one answer to the request that is open."""
-        self._open, self._busy = None, False
-        self.since = self._server.now()
+        self._open, self._busy, self._answered = None, False, True
         if self.transport.is_closing():
             return
+        self._server.waits(self)
         keep = self._keep_alive and not self._core.draining
         parts = [LINES[status], b"Content-Length: %d\r\n" % len(body)]
         if content_type:
@@ -285,32 +327,32 @@
         parts.append(body)
         self.transport.write(b"".join(parts))
         if not keep:
-            self._end()
+            self._end(status)
         self._pump()
 
-    def _end(self) -> None:
-        """Close after the last answer. What the client still sends is read for a while: a close with unread
-        data resets the connection, and the answer with it."""
+    def _end(self, status: int) -> None:
+        """Close after the last answer. What a rejected client still sends is read for a while: a close with
+        unread data resets the connection, and the answer with it."""
+        unread = self._message is not None or 400 <= status < 500
         self._ending = True
         self._queue.clear()
-        if self._message is None:
+        self._taken = 0
+        if unread:
+            self.transport.write_eof()
+        else:
             self.transport.close()
-            return
-        self.transport.write_eof()
-        self._server.loop.call_later(LINGER_S, self.transport.abort)
 
     def check(self, now: float) -> None:
-        """Close if the client has been idle, or slow to send its request, for too long."""
-        if self._busy:
-            return
+        """Close if the client has been silent, idle or slow to send its request for too long."""
+        waited = now - self.since
         if self._ending:
-            if now - self.since > IDLE_S:
-                self.transport.abort()  # guards the descriptors: it does not read its last answer
-        elif self._message is not None and now - self.since > HEAD_S:
-            self._keep_alive, self._busy = False, True
-            self.answer(408)
-        elif self._message is None and now - self.since > IDLE_S:
-            self.transport.abort()  # what it has not read by now it will not read
+            if waited > LINGER_S:
+                self.transport.abort()  # also guards the descriptors: it does not read its last answer
+        elif self._message is not None and waited > READ_S:
+            self._reject(408)
+            self._pump()
+        elif waited > (IDLE_S if self._answered else READ_S):
+            self.transport.close()
 
     def close_if_idle(self) -> None:
         """Close unless a request is owed its answer or is being read."""
@@ -323,17 +365,14 @@
 
     def __init__(self, core: Core, loop: asyncio.AbstractEventLoop, sockets: int) -> None:
         self.core, self.loop = core, loop
-        self.names = Names(core.settings)
+        self.terms = Terms(core.settings)
         self.connections: set[ClientConnection] = set()
+        self._waiting: dict[ClientConnection, None] = {}  # owed nothing, the longest first
         self._most = int(CLIENT_SHARE * sockets)
         self._socket: socket.socket | None = None
         self._accepting = False
         self._pending: set[asyncio.Task] = set()
 
-    def now(self) -> float:
-        """The loop's time."""
-        return self.loop.time()
-
     def start(self, address: tuple[str, int]) -> tuple[str, int]:
         """Listen; returns the address, with the port that the system chose for 0."""
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
@@ -361,9 +400,26 @@
             connection.close_if_idle()
         return not self.connections and not self._pending
 
+    def opened(self, connection: ClientConnection) -> None:
+        """A connection is up, and silent so far."""
+        self.connections.add(connection)
+        self.waits(connection)
+
+    def waits(self, connection: ClientConnection) -> None:
+        """From now on a connection is owed nothing."""
+        connection.since = self.loop.time()
+        self._waiting.pop(connection, None)
+        self._waiting[connection] = None
+        self._resume()
+
+    def owes(self, connection: ClientConnection) -> None:
+        """A connection is owed an answer."""
+        self._waiting.pop(connection, None)
+
     def closed(self, connection: ClientConnection) -> None:
         """A connection is gone; there is room for another."""
         self.connections.discard(connection)
+        self._waiting.pop(connection, None)
         self._resume()
 
     def _resume(self) -> None:
@@ -377,12 +433,26 @@
             self.loop.remove_reader(self._socket)
 
     def _room(self) -> bool:
-        return len(self.connections) + len(self._pending) < self._most
+        """Whether there is a descriptor for one more, if need be of the one owed nothing for the longest.
+
+        Guards those who ask against those who only hold connections: silent, half-sent or asked once.
+        """
+        if len(self.connections) + len(self._pending) < self._most:
+            return True
+        oldest = next(iter(self._waiting), None)
+        if oldest is None:
+            return False
+        self.closed(oldest)
+        oldest.transport.abort()
+        return True
 
     def _accept(self) -> None:
         # Guards the descriptors: beyond the bound clients wait in the backlog, and a failing accept is
         # tried again later. Neither may end the listener.
-        while self._room():
+        for _ in range(ACCEPTS):
+            if not self._room():
+                self._pause()
+                return
             try:
                 accepted, _ = self._socket.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -397,7 +467,6 @@
                 self.loop.connect_accepted_socket(lambda: ClientConnection(self), accepted))
             self._pending.add(task)
             task.add_done_callback(self._accepted)
-        self._pause()
 
     def _accepted(self, task: asyncio.Task) -> None:
         # Until here the connection counted twice, which may have paused the listener with room left.
@@ -407,7 +476,7 @@
         self._resume()
 
     def _sweep(self) -> None:
-        now = self.now()
-        for connection in list(self.connections):
+        now = self.loop.time()
+        for connection in list(self._waiting):
             connection.check(now)
         self.loop.call_later(SWEEP_S, self._sweep)
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -19,7 +19,7 @@
 
 log = logging.getLogger(__name__)
 
-UPSTREAM_SHARE = 0.3  # of the descriptors
+UPSTREAM_SHARE = 0.36  # of the descriptors
 TRANSIT_MS = 4.0  # what a request may have spent on its way to us and its answer may on its way back
 GUARD_MS = 8.0  # the guard answers this long before the client's time is up
 MODULE_MS = 20.0  # the module is told of an end this much earlier, so that it comes first
@@ -51,6 +51,7 @@
 class Order:
     """A valid request of a client: what the module is told, and what goes on to a host."""
 
+    wire_id: bytes  # X-Request-Id
     class_name: str
     plan_name: str
     customer: str
@@ -59,6 +60,7 @@
     width: int
     first: int
     repeat: bool
+    read_at: float  # when its last byte was read, by time.monotonic
     head: bytes  # request line and headers for the host, but for X-Deadline
     body: bytes
 
@@ -91,6 +93,7 @@
                          if config.counter is not None else None)
         self._known = config.known
         self._requests: dict[str, _Open] = {}
+        self._wire_ids: set[bytes] = set()  # of the requests that are open or have an attempt out
         self._serial = 0
         self._events: deque[api.Event] = deque()
         self._handling = False
@@ -161,13 +164,18 @@
 
     # --- Clients ------------------------------------------------------------------------------------------
 
-    def request(self, client: Client, order: Order) -> str:
-        """Take a request; its id tells `left` which one is meant."""
+    def request(self, client: Client, order: Order) -> str | None:
+        """Take a request; its id tells `left` which one is meant. None: its own id is in use."""
+        # Guards against one client in another's name: hosts know a request by its id alone.
+        if order.wire_id in self._wire_ids:
+            return None
+        self._wire_ids.add(order.wire_id)
         self._serial += 1
         rid = f"r{self._serial}"
         # The client's time runs from when it sent the request, not from when we came to read it.
         now = time.monotonic()
-        left_ms = order.time_left_ms - TRANSIT_MS - self._behind_ms(now)
+        queued_ms = (now - order.read_at) * 1000
+        left_ms = order.time_left_ms - TRANSIT_MS - self._behind_ms(now) - queued_ms
         request = _Open(rid, client, order, now + (left_ms - GUARD_MS) / 1000)
         self._requests[rid] = request
         request.guard = self._loop.call_later(max(left_ms - GUARD_MS, 0.0) / 1000, self._guard, request)
@@ -210,8 +218,8 @@
         self._forget(request)
 
     def _forget(self, request: _Open) -> None:
-        if request.client is None and not request.out:
-            self._requests.pop(request.id, None)
+        if request.client is None and not request.out and self._requests.pop(request.id, None) is not None:
+            self._wire_ids.discard(request.order.wire_id)
 
     # --- Hosts --------------------------------------------------------------------------------------------
 
