--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -30,7 +30,7 @@
 def settings(**changes: object) -> api.Settings:
     base = api.Settings(
         classes=(SAFE, KEYED, UNSAFE), plans=(PLAN, CAPPED, OPEN), fleet_size=3, zone="a", try_limit=4,
-        cancel=True, retry_after=True, max_retry_after_ms=2000, may_count=True, tick_ms=2,
+        cancel=True, max_retry_after_ms=2000, may_count=True, tick_ms=2,
         drain_grace_ms=500, cold_from=0.2, cold_ms=10000, fall_multiple=3, tip_after_ms=2000)
     return dataclasses.replace(base, **changes)
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -580,3 +580,25 @@
             rig.process.send_signal(signal.SIGHUP)
             assert await rig.process.wait() == 0
     on_loop(scenario)
+
+
+def test_a_kept_connection_that_is_reset_says_nothing_of_its_host(tmp_path: Path) -> None:
+    """A host may forget kept connections without a word: the request goes again on a new one, and the host is
+    not left to rest."""
+    async def scenario() -> None:
+        used: set[int] = set()
+
+        def behave(seen: Seen) -> bytes:
+            again = id(seen.writer) in used
+            used.add(id(seen.writer))
+            kept.append(seen.writer)
+            return b"" if again else serve(seen)
+
+        kept: list[asyncio.StreamWriter] = []
+        async with Rig(tmp_path, behave) as rig:
+            for i in range(10):
+                assert await rig.status(message(rid=b"id-%d" % i)) == 200
+                await asyncio.sleep(5 * REST_S)
+            assert not any("fails" in line for line in rig.log)
+            assert len(rig.hosts[0].seen) == 19  # each but the first found its connection dead once
+    on_loop(scenario)
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -125,6 +125,37 @@
     on_loop(scenario)
 
 
+class Breaking:
+    """A loop whose new connections are broken before anybody can use them."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._loop, name)
+
+    async def create_connection(self, *args: object) -> tuple[asyncio.Transport, asyncio.Protocol]:
+        transport, protocol = await self._loop.create_connection(*args)
+        transport.abort()
+        return transport, protocol
+
+
+def test_a_connection_that_breaks_as_it_comes_up_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Nothing may be written to it: the attempt would hang until its time-out."""
+    async def scenario() -> None:
+        host = Fake(lambda seen: reply(b"served"))
+        core, script = await core_with(monkeypatch, host)
+        core._hosts._loop = Breaking(core._loop)
+        client = Answers()
+        script.plan[api.Request] = [api.Send("r1", "s-0", 5000)]
+        script.plan[api.Outcome] = [api.Refuse("r1")]
+        core.request(client, an_order())
+        assert await client.got.get() == 503
+        assert script.outcomes() == [api.UNSENT]
+        host.stop()
+    on_loop(scenario, 3)
+
+
 def test_a_stall_is_not_told_as_the_hosts_latency(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
         host = Fake(lambda seen: None)
--- a/tests/test_odd_events.py
+++ b/tests/test_odd_events.py
@@ -26,7 +26,7 @@
         for i in range(3))
     return api.Settings(
         classes=classes, plans=plans, fleet_size=r.choice([1, 3, 300]), try_limit=r.choice([0, 1, 4]),
-        second_copies=r.random() < 0.5, cancel=r.random() < 0.5, retry_after=r.random() < 0.5,
+        second_copies=r.random() < 0.5, cancel=r.random() < 0.5,
         max_retry_after_ms=r.choice([0, 500]), must_ask=r.random() < 0.5, may_count=r.random() < 0.6,
         tick_ms=r.choice([0, 4]), cold_from=r.choice([0, 0.2, 1]), cold_ms=r.choice([0, 9000]),
         fall_multiple=r.choice([0, 3]), tip_after_ms=r.choice([0, 2000]), count_wait_ms=30)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -287,7 +287,7 @@
 def test_near_the_limit_a_request_waits_for_the_total_and_is_answered() -> None:
     d = Driver()
     drive(d, 5, plan="basic")
-    d.gateway.uses["c"].left = 0.0  # the estimate says no; the last total left one unit
+    d.gateway.uses["c", "basic"].left = 0.0  # the estimate says no; the last total left one unit
     rid, out = d.ask(plan="basic")
     assert not of(out, api.Send) and not of(out, api.Refuse) and of(out, api.Count)
     out = d.give(api.CountReply(calls_of(d)[-1].name, api.TIMED_OUT, 0.0), 30)
@@ -316,7 +316,7 @@
 def test_a_reply_that_never_comes_does_not_cost_the_answer() -> None:
     d = Driver()
     drive(d, 5, plan="basic")
-    d.gateway.uses["c"].left = 0.0
+    d.gateway.uses["c", "basic"].left = 0.0
     rid, out = d.ask(plan="basic")
     d.sweep(3)
     finals = [a for _, a in d.log if isinstance(a, api.Send | api.Refuse) and a.request == rid]
@@ -338,7 +338,7 @@
 def test_counter_that_comes_back_empty_does_not_open_the_quota_anew() -> None:
     d = Driver()
     assert drive(d, 20, lose_at=3, plan="basic") == 6
-    assert d.gateway.uses["c"].others >= 0  # a total that falls is no use given back by the others
+    assert d.gateway.uses["c", "basic"].others >= 0  # a total that falls is no use given back by the others
 
 
 def test_overshoot_is_not_owed() -> None:
@@ -369,6 +369,43 @@
     assert not d.gateway.uses and not d.gateway.calls and not d.gateway.held
 
 
+def test_known_customers_are_bounded_and_those_in_use_are_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A flood of new names in one window must not fill the memory, nor push out what holds a ceiling."""
+    monkeypatch.setattr(policy, "MOST_USES", 50)
+    d = Driver(may_count=False)
+    for i in range(300):
+        rid, out = d.ask(plan="basic", customer=f"k{i}")
+        assert of(out, api.Send)
+        d.end(rid)
+        assert len(d.gateway.uses) <= 50
+    for i in range(60):  # a ceiling's part is not forgotten before it would be full again
+        d.ask(plan="capped", customer=f"c{i}", after=1)
+    assert [customer for customer, _ in d.gateway.uses] == [f"c{i}" for i in range(50)]
+
+
+def test_another_plan_or_set_in_a_customers_name_leaves_its_quota_as_it_is() -> None:
+    d = Driver()
+    assert drive(d, 10, plan="basic", width=1) == 6  # its burst
+    d.ask(plan="capped", width=3)
+    assert drive(d, 5, plan="basic", width=1) == 0
+    use = d.gateway.uses["c", "basic"]
+    d.ask(plan="basic", width=3)
+    assert use.width == 3  # the safe side of two opinions, for this window and the next
+    for _ in range(2):
+        d.ask(plan="basic", width=1, after=d.gateway._window_ms(PLAN))
+    assert use.width == 1
+
+
+def test_refusals_say_when_to_come_back() -> None:
+    d = Driver(servers=0)
+    (refused,) = of(d.ask()[1], api.Refuse)
+    assert 0 < refused.retry_after_ms <= 2000
+    d = Driver(servers=1, try_limit=1)
+    rid, _ = d.ask()
+    (refused,) = of(d.end(rid, api.FULL), api.Refuse)
+    assert 0 < refused.retry_after_ms <= 2000
+
+
 # --- Ceiling ---
 
 
@@ -513,6 +550,28 @@
     assert d.gateway._warmth(host) < 0.3
 
 
+@pytest.mark.parametrize(("result", "times", "rests"), [
+    (api.RESET, 2, False), (api.RESET, 3, True), (api.UNSENT, 2, False), (api.UNSENT, 3, True),
+    (api.CONNECT_FAILED, 1, True), (api.STALE, 9, False), (api.SPOILT, 9, False), (api.NO_ROOM, 9, False)])
+def test_what_an_outcome_says_of_its_host(result: str, times: int, rests: bool) -> None:
+    """A connection's end, a spoilt answer or a bound of our own are not the host's death."""
+    d = Driver(servers=1, try_limit=1)
+    for _ in range(times):
+        rid, out = d.ask()
+        assert of(out, api.Send)
+        d.end(rid, result)
+    host = d.gateway.hosts["h0"]
+    assert (host.died, host.fails > 0) == (result == api.CONNECT_FAILED, rests)
+    assert host.open == 0 and d.gateway.q == 0
+
+
+def test_a_bound_of_our_own_ends_the_request_at_once() -> None:
+    d = Driver(servers=4)
+    rid, _ = d.ask()
+    out = d.end(rid, api.NO_ROOM)
+    assert of(out, api.Refuse) and not of(out, api.Send)
+
+
 def test_failing_host_rests_and_is_tried_again() -> None:
     d = Driver(servers=4)
     d.sweep()
@@ -597,6 +656,17 @@
     assert calls(api.OK) > 50
 
 
+def test_a_spoilt_total_is_an_answer_and_its_amount_counts() -> None:
+    d = Driver()
+    rid, out = d.ask(plan="basic", customer="k", units=2)
+    (call,) = of(out, api.Count)
+    out = d.give(api.CountReply(call.name, api.SPOILT, 0.0))
+    assert of(out, api.Send)  # decided at once
+    use = d.gateway.uses["k", "basic"]
+    assert d.gateway.heard == 1.0
+    assert use.added == 2 and not use.calling
+
+
 @pytest.mark.parametrize("age_s", [2, 30])
 def test_silent_split_under_one_unit_adds_up_over_the_fleet(age_s: int) -> None:
     """300 gateways, no counter, one customer: their second tries come to the split, whatever its size."""
--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -12,8 +12,10 @@
 OK, ERROR, FULL, TIMED_OUT = "ok", "error", "full", "timed_out"
 CONNECT_FAILED, RESET, CANCELLED, MOOT = "connect_failed", "reset", "cancelled", "moot"
 SPOILT = "spoilt"  # an answer came that cannot be read: it may have run, and says little of the server
+STALE = "stale"  # a kept connection was reset by its next request: it may have run, the server is no worse
+UNSENT = "unsent"  # a connection came up and broke before the last byte was written: it never ran
 NO_ROOM = "no_room"  # a bound of our own kept it from being sent: it says nothing of the server
-NEVER_RAN = frozenset((FULL, CONNECT_FAILED, MOOT, NO_ROOM))
+NEVER_RAN = frozenset((FULL, CONNECT_FAILED, MOOT, UNSENT, NO_ROOM))
 
 
 @dataclass(slots=True, frozen=True)
@@ -59,7 +61,6 @@
     try_limit: int = 1
     second_copies: bool = False
     cancel: bool = False
-    retry_after: bool = False
     max_retry_after_ms: float = 0.0
     probing: bool = False
     peers: bool = False
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -132,12 +132,19 @@
         self._dials -= 1
         attempt.dial = None
         attempt.dial_timer.cancel()
-        if task.cancelled() or task.exception() is not None:
+        error = None if task.cancelled() else task.exception()
+        if task.cancelled() or (error is not None and not isinstance(error, ConnectionResetError)):
             self._end(attempt, api.CONNECT_FAILED)
-            return
-        connection: _Connection = task.result()[1]
+        elif error is not None:
+            self._end(attempt, api.UNSENT)
+        else:
+            self._up(attempt, task.result()[1])
+
+    def _up(self, attempt: Attempt, connection: _Connection) -> None:
         if attempt.done or self._stopped:
             connection.drop()
+        elif connection.transport.is_closing():  # it broke before this turn of the loop
+            self._end(attempt, api.UNSENT)
         else:
             connection.begin(attempt)
 
@@ -148,9 +155,12 @@
 
     def _time_out(self, attempt: Attempt) -> None:
         connection = attempt.connection
-        sent = connection is not None and not connection.unsent
+        if connection is None:
+            result = api.CONNECT_FAILED
+        else:
+            result = api.UNSENT if connection.unsent else api.TIMED_OUT
         self._abandon(attempt)
-        self._end(attempt, api.TIMED_OUT if sent else api.CONNECT_FAILED)
+        self._end(attempt, result)
 
     def _dial_overdue(self, attempt: Attempt) -> None:
         attempt.dial_timer = self._loop.call_later(GRACE_S, self._dial_time_out, attempt)
@@ -190,8 +200,16 @@
         if connection in connection.host.idle:
             connection.host.idle.remove(connection)
         attempt, connection.attempt = connection.attempt, None
-        if attempt is not None:
-            self._end(attempt, api.CONNECT_FAILED if connection.unsent else api.RESET)
+        if attempt is None:
+            return
+        if connection.unsent:
+            self._end(attempt, api.UNSENT)
+        elif connection.kept and not connection.begun():
+            # The freshest one kept was dead, and nobody had said so: the older ones are no better.
+            self._close_idle(connection.host)
+            self._end(attempt, api.STALE)
+        else:
+            self._end(attempt, api.RESET)
 
     def replied(self, connection: _Connection, attempt: Attempt, reply: Reply, reusable: bool) -> None:
         """A whole answer: the connection is free again, the attempt is over."""
@@ -241,11 +259,13 @@
         super().__init__()
         self._pool, self.host = pool, host
         self.attempt: Attempt | None = None
+        self.kept = False  # the attempt is not the first one on it
         self.idle_since = 0.0
 
     def begin(self, attempt: Attempt) -> None:
         """Write an attempt's request."""
         self.attempt, attempt.connection = attempt, self
+        self.kept = self.idle_since > 0
         self.write(attempt.payload)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -74,6 +74,10 @@
         """The connection is gone."""
         raise NotImplementedError
 
+    def begun(self) -> bool:
+        """Whether any byte of the answer that is due has come."""
+        return self._taken > 0
+
     def write(self, data: bytes) -> None:
         """Write one request, and know whether its last byte has left this process."""
         self._due += 1
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -8,6 +8,7 @@
 import hashlib
 import random
 from collections import deque
+from itertools import islice
 
 from yewstage import interface as api
 
@@ -21,7 +22,7 @@
 RATE_MEMORY_MS = 1000.0  # memory of observed rates (completions, work sent to warm hosts)
 GAIN = 0.2  # weight of one outcome in a host's or class's running mean
 BACKOFF_MS, BACKOFF_MAX_MS = 500.0, 4000.0  # a failing host's rest before one trial, doubled to the second
-STRIKES = 3  # slow or failed answers in a row that count as a host's failure
+STRIKES = 3  # slow or failed answers or resets in a row that count as a host's failure
 BAD = 2.5  # a host this many times slower than the fleet is unwell: no q samples, no patience
 COLD_MARGIN = 0.5  # part of the cold budget that we use: capacity is only guessed and others may run ahead
 RETRY_SHARE, RETRY_BANK = 0.2, 10.0  # further attempts per admitted request, and how many may be saved up
@@ -33,10 +34,12 @@
 OTHERS_MS = 1000.0  # memory of the others' rate of use
 HEED, CROWD = 0.35, 4  # weight of one counter reply in a mean of them; the power of the mean that thins calls
 CALL_REST_MS = 1000.0  # one call in this time is made however few are answered: it finds the counter's return
-FORGET_WINDOWS = 6.0  # windows without a request after which a customer is forgotten
+FORGET_WINDOWS = 3.0  # windows without a request after which a customer is forgotten
+MOST_USES = 8192  # customers known at once: a flood of new names must not fill the memory
+LOOKS = 64  # customers looked at in one sweep, the longest unseen first
 KEEP_MAX_MS = 60000.0  # longest life of a count
-# Results that tell nothing of occupancy.
-NO_SAMPLE = frozenset((api.CONNECT_FAILED, api.RESET, api.CANCELLED, api.SPOILT, api.NO_ROOM))
+BROKEN = frozenset((api.CONNECT_FAILED, api.RESET, api.STALE, api.UNSENT))  # the connection, not the work
+NO_SAMPLE = BROKEN | {api.CANCELLED, api.SPOILT, api.NO_ROOM}  # results that tell nothing of occupancy
 
 
 def ramp(q: float) -> float:
@@ -94,12 +97,16 @@
 class _Use:
     """One customer's use: the count of this window, and this gateway's part of the ceiling."""
 
-    __slots__ = ("plan", "width", "window", "name", "own", "added", "base", "base_own", "base_at", "base_use",
-                 "base_left", "most", "left", "left_at", "others", "calling", "in_call", "call_at", "asking",
-                 "open", "seen", "ceiling", "ceiling_at", "luck")
+    __slots__ = ("key", "plan", "width", "widest", "phase", "digest", "window", "name", "own", "added",
+                 "base", "base_own", "base_at", "base_use", "base_left", "most", "left", "left_at", "others",
+                 "calling", "in_call", "call_at", "asking", "open", "seen", "ceiling", "ceiling_at", "luck")
 
-    def __init__(self, plan: api.Plan, width: int, now: float, age: float) -> None:
-        self.plan, self.width, self.seen = plan, width, now
+    def __init__(self, key: tuple[str, str], plan: api.Plan, width: int, now: float, age: float) -> None:
+        self.key, self.plan, self.seen = key, plan, now
+        self.width = self.widest = width  # of its set, as named in this window or the last; in this one
+        # Windows start at a phase of the customer's own: no herd of calls at their edges.
+        digest = hashlib.blake2s("/".join(key).encode(), digest_size=8)
+        self.digest, self.phase = digest.hexdigest(), int.from_bytes(digest.digest()[:2], "big") / 65536
         self.window, self.name = -1, ""
         self.own = self.added = self.in_call = 0.0  # our use in the window; told; in a call
         self.calling, self.call_at = False, 0.0
@@ -137,9 +144,10 @@
         self.out: list[api.Action] = []
         self.hosts: dict[str, _Host] = {}
         self.held: dict[str, _Held] = {}
-        self.uses: dict[str, _Use] = {}
-        self.calls: dict[str, str] = {}  # name of a count -> customer
-        self.asking: dict[str, str] = {}  # requests that wait for a total -> customer
+        self.uses: dict[tuple[str, str], _Use] = {}  # by customer and plan, the longest unseen first
+        self.calls: dict[str, _Use] = {}  # by the name of its count
+        self.asking: dict[str, _Use] = {}  # by the request that waits for a total
+        self.askers: dict[_Use, None] = {}  # those with a request that waits, or has left while it waited
         self.cells: dict[tuple[str, str], _Cell] = {}
         self.latency = {c.name: c.aim_ms / 10 for c in settings.classes}  # usual latency per unit
         self.lefts = {c.name: deque(maxlen=TRIES) for c in settings.classes}  # times left of the last tries
@@ -218,23 +226,27 @@
         if req.id in self.held or req.id in self.asking:
             return
         if cls is None or plan is None or req.time_left_ms <= 0 or not self.hosts:
-            self.out.append(api.Refuse(req.id))
+            self._refuse(req.id)
             return
         end_at = self.now + req.time_left_ms
         aim_at = end_at if cls.late_worth > 0 else min(self.now + cls.aim_ms - self._spent(req, cls), end_at)
         if aim_at <= self.now:
-            self.out.append(api.Refuse(req.id))  # its aim has passed: whatever we did would be waste
+            self._refuse(req.id)  # its aim has passed: whatever we did would be waste
             return
         use = self._use(req, plan)
+        if use is None:
+            self._refuse(req.id)
+            return
         # Danger: a try with little time left would be held past its end; it is decided at once.
         if aim_at - self.now > self.s.count_wait_ms + 2 * SWEEP_MS and self._unsure(use, req.units):
             if not self._admit(cls, plan, req.units):  # danger: asking for what f sheds crowds the counter
                 self._refuse_new(req, use, False)
                 return
             # Exception to refusing at once: the total that settles it is a few ms away.
-            self.asking[req.id] = req.customer
+            self.asking[req.id] = use
+            self.askers[use] = None
             use.asking.append((req, aim_at, end_at))
-            self._sync(use, req.customer, req.units)
+            self._sync(use, req.units)
         else:
             self._decide(req, cls, use, aim_at, end_at, False)
 
@@ -276,7 +288,7 @@
         use.open += 1
         if not over:
             self._spend(use, req.units)
-        self._sync(use, req.customer)
+        self._sync(use)
         self._send(held, host)
 
     def _admit(self, cls: api.RequestClass, plan: api.Plan, units: float) -> bool:
@@ -291,8 +303,12 @@
         return True
 
     def _refuse_new(self, req: api.Request, use: _Use, over: bool) -> None:
-        wait = 1000 * req.units / use.plan.rate if over and use.plan.rate else SWEEP_MS / self.f
-        self.out.append(api.Refuse(req.id, min(wait, self.s.max_retry_after_ms * self.s.retry_after)))
+        self._refuse(req.id, 1000 * req.units / use.plan.rate if over and use.plan.rate else 0.0)
+
+    def _refuse(self, rid: str, wait_ms: float = 0.0) -> None:
+        """Refuse at once, and say when to come back: by the quota, or by the pressure on the back end."""
+        wait_ms = max(wait_ms, SWEEP_MS / self.f)
+        self.out.append(api.Refuse(rid, min(wait_ms, self.s.max_retry_after_ms)))
 
     def _sample(self, held: _Held, attempt: _Attempt, event: api.Outcome) -> None:
         """One outcome's occupancy: the part of the aim that it used up, or that a new one would."""
@@ -346,28 +362,48 @@
 
     # --- Quotas and ceiling -----------------------------------------------------------------------------
 
-    def _use(self, req: api.Request, plan: api.Plan) -> _Use:
-        use = self.uses.get(req.customer)
+    def _use(self, req: api.Request, plan: api.Plan) -> _Use | None:
+        """What is known of a customer under a plan; None where there is no room to know one more.
+
+        Danger: another plan in a customer's name would reset its use, and a wide set once named would shrink
+        its parts for good. So each plan counts by itself, and a set holds for a window and the next.
+        """
         width = max(1, min(req.width, self.s.fleet_size))
-        if use is None or use.plan is not plan:
-            if use is not None:
-                self._settle(use)
-            use = self.uses[req.customer] = _Use(plan, width, self.now, self.now - (self.born or 0.0))
+        key = (req.customer, plan.name)
+        use = self.uses.pop(key, None)
+        if use is None:
+            if len(self.uses) >= MOST_USES and not self._forget_one():
+                return None
+            use = _Use(key, plan, width, self.now, self.now - (self.born or 0.0))
             use.ceiling_at = self.born or 0.0
-        use.width, use.seen = max(use.width, width), self.now
-        if plan.rate > 0:  # windows start at a phase of the customer's own: no herd of calls at their edges
-            digest, length = hashlib.blake2s(req.customer.encode(), digest_size=8), self._window_ms(plan)
-            clock = self.now / length + int.from_bytes(digest.digest()[:2], "big") / 65536
+        self.uses[key] = use
+        use.seen = self.now
+        if plan.rate > 0:
+            length = self._window_ms(plan)
+            clock = self.now / length + use.phase
             if int(clock) != use.window:
-                name = f"{digest.hexdigest()}.{int(clock)}"
-                self._roll(use, int(clock), name, self.now - clock % 1 * length)
+                self._roll(use, int(clock), self.now - clock % 1 * length)
+        use.widest = max(use.widest, width)
+        use.width = max(use.width, width)
         return use
 
+    def _forget_one(self) -> bool:
+        """Make room for a customer by forgetting the one unseen for the longest that may go early."""
+        for use in islice(self.uses.values(), LOOKS):
+            if self._may_forget(use):
+                self._forget(use)
+                return True
+        return False
+
+    def _forget(self, use: _Use) -> None:
+        del self.uses[use.key]
+        self.calls.pop(use.name, None)
+
     @staticmethod
     def _window_ms(plan: api.Plan) -> float:
         return min(max(WINDOWS * 1000.0 * plan.burst / plan.rate, 1.0), KEEP_MAX_MS / 2)
 
-    def _roll(self, use: _Use, window: int, name: str, start: float) -> None:
+    def _roll(self, use: _Use, window: int, start: float) -> None:
         """A new window: a new count. What was left unused is carried over, the burst at most.
 
         Danger: a gateway that sees a customer once in many seconds rolls late; what the others used since the
@@ -375,7 +411,8 @@
         """
         self.calls.pop(use.name, None)
         self._settle(use)
-        use.window, use.name = window, name
+        use.window, use.name = window, f"{use.digest}.{window}"
+        use.width, use.widest = use.widest, 1
         self._left(use, start)
         known = use.most if use.base is None else max(use.left, 0.0)
         use.base_at, use.base_left = max(start, use.left_at), known
@@ -447,7 +484,7 @@
         use.ceiling_at = self.now
         return units <= use.ceiling + 1e-9
 
-    def _sync(self, use: _Use, customer: str, reserve: float = 0.0) -> None:
+    def _sync(self, use: _Use, reserve: float = 0.0) -> None:
         """Tell the counter, in batches that shrink as the customer nears its limit."""
         newer = use.own - use.added + reserve  # asked and told in one; a refusal is taken off again
         if not self.s.may_count or use.plan.rate <= 0 or use.calling:
@@ -457,18 +494,17 @@
         use.calling, use.call_at, self.call_at = True, self.now, self.now
         use.added += newer
         use.in_call = newer
-        self.calls[use.name] = customer
+        self.calls[use.name] = use
         self.out.append(api.Count(use.name, newer, min(2 * self._window_ms(use.plan), KEEP_MAX_MS)))
 
     def _count_reply(self, reply: api.CountReply) -> None:
-        customer = self.calls.get(reply.name)
         ok = reply.result == api.OK
         # Danger: a spoilt answer is one all the same; taken for silence it would call a good counter crowded.
         self.heard += HEED * ((ok or reply.result == api.SPOILT) - self.heard)
         if self.heard < 0.5:
             self._say("counter", "counter silent or crowded: calling less, quotas go by our estimates")
-        use = self.uses.get(customer) if customer is not None else None
-        if use is None or use.name != reply.name or not use.calling:
+        use = self.calls.get(reply.name)
+        if use is None or not use.calling:
             return
         use.calling = False
         if ok:
@@ -477,11 +513,12 @@
             use.added -= use.in_call  # a call that may have counted is not added twice
         self._settle(use)
         if ok:
-            self._sync(use, customer)
+            self._sync(use)
 
     def _settle(self, use: _Use) -> None:
         """Decide the requests that waited for a total."""
         waiting, use.asking = use.asking, []
+        self.askers.pop(use, None)
         if waiting:  # danger: all gateways ask again and again for a customer who floods them
             found = use.left >= waiting[0][0].units
             use.luck = max(use.luck + HEED * (found - use.luck), 1 / use.width)
@@ -582,9 +619,15 @@
             units = max(event.true_units or held.req.units, 1e-6)
             self.latency[held.cls.name] += GAIN / 4 * (event.took_ms / units - self.latency[held.cls.name])
             self.done += 1
-        elif event.result in (api.CONNECT_FAILED, api.RESET):
+        elif event.result == api.CONNECT_FAILED:
+            # Danger: a reset is one connection's end; taken for the host's death it would rest a good host
+            # and call it cold. A dead one refuses the next dial.
             host.died = True
             self._down(host)
+        elif event.result in (api.RESET, api.UNSENT):
+            host.strikes += 1
+            if host.fails or host.strikes >= STRIKES:
+                self._down(host)
         elif event.result in (api.ERROR, api.TIMED_OUT, api.FULL):
             host.slow += GAIN * (min(max(held.cls.aim_ms / usual, 2.0), 20.0) - host.slow)
             late = event.result == api.TIMED_OUT and self._unwell(host)
@@ -640,7 +683,10 @@
     def _answer(self, held: _Held) -> None:
         """The final answer of a request that will not be served."""
         may_have_run = any(a.ran for a in held.attempts)  # then a refusal would promise too much
-        self.out.append(api.Fail(held.req.id) if may_have_run else api.Refuse(held.req.id))
+        if may_have_run:
+            self.out.append(api.Fail(held.req.id))
+        else:
+            self._refuse(held.req.id)
         self._finish(held)
 
     def _finish(self, held: _Held | None) -> None:
@@ -674,24 +720,30 @@
             self._judge(held, attempt.host, event)
         if event.result == api.OK and event.true_units > 0 and held.use.plan.rate > 0:
             self._spend(held.use, event.true_units - held.req.units)
-            self._sync(held.use, held.req.customer)
+            self._sync(held.use)
         if event.final or event.result == api.OK or held.answered:
             self._finish(held)
         elif not any(a.open for a in held.attempts):
             # Danger: another server does not mend a bound of our own; asking it again at once is a loop.
-            if event.result == api.NO_ROOM or not self._again(held):
+            if event.result == api.NO_ROOM or not self._again(held, event):
                 self._answer(held)
 
     def _usual(self, held: _Held) -> float:
         return self.latency[held.cls.name] * max(held.req.units, 1e-6)
 
-    def _again(self, held: _Held) -> bool:
-        """A further attempt if it can still be in time and is paid for."""
-        if self.bank < 1 or held.aim_at - self.now <= max(self._usual(held), 2 * self.s.tick_ms):
+    def _again(self, held: _Held, event: api.Outcome) -> bool:
+        """A further attempt if it can still be in time and is paid for.
+
+        A connection that broke at once has cost the servers next to nothing; all else costs a whole attempt.
+        """
+        price = 1.0
+        if event.result in BROKEN:
+            price = min(event.took_ms / max(self._usual(held), 1e-6), 1.0)
+        if self.bank < price or held.aim_at - self.now <= max(self._usual(held), 2 * self.s.tick_ms):
             return False
         host = self._pick(held)
         if host is not None:
-            self.bank -= 1
+            self.bank -= price
             self._send(held, host)
         return host is not None
 
@@ -714,22 +766,25 @@
         for cell in self.cells.values():
             cell.work *= keep
         self._update_f()
-        for use in [u for u in self.uses.values() if u.asking]:
+        for use in list(self.askers):
             if self.now - use.call_at > self.s.count_wait_ms + SWEEP_MS:  # danger: a reply that never comes
                 use.calling = False
                 self._settle(use)
-        for customer in [c for c, u in self.uses.items() if self._stale(u)]:
-            self.calls.pop(self.uses.pop(customer).name, None)
+        for use in list(islice(self.uses.values(), LOOKS)):
+            if self._stale(use):
+                self._forget(use)
         self.sweep_due = self.now + SWEEP_MS
         self.out.append(api.Timer("sweep", SWEEP_MS))
 
     def _stale(self, use: _Use) -> bool:
-        idle, plan = self.now - use.seen, use.plan
-        memory = self._window_ms(plan) if plan.rate > 0 else RATE_MEMORY_MS
-        if use.open or use.asking or idle < FORGET_WINDOWS * memory:
-            return False
+        memory = self._window_ms(use.plan) if use.plan.rate > 0 else RATE_MEMORY_MS
+        return self.now - use.seen >= FORGET_WINDOWS * memory and self._may_forget(use)
+
+    def _may_forget(self, use: _Use) -> bool:
+        plan = use.plan
         # A forgotten ceiling part starts anew from our start: only one that would be full again may go.
-        return plan.ceiling_rate <= 0 or idle * plan.ceiling_rate >= 1000 * plan.ceiling_burst
+        full = (self.now - use.seen) * plan.ceiling_rate >= 1000 * plan.ceiling_burst
+        return not use.open and not use.asking and full
 
     def _say(self, cause: str, text: str) -> None:
         if self.now - self.said.get(cause, -1e9) >= 5000:
--- a/yewstage/wire.py
+++ b/yewstage/wire.py
@@ -119,7 +119,7 @@
         classes=classes, plans=plans, me=int(num("me")), fleet_size=int(num("fleet_size", 1)),
         zone=pairs.get("zone", ""), try_limit=int(num("bounds.try_limit", 1)),
         second_copies=yes("bounds.second_copies"), cancel=yes("bounds.cancel"),
-        retry_after=yes("bounds.retry_after"), max_retry_after_ms=num("bounds.max_retry_after_ms"),
+        max_retry_after_ms=num("bounds.max_retry_after_ms"),
         probing=yes("bounds.probing"), peers=yes("bounds.peers"),
         must_ask=pairs.get("membership_mode", "pushed") == "on_request",
         may_count=yes("family_info.may_count"), count_wait_ms=num("family_info.count_wait_ms", 50.0),
