--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -221,6 +221,29 @@
     on_loop(scenario)
 
 
+def test_a_counter_that_answers_late_is_still_heard(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A busy counter answers after the bound that the settings give; its totals are true all the same."""
+    async def scenario() -> None:
+        fake = Fake(lambda seen: None)
+        await fake.start()
+        config = parse({
+            "listen": f"{LOOP}:0", "discovery": f"{LOOP}:{fake.port}", "counter": f"{LOOP}:{fake.port}",
+            "seed": "1", "settings": {"grades": GRADES, "packages": PACKAGES,
+                                      "family_info": {"may_count": True, "count_wait_ms": 250.0}}})
+        got: asyncio.Queue[api.CountReply] = asyncio.Queue()
+        counter = Counter(asyncio.get_running_loop(), config.counter, config.settings.count_wait_ms,
+                          got.put_nowait)
+        counter.call(api.Count("a", 1, 1000))
+        await fake.until(lambda fake: len(fake.seen) == 1)
+        await asyncio.sleep(0.4)
+        fake.seen[0].writer.write(reply(b"7"))
+        answer = await got.get()
+        assert (answer.result, answer.total) == (api.OK, 7)
+        counter.stop()
+        fake.stop()
+    on_loop(scenario)
+
+
 def test_a_silent_counter_is_dialled_again(monkeypatch: pytest.MonkeyPatch) -> None:
     """A counter that is cut off leaves its connection open; the calls must not go there for ever."""
     async def scenario() -> None:
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -5,7 +5,7 @@
 import json
 import resource
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from yewstage import interface as api
@@ -13,6 +13,7 @@
 from yewstage.net.discovery import Listing, parse_listing
 
 Address = tuple[str, int]
+COUNT_PATIENCE = 3.0  # how long a counter call is waited for, in the time that the settings give it
 DEFAULT_SOCKETS = 1024
 LEAST_SOCKETS = 128  # leaves a reserve beside clients, hosts, counter, discovery and the loop's own
 
@@ -62,6 +63,9 @@
     """The object of the file as a `Config`."""
     pairs = dict(_flatten("", _object(raw, "settings")))
     settings = _settings(pairs)
+    # The counter answers however late, and what it says is true then, too: given up at the bound, one call in
+    # seven of a busy counter taught nothing, and the module took it for silent.
+    settings = replace(settings, count_wait_ms=COUNT_PATIENCE * settings.count_wait_ms)
     counter = raw.get("counter")
     if settings.may_count and not counter:
         raise ConfigError("counter: is missing, though the settings allow calls")
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -132,6 +132,29 @@
         self.f = 1.0
 
 
+class _Patience:
+    """The time left of a class's last tries, and what an uncut one has at least."""
+
+    __slots__ = ("lefts", "stale", "least")
+
+    def __init__(self) -> None:
+        self.lefts: deque[float] = deque(maxlen=TRIES)
+        self.stale = 0  # tries since `least` was found
+        self.least = 0.0
+
+    def least_whole(self, left_ms: float) -> float:
+        """Note one more try; the least time left of one that no deadline cut, 0 while that does not show."""
+        self.lefts.append(left_ms)
+        self.stale += 1
+        if self.stale >= TRIES // 8:  # to sort for each request would be the dearest part of it
+            self.stale = 0
+            usual = sorted(self.lefts)[len(self.lefts) * 7 // 10]
+            agree = sum(1 for left in self.lefts if abs(left - usual) <= 0.01 * usual)
+            shows = len(self.lefts) >= TRIES // 2 and 3 * agree >= len(self.lefts)
+            self.least = 0.99 * usual if shows else 0.0
+        return self.least
+
+
 class Gateway:
     """The decisions of one gateway."""
 
@@ -150,7 +173,7 @@
         self.askers: dict[_Use, None] = {}  # those with a request that waits, or has left while it waited
         self.cells: dict[tuple[str, str], _Cell] = {}
         self.latency = {c.name: c.aim_ms / 10 for c in settings.classes}  # usual latency per unit
-        self.lefts = {c.name: deque(maxlen=TRIES) for c in settings.classes}  # times left of the last tries
+        self.patience = {c.name: _Patience() for c in settings.classes}
         self.now = 0.0
         self.born: float | None = None
         self.sweep_due = 0.0
@@ -257,11 +280,7 @@
         shorter one was cut by the class's deadline. Hurts: clients with a short patience of their own; so it
         acts only while a third of the last tries agree on the usual time, and takes what the deadline shows.
         """
-        recent = self.lefts[cls.name]
-        recent.append(req.time_left_ms)
-        usual = sorted(recent)[len(recent) * 7 // 10]
-        agree = sum(1 for left in recent if abs(left - usual) <= 0.01 * usual)
-        if len(recent) < TRIES // 2 or 3 * agree < len(recent) or req.time_left_ms > 0.99 * usual:
+        if req.time_left_ms >= self.patience[cls.name].least_whole(req.time_left_ms):
             return 0.0
         return max(cls.deadline_ms - req.time_left_ms, 0.0)
 
