--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import ast
+import dataclasses
 import random
 import sys
 from pathlib import Path
 
 import pytest
-from conftest import PLAN, Driver, of, server, settings
+from conftest import CAPPED, PLAN, Driver, of, server, settings
 
 from yewstage import interface as api
 from yewstage import policy
@@ -396,6 +397,15 @@
     assert use.width == 1
 
 
+def test_plans_with_windows_of_one_length_count_apart() -> None:
+    twin = dataclasses.replace(PLAN, name="twin")
+    d = Driver(plans=(PLAN, twin, CAPPED))
+    names = [of(d.ask(plan=plan, customer="c")[1], api.Count)[0].name for plan in ("basic", "twin", "capped")]
+    assert len(set(names)) == 3
+    alone = of(Driver().ask(plan="basic", customer="c")[1], api.Count)[0].name
+    assert names[0] != alone == names[0].replace(".0.", ".")  # where no other window is as long: no tag
+
+
 def test_refusals_say_when_to_come_back() -> None:
     d = Driver(servers=0)
     (refused,) = of(d.ask()[1], api.Refuse)
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -105,7 +105,7 @@
         self.key, self.plan, self.seen = key, plan, now
         self.width = self.widest = width  # of its set, as named in this window or the last; in this one
         # Windows start at a phase of the customer's own: no herd of calls at their edges.
-        digest = hashlib.blake2s("/".join(key).encode(), digest_size=8)
+        digest = hashlib.blake2s(key[0].encode(), digest_size=8)
         self.digest, self.phase = digest.hexdigest(), int.from_bytes(digest.digest()[:2], "big") / 65536
         self.window, self.name = -1, ""
         self.own = self.added = self.in_call = 0.0  # our use in the window; told; in a call
@@ -167,6 +167,11 @@
         self.out: list[api.Action] = []
         self.hosts: dict[str, _Host] = {}
         self.held: dict[str, _Held] = {}
+        # A window's number tells plans apart but for those with windows of one length. Names stay:
+        # gateways of two versions must count together while a new one is rolled out.
+        lengths = [self._window_ms(p) if p.rate > 0 else 0.0 for p in settings.plans]
+        self.tags = {p.name: f".{i}" if lengths.count(lengths[i]) > 1 else ""
+                     for i, p in enumerate(settings.plans)}
         self.uses: dict[tuple[str, str], _Use] = {}  # by customer and plan, the longest unseen first
         self.calls: dict[str, _Use] = {}  # by the name of its count
         self.asking: dict[str, _Use] = {}  # by the request that waits for a total
@@ -430,7 +435,7 @@
         """
         self.calls.pop(use.name, None)
         self._settle(use)
-        use.window, use.name = window, f"{use.digest}.{window}"
+        use.window, use.name = window, f"{use.digest}{self.tags[use.plan.name]}.{window}"
         use.width, use.widest = use.widest, 1
         self._left(use, start)
         known = use.most if use.base is None else max(use.left, 0.0)
