--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -296,6 +296,21 @@
     on_loop(scenario, 10)
 
 
+def test_a_connection_not_heard_yet_outlasts_those_that_had_their_answer(tmp_path: Path) -> None:
+    """Closed, it would lose its first request; the client of a kept one asks again on another."""
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve, sockets=128) as rig:
+            reader, writer = await rig.connect()
+            crowd = []
+            for _ in range(150):
+                crowd.append(await rig.connect())
+                crowd[-1][1].write(b"GET /ready HTTP/1.1\r\n\r\n")
+                await read_message(*crowd[-1])
+            writer.write(message())
+            assert (await read_message(reader, writer)).body == b"served"
+    on_loop(scenario, 10)
+
+
 @pytest.mark.parametrize(("sent", "status"), [
     (b"", None), (b"GET /api/0 HTTP/1.1\r\nX-Pad: ", b"408"),
     (message("put", body=b"x" * 9)[:-1], b"408"), (b"GET /ready HTTP/1.1\r\n\r\nGET ", b"408")])
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -164,7 +164,7 @@
         self._keep_alive = True
         self._ending = False
         self._status = 400  # for what is found to be bad while it is parsed
-        self._answered = False  # at least one request
+        self.answered = False  # at least one request
         self._pumping = self._paused = False
         self._blocked = False  # the client does not read its answers
         self._taken = 0  # bytes of the message being read, or of a rejected one's rest
@@ -182,7 +182,7 @@
             if self._taken > LINGER_BYTES:
                 self.transport.abort()
             return
-        if self._message is None and not self._busy and self._answered:
+        if self._message is None and not self._busy and self.answered:
             self._server.waits(self)
         try:
             self._parser.feed_data(data)
@@ -313,7 +313,7 @@
     def answer(self, status: int, body: bytes = b"", content_type: bytes = b"",
                retry_after_ms: float = 0.0) -> None:
         """The one answer to the request that is open."""
-        self._open, self._busy, self._answered = None, False, True
+        self._open, self._busy, self.answered = None, False, True
         if self.transport.is_closing():
             return
         self._server.waits(self)
@@ -351,7 +351,7 @@
         elif self._message is not None and waited > READ_S:
             self._reject(408)
             self._pump()
-        elif waited > (IDLE_S if self._answered else READ_S):
+        elif waited > (IDLE_S if self.answered else READ_S):
             self.transport.close()
 
     def close_if_idle(self) -> None:
@@ -367,7 +367,9 @@
         self.core, self.loop = core, loop
         self.terms = Terms(core.settings)
         self.connections: set[ClientConnection] = set()
-        self._waiting: dict[ClientConnection, None] = {}  # owed nothing, the longest first
+        # Owed nothing, the longest first: those that have had an answer, and those still to be heard.
+        self._kept: dict[ClientConnection, None] = {}
+        self._unheard: dict[ClientConnection, None] = {}
         self._most = int(CLIENT_SHARE * sockets)
         self._socket: socket.socket | None = None
         self._accepting = False
@@ -408,18 +410,19 @@
     def waits(self, connection: ClientConnection) -> None:
         """From now on a connection is owed nothing."""
         connection.since = self.loop.time()
-        self._waiting.pop(connection, None)
-        self._waiting[connection] = None
+        self.owes(connection)
+        (self._kept if connection.answered else self._unheard)[connection] = None
         self._resume()
 
     def owes(self, connection: ClientConnection) -> None:
         """A connection is owed an answer."""
-        self._waiting.pop(connection, None)
+        self._kept.pop(connection, None)
+        self._unheard.pop(connection, None)
 
     def closed(self, connection: ClientConnection) -> None:
         """A connection is gone; there is room for another."""
         self.connections.discard(connection)
-        self._waiting.pop(connection, None)
+        self.owes(connection)
         self._resume()
 
     def _resume(self) -> None:
@@ -433,13 +436,15 @@
             self.loop.remove_reader(self._socket)
 
     def _room(self) -> bool:
-        """Whether there is a descriptor for one more, if need be of the one owed nothing for the longest.
+        """Whether there is a descriptor for one more, if need be of one that is owed nothing.
 
-        Guards those who ask against those who only hold connections: silent, half-sent or asked once.
+        Guards those who ask against those who only hold connections: silent, half-sent or asked once. One
+        that had an answer goes first: its client asks again elsewhere, while the first request on a new
+        connection that is closed has failed.
         """
         if len(self.connections) + len(self._pending) < self._most:
             return True
-        oldest = next(iter(self._waiting), None)
+        oldest = next(iter(self._kept or self._unheard), None)
         if oldest is None:
             return False
         self.closed(oldest)
@@ -477,6 +482,6 @@
 
     def _sweep(self) -> None:
         now = self.loop.time()
-        for connection in list(self._waiting):
+        for connection in (*self._kept, *self._unheard):
             connection.check(now)
         self.loop.call_later(SWEEP_S, self._sweep)
