--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -14,6 +14,7 @@
     ROOT,
     Rig,
     Seen,
+    adding,
     instance,
     message,
     on_loop,
@@ -454,6 +455,23 @@
     on_loop(scenario)
 
 
+def test_a_counter_that_cuts_connections_is_asked_for_every_new_customer(tmp_path: Path) -> None:
+    """One call in three is reset, the others are answered: that is no silent counter."""
+    async def scenario() -> None:
+        def behave(seen: Seen) -> bytes:
+            return b"" if len(rig.counter.seen) % 3 == 0 else adding(seen, rig.totals)
+
+        async with Rig(tmp_path, serve) as rig:
+            rig.counter.behave = behave
+            for i in range(40):
+                data = message(rid=b"id-%d" % i, customer=f"{i + 1:016x}")
+                assert await rig.status(data) == 200
+            asked = {seen.line.split("?")[0].partition(".")[0] for seen in rig.counter.seen}
+            assert len(asked) == 40
+            assert not any("failed" in line for line in rig.log)
+    on_loop(scenario)
+
+
 @pytest.mark.parametrize(("raw", "field"), [
     ("{", "ROUTER_CONFIG"),
     ('{"settings": []}', "settings"),
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -661,6 +661,10 @@
         return made
 
     assert calls(api.OK) == 60
+    assert calls(api.CUT, policy.CUTS) == policy.CUTS  # one connection's end
+    assert d.gateway.heard == 1.0
+    assert calls(api.CUT) < 15  # nothing else comes: it is gone
+    calls(api.OK, 300)
     assert calls(api.FULL) < 15
     calls(api.OK, 300)
     assert calls(api.OK) > 50
--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -14,6 +14,7 @@
 SPOILT = "spoilt"  # an answer came that cannot be read: it may have run, and says little of the server
 STALE = "stale"  # a kept connection was reset by its next request: it may have run, the server is no worse
 UNSENT = "unsent"  # a connection came up and broke before the last byte was written: it never ran
+CUT = "cut"  # the connection broke under a counter call: it may have been added, the counter may be well
 NO_ROOM = "no_room"  # a bound of our own kept it from being sent: it says nothing of the server
 NEVER_RAN = frozenset((FULL, CONNECT_FAILED, MOOT, UNSENT, NO_ROOM))
 
@@ -180,7 +181,7 @@
 @dataclass(slots=True, frozen=True)
 class CountReply:
     """What one Count call came to: result ok, full, connect_failed or timed_out; spoilt: it was answered, so
-    added, but with no total."""
+    added, but with no total; cut: its connection broke while it was out."""
 
     name: str
     result: str
--- a/yewstage/net/counter.py
+++ b/yewstage/net/counter.py
@@ -102,9 +102,14 @@
         self._retired = False  # closes with its last call
 
     def usable(self) -> bool:
-        """Whether a call may be written, or wait for a dial that is under way."""
-        return (self._connection is not None or self._dial is not None
-                or self._loop.time() >= self._rests_until)
+        """Whether a call may be written, or wait for a dial that is under way.
+
+        Guards the calls against a connection that is ending: this loop turn or the next tells of its loss,
+        and what is written to it until then fails.
+        """
+        if self._connection is not None:
+            return not self._connection.transport.is_closing()
+        return self._dial is not None or self._loop.time() >= self._rests_until
 
     def load(self) -> int:
         """Calls out, those on a connection that is not up yet counting for more."""
@@ -139,16 +144,25 @@
         """Open the connection."""
         self._dial = self._loop.create_task(
             self._loop.create_connection(lambda: _Connection(self), *self._address))
-        self._dial.add_done_callback(self._dialled)
+        self._dial.add_done_callback(self._dial_ended)
         self._dial_timer = self._loop.call_later(DIAL_S, self._dial.cancel)
 
-    def _dialled(self, task: asyncio.Task) -> None:
+    def _dial_ended(self, task: asyncio.Task) -> None:
+        failed = task.cancelled() or task.exception() is not None
+        if task is self._dial and failed:
+            self._dial = None
+            self._dial_timer.cancel()
+            self._broken()
+
+    def opened(self, connection: _Connection) -> None:
+        """The dial has come up.
+
+        Guards against a connection that is reset as soon as it is up: it is lost before the dial's task tells
+        of it, and taken from there it would stand as the slot's own for good, with every call on it failing.
+        """
         self._dial = None
         self._dial_timer.cancel()
-        if task.cancelled() or task.exception() is not None:
-            self._broken()
-            return
-        self._connection = task.result()[1]
+        self._connection = connection
         if self._retired:
             self._connection.drop()
             return
@@ -185,18 +199,18 @@
     def replied(self, reply: Reply, reusable: bool) -> None:
         """The answer to the oldest call on this connection."""
         self._failures = 0
-        call = self._calls.popleft()
         total = number(reply.body.strip()) if reply.status == 200 else None
-        if reply.status in NOTHING_ADDED:
-            self._counter.end(call, api.FULL)
-        elif total is not None:
-            self._counter.end(call, api.OK, total)
-        else:
+        if total is None and reply.status not in NOTHING_ADDED:
             # Guards the totals: what answers without a number has added, but can be trusted with no more.
-            self._counter.end(call, api.SPOILT)
             self.spoilt()
+            return
+        call = self._calls.popleft()
         if not reusable or (self._retired and not self._calls):
-            self._connection.drop()
+            self._connection.drop()  # before the module hears of it: its next call goes to another one
+        if total is None:
+            self._counter.end(call, api.FULL)
+        else:
+            self._counter.end(call, api.OK, total)
 
     def spoilt(self) -> None:
         """Noise where answers should be: no call behind it will be told its total either."""
@@ -214,7 +228,7 @@
         if self._failures > 1:
             rest = min(BACKOFF_S * 2 ** min(self._failures - 2, 10), BACKOFF_MAX_S)
             self._rests_until = self._loop.time() + rest
-        self._end_all(api.TIMED_OUT)
+        self._end_all(api.CUT)
 
     def _end_all(self, written: str) -> None:
         calls, self._calls = self._calls, deque()
@@ -232,6 +246,10 @@
         super().__init__()
         self._slot = slot
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self._slot.opened(self)
+
     def resume_writing(self) -> None:
         super().resume_writing()
         self._slot.flushed()
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -33,6 +33,7 @@
 SPLIT = 1.5  # our part of a silent counter's even split while there is room: use is uneven, peers may be dead
 OTHERS_MS = 1000.0  # memory of the others' rate of use
 HEED, CROWD = 0.35, 4  # weight of one counter reply in a mean of them; the power of the mean that thins calls
+CUTS = 4  # counter calls cut off with no answer between them: more than one connection's end breaks
 CALL_REST_MS = 1000.0  # one call in this time is made however few are answered: it finds the counter's return
 FORGET_WINDOWS = 3.0  # windows without a request after which a customer is forgotten
 MOST_USES = 8192  # customers known at once: a flood of new names must not fill the memory
@@ -191,6 +192,7 @@
         self.warm_work = self.warm_rate = 0.0  # work sent to warm hosts, and per ms and host
         self.bank = RETRY_BANK
         self.heard, self.call_at = 1.0, 0.0  # part of our counter calls answered; the last one's time
+        self.cuts = 0  # calls cut off since the last answer
         self.said: dict[str, float] = {}
 
     # --- Events -------------------------------------------------------------------------------------------
@@ -523,22 +525,35 @@
 
     def _count_reply(self, reply: api.CountReply) -> None:
         ok = reply.result == api.OK
-        # Danger: a spoilt answer is one all the same; taken for silence it would call a good counter crowded.
-        self.heard += HEED * ((ok or reply.result == api.SPOILT) - self.heard)
-        if self.heard < 0.5:
-            self._say("counter", "counter silent or crowded: calling less, quotas go by our estimates")
+        self._hear(reply.result)
         use = self.calls.get(reply.name)
         if use is None or not use.calling:
             return
         use.calling = False
         if ok:
             self._read(use, reply.total)
-        elif reply.result not in (api.TIMED_OUT, api.SPOILT):
+        elif reply.result not in (api.TIMED_OUT, api.CUT, api.SPOILT):
             use.added -= use.in_call  # a call that may have counted is not added twice
         self._settle(use)
         if ok:
             self._sync(use)
 
+    def _hear(self, result: str) -> None:
+        """Note one call's end in the share of calls that are answered.
+
+        Danger: what a good counter did not add to the silence, taken for it, blinds the quotas: they refuse
+        with room and let in beyond. A spoilt answer is one all the same. A cut connection (a proxy or a part
+        of the counter that starts anew, a cap on connections, an idle limit) says nothing of the pace of
+        answers on the others; only cuts with no answer between them mean a counter that is gone. Hurts: one
+        that sheds load by cuts alone, and answers one call in CUTS, is called in full.
+        """
+        answered = result in (api.OK, api.SPOILT)
+        self.cuts = 0 if answered else self.cuts + (result == api.CUT)
+        if result != api.CUT or self.cuts > CUTS:
+            self.heard += HEED * (answered - self.heard)
+        if self.heard < 0.5:
+            self._say("counter", "counter silent or crowded: calling less, quotas go by our estimates")
+
     def _settle(self, use: _Use) -> None:
         """Decide the requests that waited for a total."""
         waiting, use.asking = use.asking, []
