Core split from the platform's node; pools and causes in the module

Need: many tenants need a core each, without discovery, heartbeat and log of their own, and a host and a request must be able to name a pool.

Change: Core keeps the module, its timers and open requests; Node adds the platform's discovery and counter; Pulse is the heartbeat, Shutdown and the log's limit moved to net/life.py; a server may have several listeners. Server and Request have a pool, Refuse has a cause; the module tells whether it may doze (idle) or be put away (settled).

--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -17,6 +17,7 @@
 from yewstage.net.config import parse
 from yewstage.net.core import Core, Order
 from yewstage.net.counter import Counter
+from yewstage.net.node import Node
 
 
 class Script:
@@ -66,9 +67,9 @@
         "listen": f"{LOOP}:0", "discovery": f"{LOOP}:{host.port}", "seed": "1",
         "known": {"generation": 1, "reset": True, "instances": [instance("s-0", host.port)]},
         "settings": {"grades": GRADES, "packages": PACKAGES, "bounds": {"try_limit": 2}}})
-    core = Core(config, asyncio.get_running_loop())
+    core = Node(config, asyncio.get_running_loop())
     core._apply(config.known, "kept")
-    core._loop.call_soon(core._beat)
+    core._loop.call_soon(core._pulse._beat)
     return core, core._gateway
 
 
--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -8,6 +8,11 @@
 import math
 from dataclasses import dataclass, field
 
+# Why a request is refused: its quota, its ceiling, pressure on the back end, no host that may take it, too
+# little time left, too many customers to know one more, or settings that do not know its class or plan.
+QUOTA, CEILING, PRESSURE, NO_HOST, LATE, CROWDED, UNKNOWN = (
+    "quota", "ceiling", "pressure", "no_host", "late", "crowded", "unknown")
+
 # Results of an attempt, and whether each one proves that the request never ran.
 OK, ERROR, FULL, TIMED_OUT = "ok", "error", "full", "timed_out"
 CONNECT_FAILED, RESET, CANCELLED, MOOT = "connect_failed", "reset", "cancelled", "moot"
@@ -113,6 +118,7 @@
     status: str = "up"  # up, draining, removed
     nominal: float = 1.0
     up_since_ms: float = 0.0  # 0: a long time back
+    pool: str = ""  # it serves the requests that name this pool, and no others
 
 
 # Events
@@ -139,6 +145,7 @@
     width: int = 1  # gateways that this customer's requests may come through
     first: int = 0  # number of the first of them
     repeat: bool = False
+    pool: str = ""  # the hosts that may serve it
 
 
 @dataclass(slots=True, frozen=True)
@@ -225,6 +232,7 @@
 
     request: str
     retry_after_ms: float = 0.0
+    cause: str = ""  # one of the causes above
 
 
 @dataclass(slots=True, frozen=True)
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -10,14 +10,16 @@
 import time
 from collections import deque
 from functools import lru_cache
+from typing import Any, Generic, Protocol, TypeVar
 
 import httptools
 
 from yewstage import interface as api
-from yewstage.net.core import Core, Order
+from yewstage.net.core import Client, Order
 from yewstage.net.http1 import LONGEST_BODY
 
 log = logging.getLogger(__name__)
+Connection = TypeVar("Connection", bound="ClientConnection")
 
 BACKLOG = 256
 CLIENT_SHARE = 0.5  # of the descriptors
@@ -32,7 +34,8 @@
 ACCEPTS = 16  # connections taken in one turn of the loop: others have work to do, too
 
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout",
-           409: b"Conflict", 413: b"Content Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
+           405: b"Method Not Allowed", 409: b"Conflict", 410: b"Gone", 413: b"Content Too Large",
+           429: b"Too Many Requests", 500: b"Internal Server Error", 502: b"Bad Gateway",
            503: b"Service Unavailable", 504: b"Gateway Timeout"}
 LINES = {status: b"HTTP/1.1 %d %b\r\n" % (status, reason) for status, reason in REASONS.items()}
 WANTED = frozenset((b"x-request-id", b"x-class", b"plan", b"x-deadline", b"quota-info", b"x-retry",
@@ -55,7 +58,8 @@
 class _Message:
     """One request as parsed."""
 
-    __slots__ = ("url", "headers", "body", "size", "method", "keep_alive", "twice", "head", "read_at")
+    __slots__ = ("url", "headers", "body", "size", "method", "keep_alive", "twice", "head", "read_at",
+                 "old")
 
     def __init__(self) -> None:
         self.url = b""
@@ -67,6 +71,7 @@
         self.head = 0  # bytes of its headers
         self.twice = False  # a header that we go by came twice
         self.read_at = 0.0
+        self.old = False  # HTTP/1.0, where that is looked at
 
 
 class Terms:
@@ -150,12 +155,29 @@
     return b"".join(lines)
 
 
+class Taker(Protocol):
+    """Who takes the requests of one server."""
+
+    draining: bool
+
+    def request(self, client: Client, order: Order) -> str | None:
+        """Take one; None if its own id is in use."""
+
+    def left(self, rid: str) -> None:
+        """The client of a request is gone."""
+
+    def ready(self) -> bool:
+        """Whether requests can be served."""
+
+
 class ClientConnection(asyncio.Protocol):
     """One connection of a client: requests are taken one at a time, in order."""
 
-    def __init__(self, server: Server) -> None:
+    wanted = WANTED  # the headers that are kept
+
+    def __init__(self, server: Server[Any]) -> None:
         self._server, self._core = server, server.core
-        self.transport: asyncio.Transport | None = None
+        self.transport: asyncio.Transport = None  # type: ignore[assignment]  # until it is up
         self._parser = httptools.HttpRequestParser(self)
         self._message: _Message | None = None  # being read
         self._queue: deque[_Message | int] = deque()  # whole, or the status of a bad one
@@ -229,7 +251,7 @@
         self._message.head += len(name) + len(value)
         if self._message.head > LONGEST_HEAD:
             raise BadRequestError("head")
-        if name in WANTED:
+        if name in self.wanted:
             headers = self._message.headers
             self._message.twice |= name in headers
             headers[name] = value
@@ -360,41 +382,57 @@
             self.transport.close()
 
 
-class Server:
+class Server(Generic[Connection]):
     """Accepts clients while there is room for them."""
 
-    def __init__(self, core: Core, loop: asyncio.AbstractEventLoop, sockets: int) -> None:
+    connection: type[Connection] = ClientConnection  # type: ignore[assignment]  # made of what is accepted
+
+    def __init__(self, core: Taker, loop: asyncio.AbstractEventLoop, sockets: int) -> None:
         self.core, self.loop = core, loop
-        self.terms = Terms(core.settings)
-        self.connections: set[ClientConnection] = set()
+        self.terms = self._read_terms()
+        self.connections: set[Connection] = set()
         # Owed nothing, the longest first: those that have had an answer, and those still to be heard.
-        self._kept: dict[ClientConnection, None] = {}
-        self._unheard: dict[ClientConnection, None] = {}
+        self._kept: dict[Connection, None] = {}
+        self._unheard: dict[Connection, None] = {}
         self._most = int(CLIENT_SHARE * sockets)
-        self._socket: socket.socket | None = None
+        self._listeners: list[socket.socket] = []
         self._accepting = False
         self._pending: set[asyncio.Task] = set()
 
-    def start(self, address: tuple[str, int]) -> tuple[str, int]:
-        """Listen; returns the address, with the port that the system chose for 0."""
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self._socket = socket.socket(family, socket.SOCK_STREAM)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.setblocking(False)
-        self._socket.bind(address)
-        self._socket.listen(BACKLOG)
+    def _read_terms(self) -> Terms | None:
+        return Terms(self.core.settings)
+
+    def start(self, *addresses: tuple[str, int]) -> list[tuple[str, int]]:
+        """Listen; returns the addresses, with the ports that the system chose for 0.
+
+        Raises:
+            OSError: an address cannot be listened on; then none is.
+        """
+        try:
+            for address in addresses:
+                family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+                listener = socket.socket(family, socket.SOCK_STREAM)
+                self._listeners.append(listener)
+                listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                listener.setblocking(False)
+                listener.bind(address)
+                listener.listen(BACKLOG)
+        except OSError:
+            self.stop_accepting()
+            raise
         self._resume()
         self.loop.call_later(SWEEP_S, self._sweep)
-        return self._socket.getsockname()[:2]
+        return [listener.getsockname()[:2] for listener in self._listeners]
 
     def stop_accepting(self) -> None:
         """Close the listening socket, once what has come to it is accepted."""
         if self._accepting:
-            self._accept()
+            for listener in self._listeners:
+                self._accept(listener)
         self._pause()
-        if self._socket is not None:
-            self._socket.close()
-            self._socket = None
+        for listener in self._listeners:
+            listener.close()
+        self._listeners.clear()
 
     def close_idle(self) -> bool:
         """Close the connections that carry nothing; True once none is left."""
@@ -402,38 +440,40 @@
             connection.close_if_idle()
         return not self.connections and not self._pending
 
-    def opened(self, connection: ClientConnection) -> None:
+    def opened(self, connection: Connection) -> None:
         """A connection is up, and silent so far."""
         self.connections.add(connection)
         self.waits(connection)
 
-    def waits(self, connection: ClientConnection) -> None:
+    def waits(self, connection: Connection) -> None:
         """From now on a connection is owed nothing."""
         connection.since = self.loop.time()
         self.owes(connection)
         (self._kept if connection.answered else self._unheard)[connection] = None
         self._resume()
 
-    def owes(self, connection: ClientConnection) -> None:
+    def owes(self, connection: Connection) -> None:
         """A connection is owed an answer."""
         self._kept.pop(connection, None)
         self._unheard.pop(connection, None)
 
-    def closed(self, connection: ClientConnection) -> None:
+    def closed(self, connection: Connection) -> None:
         """A connection is gone; there is room for another."""
         self.connections.discard(connection)
         self.owes(connection)
         self._resume()
 
     def _resume(self) -> None:
-        if self._socket is not None and not self._accepting and self._room():
+        if self._listeners and not self._accepting and self._room():
             self._accepting = True
-            self.loop.add_reader(self._socket, self._accept)
+            for listener in self._listeners:
+                self.loop.add_reader(listener, self._accept, listener)
 
     def _pause(self) -> None:
         if self._accepting:
             self._accepting = False
-            self.loop.remove_reader(self._socket)
+            for listener in self._listeners:
+                self.loop.remove_reader(listener)
 
     def _room(self) -> bool:
         """Whether there is a descriptor for one more, if need be of one that is owed nothing.
@@ -451,7 +491,7 @@
         oldest.transport.abort()
         return True
 
-    def _accept(self) -> None:
+    def _accept(self, listener: socket.socket) -> None:
         # Guards the descriptors: beyond the bound clients wait in the backlog, and a failing accept is
         # tried again later. Neither may end the listener.
         for _ in range(ACCEPTS):
@@ -459,7 +499,7 @@
                 self._pause()
                 return
             try:
-                accepted, _ = self._socket.accept()
+                accepted, _ = listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError as error:
@@ -469,7 +509,7 @@
                 return
             accepted.setblocking(False)
             task = self.loop.create_task(
-                self.loop.connect_accepted_socket(lambda: ClientConnection(self), accepted))
+                self.loop.connect_accepted_socket(lambda: self.connection(self), accepted))
             self._pending.add(task)
             task.add_done_callback(self._accepted)
 
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -10,22 +10,18 @@
 from typing import Protocol
 
 from yewstage import interface as api
-from yewstage.net.config import Config
-from yewstage.net.counter import Counter
-from yewstage.net.discovery import Discovery, Listing
+from yewstage.net.discovery import Listing
 from yewstage.net.hosts import Attempt, Hosts
 from yewstage.net.http1 import Reply
 from yewstage.policy import Gateway
 
 log = logging.getLogger(__name__)
 
-UPSTREAM_SHARE = 0.36  # of the descriptors
 TRANSIT_MS = 4.0  # what a request may have spent on its way to us and its answer may on its way back
 GUARD_MS = 8.0  # the guard answers this long before the client's time is up
 MODULE_MS = 20.0  # the module is told of an end this much earlier, so that it comes first
 BEAT_S = 0.05  # spacing of the heartbeat that measures our own lag
 LAG_MS = 5.0  # a heartbeat later than this is a stall
-LIST_WAIT_S = 1.0  # how long a start waits for discovery before it serves with the list it was given
 
 
 class Clock:
@@ -63,6 +59,7 @@
     read_at: float  # when its last byte was read, by time.monotonic
     head: bytes  # request line and headers for the host, but for X-Deadline
     body: bytes
+    pool: str = ""  # the hosts that may serve it
 
 
 class _Open:
@@ -78,90 +75,78 @@
         self.out = 0
 
 
-class Core:
-    """Events of the sockets in, actions of the module out."""
+class CounterClient(Protocol):
+    """Where the module's counter calls go: each gets exactly one `CountReply`."""
+
+    def call(self, act: api.Count) -> None:
+        """Make one call."""
+
+
+class Pulse:
+    """A heartbeat that measures how far the loop runs behind; one serves all cores on a loop."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
-        self.settings = config.settings
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
-        self._clock = Clock()
-        self._gateway = Gateway(config.settings, config.seed)
-        self._hosts = Hosts(loop, int(UPSTREAM_SHARE * config.sockets), config.dial_ms, config.idle_ms,
-                            self._ended)
-        self._discovery = Discovery(loop, config.discovery, self._listed)
-        self._counter = (Counter(loop, config.counter, config.settings.count_wait_ms, self._post)
-                         if config.counter is not None else None)
-        self._known = config.known
-        self._requests: dict[str, _Open] = {}
-        self._wire_ids: set[bytes] = set()  # of the requests that are open or have an attempt out
-        self._serial = 0
-        self._events: deque[api.Event] = deque()
-        self._handling = False
         self._lag_ms = 0.0
-        self._started = 0.0
-        self._beat_due = time.monotonic() + BEAT_S
-        self._heard = False  # discovery has answered in this life
-        self.draining = False
-
-    # --- Life ---------------------------------------------------------------------------------------------
+        self._due = time.monotonic() + BEAT_S
+        self._handle: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
-        """Begin with the known list, then listen to discovery and the counter."""
-        self._started = time.monotonic()
-        self._apply(self._known, "kept")
-        self._hosts.start()
-        self._discovery.start()
-        if self._counter is not None:
-            self._counter.start()
-        self._beat_due = time.monotonic() + BEAT_S
-        self._loop.call_later(BEAT_S, self._beat)
+        """Begin to beat."""
+        self._due = time.monotonic() + BEAT_S
+        self._handle = self._loop.call_later(BEAT_S, self._beat)
 
     def stop(self) -> None:
-        """Close everything towards the back end."""
-        self._discovery.stop()
-        self._hosts.stop()
-        if self._counter is not None:
-            self._counter.stop()
-
-    def reload(self, config: Config) -> None:
-        """Go over to the discovery and the counter that a new configuration names; all else stays."""
-        self._discovery.move(config.discovery)
-        if self._counter is not None and config.counter is not None:
-            self._counter.move(config.counter)
-
-    def ready(self) -> bool:
-        """Whether requests can be served: hosts are known, by discovery's word if it speaks at all."""
-        if self.draining or not self._hosts.names():
-            return False
-        return self._heard or time.monotonic() - self._started > LIST_WAIT_S
-
-    def fail_all(self) -> None:
-        """Answer all that is open as failed: the process is about to end."""
-        for request in list(self._requests.values()):
-            self._give_up(request)
+        """Beat no more."""
+        if self._handle is not None:
+            self._handle.cancel()
 
     def _beat(self) -> None:
         """Measure how far we run behind: what is read in this turn may have waited for us so long."""
         now = time.monotonic()
-        late = (now - self._beat_due) * 1000
+        late = (now - self._due) * 1000
         if late > LAG_MS:
             self._lag_ms = late
             self._loop.call_later(0.001, self._caught_up)
-        self._beat_due = now + BEAT_S
-        self._loop.call_later(BEAT_S, self._beat)
+        self._due = now + BEAT_S
+        self._handle = self._loop.call_later(BEAT_S, self._beat)
 
     def _caught_up(self) -> None:
         self._lag_ms = 0.0
 
-    def _behind_ms(self, now: float) -> float:
+    def behind_ms(self, now: float) -> float:
         """How long what is read now may have waited for us.
 
         Guards against a stall that is over before the heartbeat could tell: a loop that was stopped in its
         poll reads sockets first and fires timers after.
         """
-        late = (now - self._beat_due) * 1000
+        late = (now - self._due) * 1000
         return late if late > LAG_MS else self._lag_ms
 
+
+class Core:
+    """Events of the sockets in, actions of the module out."""
+
+    def __init__(self, settings: api.Settings, seed: int, loop: asyncio.AbstractEventLoop,
+                 pulse: Pulse) -> None:
+        self.settings = settings
+        self._loop, self._pulse = loop, pulse
+        self._clock = Clock()
+        self._gateway = Gateway(settings, seed)
+        self._hosts: Hosts
+        self._counter: CounterClient | None = None
+        self._requests: dict[str, _Open] = {}
+        self._wire_ids: set[bytes] = set()  # of the requests that are open or have an attempt out
+        self._serial = 0
+        self._events: deque[api.Event] = deque()
+        self._handling = False
+        self.draining = False
+
+    def fail_all(self) -> None:
+        """Answer all that is open as failed: the process is about to end."""
+        for request in list(self._requests.values()):
+            self._give_up(request)
+
     # --- Clients ------------------------------------------------------------------------------------------
 
     def request(self, client: Client, order: Order) -> str | None:
@@ -175,12 +160,12 @@
         # The client's time runs from when it sent the request, not from when we came to read it.
         now = time.monotonic()
         queued_ms = (now - order.read_at) * 1000
-        left_ms = order.time_left_ms - TRANSIT_MS - self._behind_ms(now) - queued_ms
+        left_ms = order.time_left_ms - TRANSIT_MS - self._pulse.behind_ms(now) - queued_ms
         request = _Open(rid, client, order, now + (left_ms - GUARD_MS) / 1000)
         self._requests[rid] = request
         request.guard = self._loop.call_later(max(left_ms - GUARD_MS, 0.0) / 1000, self._guard, request)
         self._post(api.Request(rid, order.class_name, order.plan_name, order.customer, left_ms - MODULE_MS,
-                               order.units, order.width, order.first, order.repeat))
+                               order.units, order.width, order.first, order.repeat, order.pool))
         return rid
 
     def left(self, rid: str) -> None:
@@ -192,7 +177,7 @@
 
     def _guard(self, request: _Open) -> None:
         # Guards the first rule: whatever the module or a socket does, the client gets its answer in time.
-        log.warning("a request ran to its deadline unanswered: failed by the guard")
+        self._note(logging.WARNING, "a request ran to its deadline unanswered: failed by the guard")
         self._give_up(request)
 
     def _give_up(self, request: _Open) -> None:
@@ -223,11 +208,8 @@
 
     # --- Hosts --------------------------------------------------------------------------------------------
 
-    def _listed(self, listing: Listing) -> None:
-        self._heard = True
-        self._apply(listing, "full" if listing.whole else "changes")
-
     def _apply(self, listing: Listing, kind: str) -> None:
+        """Take news of the hosts: of all of them (kind `full`, `kept`), or of some (`changes`)."""
         gone = {s.name for s in listing.servers if s.status == "removed"}
         if kind != "changes":  # a whole list replaces the old one
             gone |= self._hosts.names() - {s.name for s in listing.servers}
@@ -260,7 +242,7 @@
         now = time.monotonic()
         took = (now - attempt.sent_at) * 1000
         if reply is not None:
-            took = max(took - self._behind_ms(now), 0.0)
+            took = max(took - self._pulse.behind_ms(now), 0.0)
         units = 0.0
         if result == api.OK:
             units = reply.amount(b"billed-units", self.settings.most_units)
@@ -296,28 +278,34 @@
             actions = self._gateway.handle(self._clock.now_ms(), event)
         except Exception:
             # Guards all other requests against one that the module breaks on.
-            log.exception("the module failed on %s", type(event).__name__)
-            if isinstance(event, api.Request):
-                self._answer(self._requests.get(event.id), 500)
+            self._note(logging.ERROR, f"the module failed on {type(event).__name__}", True)
+            self._module_failed(event)
             return
         for act in actions:
             try:
                 self._act(act)
             except Exception:
-                log.exception("an action failed: %s", type(act).__name__)
+                self._note(logging.ERROR, f"an action failed: {type(act).__name__}", True)
+
+    def _module_failed(self, event: api.Event) -> None:
+        """Answer the request that the module broke on at once: it will not come back to it."""
+        if isinstance(event, api.Request):
+            self._answer(self._requests.get(event.id), 500)
+        elif isinstance(event, api.Outcome):
+            self._answer(self._requests.get(event.request), 502)
 
     def _act(self, act: api.Action) -> None:
         match act:
             case api.Send():
                 self._send(act)
             case api.Refuse():
-                self._answer(self._requests.get(act.request), 503, retry_after_ms=act.retry_after_ms)
+                self._refuse(act)
             case api.Fail():
                 self._answer(self._requests.get(act.request), 502)
             case api.Cancel():
                 self._cancel(act)
             case api.Timer():
-                self._loop.call_later(max(act.in_ms, 0.0) / 1000, self._post, api.TimerDue(act.name))
+                self._timer(act)
             case api.Count():
                 if self._counter is None:
                     self._post(api.CountReply(act.name, api.CONNECT_FAILED, 0.0))
@@ -326,4 +314,14 @@
             case api.Subscribe():
                 pass  # the watch is always on
             case api.Log():
-                log.info("%s", act.text)
+                self._note(logging.INFO, act.text)
+
+    def _note(self, level: int, text: str, trace: bool = False) -> None:
+        """A line for the log, with the trace of what is being handled if so wanted."""
+        log.log(level, "%s", text, exc_info=trace)
+
+    def _refuse(self, act: api.Refuse) -> None:
+        self._answer(self._requests.get(act.request), 503, retry_after_ms=act.retry_after_ms)
+
+    def _timer(self, act: api.Timer) -> None:
+        self._loop.call_later(max(act.in_ms, 0.0) / 1000, self._post, api.TimerDue(act.name))
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import select
 from collections.abc import Callable
 from functools import partial
@@ -14,6 +15,7 @@
 IDLE_SHARE = 0.5  # idle connections are retired after this part of the host's idle limit
 SWEEP_S = 1.0
 DIALS = 64  # dials under way at once
+OWN_BOUNDS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 REST_S = 0.01  # an answered connection is used again after this: what follows an answer late is seen by then
 
 
@@ -111,7 +113,7 @@
 
     def _dial(self, host: _Host, attempt: Attempt) -> None:
         # Guards the descriptors. The bound is ours, so what it stops is not told as the host's failure.
-        if self._dials >= DIALS or not self._room():
+        if not self._may_dial():
             self._end(attempt, api.NO_ROOM)
             return
         self._dials += 1
@@ -120,26 +122,39 @@
         attempt.dial.add_done_callback(partial(self._dialled, attempt))
         attempt.dial_timer = self._loop.call_later(self._dial_s, self._dial_overdue, attempt)
 
+    def _may_dial(self) -> bool:
+        """Whether one more connection may be opened now."""
+        return self._dials < DIALS and self._room()
+
     def _room(self) -> bool:
-        if len(self._connections) + self._dials < self._most:
-            return True
+        return len(self._connections) + self._dials < self._most or self.drop_idle()
+
+    def drop_idle(self) -> bool:
+        """End the connection that has stood idle longest; whether there was one."""
         idle = [host for host in self._hosts.values() if host.idle]
-        if idle:  # the connection that has stood idle longest gives way
+        if idle:
             min(idle, key=lambda host: host.idle[0].idle_since).idle.pop(0).drop()
         return bool(idle)
 
     def _dialled(self, attempt: Attempt, task: asyncio.Task) -> None:
-        self._dials -= 1
+        self._dial_over()
         attempt.dial = None
         attempt.dial_timer.cancel()
         error = None if task.cancelled() else task.exception()
-        if task.cancelled() or (error is not None and not isinstance(error, ConnectionResetError)):
+        if isinstance(error, OSError) and error.errno in OWN_BOUNDS:
+            # Guards the hosts' good name: the last descriptor is our trouble, and a rested host is lost work.
+            self._end(attempt, api.NO_ROOM)
+        elif task.cancelled() or (error is not None and not isinstance(error, ConnectionResetError)):
             self._end(attempt, api.CONNECT_FAILED)
         elif error is not None:
             self._end(attempt, api.UNSENT)
         else:
             self._up(attempt, task.result()[1])
 
+    def _dial_over(self) -> None:
+        """A dial has come up, failed or been called off."""
+        self._dials -= 1
+
     def _up(self, attempt: Attempt, connection: _Connection) -> None:
         if attempt.done or self._stopped:
             connection.drop()
@@ -237,11 +252,15 @@
         # which the request may have run.
         if self._stopped:
             return
+        self.retire()
+        self._loop.call_later(SWEEP_S, self._sweep)
+
+    def retire(self) -> None:
+        """End the connections that have stood idle for too long."""
         before = self._loop.time() - self._idle_s
         for host in self._hosts.values():
             while host.idle and host.idle[0].idle_since < before:
                 host.idle.pop(0).drop()
-        self._loop.call_later(SWEEP_S, self._sweep)
 
 
 def _result(reply: Reply) -> str:
--- /dev/null
+++ b/yewstage/net/life.py
@@ -0,0 +1,87 @@
+"""Signals, exit and log of a process that serves."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import sys
+import time
+from typing import Any, Protocol
+
+from yewstage.net.clients import Server
+
+ACCEPT_S = 0.5  # after SIGTERM, connections still come for 0.4 s
+LONGEST_S = 3.0  # SIGKILL comes 0.7 s after the longest deadline, or this if that is less, at the soonest
+LAST_S = 0.4
+CHECK_S = 0.02
+LINES_PER_S = 20
+
+
+class Drainable(Protocol):
+    """What holds requests that are owed an answer."""
+
+    draining: bool
+
+    def longest_s(self) -> float:
+        """The longest that a request may still take, in seconds."""
+
+    def fail_all(self) -> None:
+        """Answer all that is open as failed."""
+
+
+class RateLimit(logging.Filter):
+    """Guards the log and the CPU: so many lines a second, then a count of those left out."""
+
+    def __init__(self, most: int = LINES_PER_S) -> None:
+        super().__init__()
+        self._most = most
+        self._second, self._lines = 0, 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        second = int(time.monotonic())
+        if second != self._second:
+            if self._lines > self._most:
+                sys.stderr.write(f"{self._lines - self._most} lines left out\n")
+            self._second, self._lines = second, 0
+        self._lines += 1
+        return self._lines <= self._most
+
+
+def set_up_log(name: str) -> None:
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(logging.Formatter(f"%(asctime)s {name} %(levelname)s %(message)s"))
+    handler.addFilter(RateLimit())
+    logging.basicConfig(level=logging.INFO, handlers=[handler])
+
+
+class Shutdown:
+    """SIGTERM: accept a little longer, finish what was taken, then end."""
+
+    def __init__(self, core: Drainable, server: Server[Any], loop: asyncio.AbstractEventLoop) -> None:
+        self._core, self._server, self._loop = core, server, loop
+        self.done = asyncio.Event()
+
+    def begin(self) -> None:
+        """The signal."""
+        if self._core.draining:
+            return
+        logging.info("draining")
+        self._core.draining = True
+        self._loop.call_later(ACCEPT_S, self._stop_accepting)
+        self._loop.call_later(min(self._core.longest_s(), LONGEST_S) + LAST_S, self._end)
+
+    def _stop_accepting(self) -> None:
+        self._server.stop_accepting()
+        self._check()
+
+    def _check(self) -> None:
+        # An answer closes its connection while we drain, so with the last connection all is answered.
+        if self._server.close_idle():
+            self.done.set()
+        else:
+            self._loop.call_later(CHECK_S, self._check)
+
+    def _end(self) -> None:
+        # Guards against SIGKILL: what is open then would be lost, an answer now is none too late.
+        self._core.fail_all()
+        self._loop.call_later(CHECK_S, self.done.set)
--- /dev/null
+++ b/yewstage/net/node.py
@@ -0,0 +1,69 @@
+"""The platform's gateway: one core between its discovery, its counter and its hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from yewstage.net.config import Config
+from yewstage.net.core import Core, Pulse
+from yewstage.net.counter import Counter
+from yewstage.net.discovery import Discovery, Listing
+from yewstage.net.hosts import Hosts
+
+UPSTREAM_SHARE = 0.36  # of the descriptors
+LIST_WAIT_S = 1.0  # how long a start waits for discovery before it serves with the list it was given
+
+
+class Node(Core):
+    """A core whose hosts come from discovery and whose counts go to the platform's counter."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(config.settings, config.seed, loop, Pulse(loop))
+        self._hosts = Hosts(loop, int(UPSTREAM_SHARE * config.sockets), config.dial_ms, config.idle_ms,
+                            self._ended)
+        self._discovery = Discovery(loop, config.discovery, self._listed)
+        self._client = (Counter(loop, config.counter, config.settings.count_wait_ms, self._post)
+                        if config.counter is not None else None)
+        self._counter = self._client
+        self._known = config.known
+        self._started = 0.0
+        self._heard = False  # discovery has answered in this life
+
+    def start(self) -> None:
+        """Begin with the known list, then listen to discovery and the counter."""
+        self._started = time.monotonic()
+        self._apply(self._known, "kept")
+        self._hosts.start()
+        self._discovery.start()
+        if self._client is not None:
+            self._client.start()
+        self._pulse.start()
+
+    def stop(self) -> None:
+        """Close everything towards the back end."""
+        self._discovery.stop()
+        self._hosts.stop()
+        self._pulse.stop()
+        if self._client is not None:
+            self._client.stop()
+
+    def reload(self, config: Config) -> None:
+        """Go over to the discovery and the counter that a new configuration names; all else stays."""
+        self._discovery.move(config.discovery)
+        if self._client is not None and config.counter is not None:
+            self._client.move(config.counter)
+
+    def ready(self) -> bool:
+        """Whether requests can be served: hosts are known, by discovery's word if it speaks at all."""
+        if self.draining or not self._hosts.names():
+            return False
+        return self._heard or time.monotonic() - self._started > LIST_WAIT_S
+
+    def longest_s(self) -> float:
+        """The longest that a request may take, in seconds."""
+        return max(c.deadline_ms for c in self.settings.classes) / 1000
+
+    def _listed(self, listing: Listing) -> None:
+        self._heard = True
+        self._apply(listing, "full" if listing.whole else "changes")
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -36,8 +36,10 @@
 CUTS = 4  # counter calls cut off with no answer between them: more than one connection's end breaks
 CALL_REST_MS = 1000.0  # one call in this time is made however few are answered: it finds the counter's return
 FORGET_WINDOWS = 3.0  # windows without a request after which a customer is forgotten
+FADED = 0.01  # smoothed occupancy of a back end that has nothing to do
 MOST_USES = 8192  # customers known at once: a flood of new names must not fill the memory
 LOOKS = 64  # customers looked at in one sweep, the longest unseen first
+ROUNDING = 1e-9  # what a sum of shares may lack of a whole: taken for less than 1, it refused some work
 KEEP_MAX_MS = 60000.0  # longest life of a count
 BROKEN = frozenset((api.CONNECT_FAILED, api.RESET, api.STALE, api.UNSENT))  # the connection, not the work
 NO_SAMPLE = BROKEN | {api.CANCELLED, api.SPOILT, api.NO_ROOM}  # results that tell nothing of occupancy
@@ -51,8 +53,8 @@
 class _Host:
     """What this gateway knows of one server."""
 
-    __slots__ = ("name", "zone", "cell", "nominal", "up", "born", "cold_from_ms", "open", "slow", "strikes",
-                 "fails", "down_until", "died", "credit", "credit_at")
+    __slots__ = ("name", "zone", "cell", "nominal", "up", "born", "cold_from_ms", "open", "slow", "pool",
+                 "strikes", "fails", "down_until", "died", "credit", "credit_at")
 
     def __init__(self, server: api.Server) -> None:
         self.name = server.name
@@ -67,6 +69,7 @@
 
     def update(self, server: api.Server) -> None:
         self.zone, self.cell, self.nominal = server.zone, server.cell, max(server.nominal, 1e-6)
+        self.pool = server.pool
         self.up = server.status == "up"
         if server.up_since_ms > self.born:
             self.born = self.cold_from_ms = server.up_since_ms
@@ -234,6 +237,21 @@
                 raise TypeError(f"not an event of yewstage.interface: {event!r}")
         return self.out
 
+    def settled(self) -> bool:
+        """Whether nothing is left that a fresh module of the same birth would not know from its list of
+        hosts: no request, no customer's use, no cold, failing or dead host, no pressure.
+
+        Such a module may be put away, and made anew from its settings when the next request comes: its first
+        event, handled at the time of birth, gives ceilings back all that they have earned since.
+        """
+        return (self.idle() and not self.uses
+                and all(not h.fails and not h.died and self._warmth(h) >= 1 for h in self.hosts.values()))
+
+    def idle(self) -> bool:
+        """Whether the housekeeping timer may come seldom: nothing is held or asked, and no pressure is left
+        that it would have to see fade."""
+        return not self.held and not self.askers and not self.q_n and self.q < FADED and self.f >= 1.0
+
     def _server_list(self, event: api.ServerList) -> None:
         if event.kind == "failed":
             self.out.append(api.Timer("subscribe", BACKOFF_MS * (1 + self.rng.random())))
@@ -256,21 +274,22 @@
         if req.id in self.held or req.id in self.asking:
             return
         if cls is None or plan is None or req.time_left_ms <= 0 or not self.hosts:
-            self._refuse(req.id)
+            self._refuse(req.id, api.UNKNOWN if cls is None or plan is None else
+                         api.LATE if req.time_left_ms <= 0 else api.NO_HOST)
             return
         end_at = self.now + req.time_left_ms
         aim_at = end_at if cls.late_worth > 0 else min(self.now + cls.aim_ms - self._spent(req, cls), end_at)
         if aim_at <= self.now:
-            self._refuse(req.id)  # its aim has passed: whatever we did would be waste
+            self._refuse(req.id, api.LATE)  # its aim has passed: whatever we did would be waste
             return
         use = self._use(req, plan)
         if use is None:
-            self._refuse(req.id)
+            self._refuse(req.id, api.CROWDED)
             return
         # Danger: a try with little time left would be held past its end; it is decided at once.
         if aim_at - self.now > self.s.count_wait_ms + 2 * SWEEP_MS and self._unsure(use, req.units):
             if not self._admit(cls, plan, req.units):  # danger: asking for what f sheds crowds the counter
-                self._refuse_new(req, use, False)
+                self._refuse_new(req, use, api.PRESSURE)
                 return
             # Exception to refusing at once: the total that settles it is a few ms away.
             self.asking[req.id] = use
@@ -301,12 +320,13 @@
         else:
             fits = admitted or self._admit(cls, plan, req.units)
         if not fits or not self._ceiling_has(use, req.units):
-            self._refuse_new(req, use, over)
+            cause = api.CEILING if fits else api.QUOTA if over else api.PRESSURE
+            self._refuse_new(req, use, cause, over)
             return
         held = _Held(req, cls, use, aim_at, end_at, self.latency[cls.name] * max(req.units, 0.0))
         host = self._pick(held) if held.aim_at > self.now else None
         if host is None:
-            self._refuse_new(req, use, over)
+            self._refuse_new(req, use, api.NO_HOST if held.aim_at > self.now else api.LATE, over)
             return
         self.held[req.id] = held
         self.bank = min(self.bank + RETRY_SHARE, RETRY_BANK)
@@ -323,18 +343,18 @@
         cell.value = cls.worth * plan.worth / max(self.latency[cls.name], 1e-6)
         cell.work += self.latency[cls.name] * max(units, 0.0)
         cell.r += cell.f
-        if cell.r < 1.0:
+        if cell.r < 1.0 - ROUNDING:
             return False
-        cell.r -= 1.0
+        cell.r = max(cell.r - 1.0, 0.0)
         return True
 
-    def _refuse_new(self, req: api.Request, use: _Use, over: bool) -> None:
-        self._refuse(req.id, 1000 * req.units / use.plan.rate if over and use.plan.rate else 0.0)
+    def _refuse_new(self, req: api.Request, use: _Use, cause: str, over: bool = False) -> None:
+        self._refuse(req.id, cause, 1000 * req.units / use.plan.rate if over and use.plan.rate else 0.0)
 
-    def _refuse(self, rid: str, wait_ms: float = 0.0) -> None:
+    def _refuse(self, rid: str, cause: str, wait_ms: float = 0.0) -> None:
         """Refuse at once, and say when to come back: by the quota, or by the pressure on the back end."""
         wait_ms = max(wait_ms, SWEEP_MS / self.f)
-        self.out.append(api.Refuse(rid, min(wait_ms, self.s.max_retry_after_ms)))
+        self.out.append(api.Refuse(rid, min(wait_ms, self.s.max_retry_after_ms), cause))
 
     def _sample(self, held: _Held, attempt: _Attempt, event: api.Outcome) -> None:
         """One outcome's occupancy: the part of the aim that it used up, or that a new one would."""
@@ -684,8 +704,10 @@
     # --- Attempts and final answers -----------------------------------------------------------------------
 
     def _may_send(self, held: _Held, host: _Host) -> bool:
-        """The rules on drains and repeats, for every send."""
-        if not host.up or len(held.attempts) >= self.s.try_limit or held.answered or held.stream:
+        """The rules on pools, drains and repeats, for every send."""
+        if not host.up or host.pool != held.req.pool:
+            return False
+        if len(held.attempts) >= self.s.try_limit or held.answered or held.stream:
             return False
         if not self.s.second_copies and any(a.open for a in held.attempts):
             return False
@@ -725,7 +747,7 @@
         if may_have_run:
             self.out.append(api.Fail(held.req.id))
         else:
-            self._refuse(held.req.id)
+            self._refuse(held.req.id, api.NO_HOST)
         self._finish(held)
 
     def _finish(self, held: _Held | None) -> None:
