--- /dev/null
+++ b/tests/counter/test_store.py
@@ -0,0 +1,193 @@
+"""The counter's store and its protocol, in memory and on a socket."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+from conftest import on_loop
+
+from yewstage import interface as api
+from yewstage.counter import EmbeddedCounter, Store, TurnedAwayError
+from yewstage.counter.service import CONNECTIONS, CounterServer
+from yewstage.counter.store import total_text
+from yewstage.counter.wire import NoCallError, parse
+
+
+def test_a_name_lives_from_its_first_add_and_is_new_after() -> None:
+    store = Store()
+    assert store.add("a", 2, 100, now_ms=0) == 2
+    assert store.add("a", -0.5, 9999, now_ms=99) == 1.5  # a later life changes nothing
+    assert store.add("a", 1, 100, now_ms=100) == 1
+    store.sweep(1e9)
+    assert len(store) == 0
+
+
+def test_a_life_has_bounds() -> None:
+    store = Store()
+    store.add("long", 1, 1e12, now_ms=0)
+    store.add("short", 1, 0, now_ms=0)
+    assert store.add("long", 1, 1, now_ms=59_999) == 2
+    assert store.add("long", 1, 1, now_ms=60_000) == 1
+
+
+def test_a_full_store_turns_new_names_away_and_serves_those_it_holds() -> None:
+    store = Store(most=2)
+    store.add("a", 1, 100, 0)
+    store.add("b", 1, 200, 0)
+    with pytest.raises(TurnedAwayError):
+        store.add("c", 1, 100, 50)
+    assert store.add("a", 1, 100, 50) == 2
+    assert store.add("c", 1, 100, 100) == 1  # the life of `a` is over
+
+
+def test_it_counts_as_a_plain_table_does() -> None:
+    rng, store = random.Random(5), Store()
+    table: dict[str, tuple[float, float]] = {}
+    now = 0.0
+    for _ in range(5000):
+        now += rng.random() * 20
+        name, amount, life = rng.choice("abcdef"), rng.randint(-3, 9), rng.randint(1, 200)
+        total, end = table.get(name, (0.0, 0.0))
+        if end <= now:
+            total, end = 0.0, now + life
+        table[name] = (total + amount, end)
+        assert store.add(name, amount, life, now) == total + amount
+        assert len(store) <= 6
+
+
+@pytest.mark.parametrize(
+    ("total", "text"),
+    [
+        (0, "0"),
+        (1.5, "1.5"),
+        (-2.25, "-2.25"),
+        (1234567, "1234567"),
+        (0.1 + 0.2, "0.3"),
+        (1e9, "1000000000"),
+        (123456.7, "123456.7"),
+        (3e-12, "0"),
+        (1e15, "1000000000000000"),
+    ],
+)
+def test_a_total_is_a_plain_decimal(total: float, text: str) -> None:
+    assert total_text(total) == text
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "status", "field"),
+    [
+        (b"GET", b"/v1/count/a?add=1&ttl_ms=5", 400, "method"),
+        (b"POST", b"/v1/other/a?add=1&ttl_ms=5", 404, "path"),
+        (b"POST", b"/v1/count/?add=1&ttl_ms=5", 400, "name"),
+        (b"POST", b"/v1/count/" + b"x" * 65 + b"?add=1&ttl_ms=5", 400, "name"),
+        (b"POST", b"/v1/count/a/b?add=1&ttl_ms=5", 400, "name"),
+        (b"POST", b"/v1/count/a?ttl_ms=5", 400, "add"),
+        (b"POST", b"/v1/count/a?add=1e3&ttl_ms=5", 400, "add"),
+        (b"POST", b"/v1/count/a?add=2000000000&ttl_ms=5", 400, "add"),
+        (b"POST", b"/v1/count/a?add=nan&ttl_ms=5", 400, "add"),
+        (b"POST", b"/v1/count/a?add=1&ttl_ms=0", 400, "ttl_ms"),
+        (b"POST", b"/v1/count/a?add=1&ttl_ms=-5", 400, "ttl_ms"),
+        (b"POST", b"/v1/count/a?add=1&add=1&ttl_ms=5", 400, "query"),
+        (b"POST", b"/v1/count/a?add=1&ttl_ms=5&more=1", 400, "query"),
+    ],
+)
+def test_what_is_no_call_is_told_by_field(method: bytes, target: bytes, status: int, field: str) -> None:
+    with pytest.raises(NoCallError) as caught:
+        parse(method, target)
+    assert caught.value.status == status
+    assert str(caught.value).startswith(field) and "expected" in str(caught.value)
+
+
+def test_a_call_is_read_whole() -> None:
+    call = parse(b"POST", b"/v1/count/" + b"n" * 64 + b"?ttl_ms=70000&add=-2.5")
+    assert (call.name, call.amount, call.life_ms) == ("n" * 64, -2.5, 70000)
+
+
+def test_the_embedded_counter_replies_once_to_each_call() -> None:
+    replies: list[api.CountReply] = []
+    counter = EmbeddedCounter(Store(most=1), lambda: 0.0, replies.append)
+    counter.call(api.Count("a", 2.0, 1000))
+    counter.call(api.Count("b", 2.0, 1000))
+    counter.call(api.Count("a", 1.0, 1000))
+    assert [(r.name, r.result, r.total) for r in replies] == [
+        ("a", api.OK, 2),
+        ("b", api.FULL, 0),
+        ("a", api.OK, 3),
+    ]
+    counter.close()
+    counter.call(api.Count("a", 1.0, 1000))
+    assert len(replies) == 3
+    with pytest.raises(ValueError, match="1 to 64 bytes"):
+        EmbeddedCounter(Store(), lambda: 0.0, replies.append).call(api.Count("x" * 65, 1.0, 1000))
+
+
+async def _answers(reader: asyncio.StreamReader, count: int) -> list[tuple[int, bytes]]:
+    found = []
+    for _ in range(count):
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+        found.append((int(head.split()[1]), await reader.readexactly(length)))
+    return found
+
+
+def test_calls_written_one_behind_another_are_answered_in_order() -> None:
+    async def scenario() -> None:
+        server = CounterServer(Store(most=2), asyncio.get_running_loop())
+        host, port = await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(host, port)
+        lines = [
+            b"POST /v1/count/a?add=2&ttl_ms=5000",
+            b"POST /v1/count/b?add=1.25&ttl_ms=5000",
+            b"POST /v1/count/c?add=1&ttl_ms=5000",
+            b"POST /v1/count/a?add=x&ttl_ms=5000",
+            b"POST /nothing",
+            b"POST /v1/count/a?add=-0.5&ttl_ms=5000",
+        ]
+        writer.write(b"".join(line + b" HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n" for line in lines))
+        answers = await _answers(reader, len(lines))
+        assert [status for status, _ in answers] == [200, 200, 503, 400, 404, 200]
+        assert [answers[i][1] for i in (0, 1, 5)] == [b"2", b"1.25", b"1.5"]
+        assert server.calls == 3
+        server.stop()
+
+    on_loop(scenario)
+
+
+def test_noise_and_a_head_without_an_end_close_one_connection_only() -> None:
+    async def scenario() -> None:
+        server = CounterServer(Store(), asyncio.get_running_loop())
+        host, port = await server.start("127.0.0.1", 0)
+        good = await asyncio.open_connection(host, port)
+        for noise in (b"\x16\x03\x01 no HTTP\r\n\r\n", b"POST /v1/count/" + b"a" * 9000):
+            reader, writer = await asyncio.open_connection(host, port)
+            writer.write(noise)
+            assert b" 400 " in await reader.read()
+        good[1].write(b"POST /v1/count/a?add=1&ttl_ms=5000 HTTP/1.1\r\n\r\n")
+        assert await _answers(good[0], 1) == [(200, b"1")]
+        server.stop()
+
+    on_loop(scenario)
+
+
+def test_one_address_holds_so_many_connections_and_no_more() -> None:
+    async def scenario() -> None:
+        server = CounterServer(Store(), asyncio.get_running_loop())
+        host, port = await server.start("127.0.0.1", 0)
+        held = [await asyncio.open_connection(host, port) for _ in range(CONNECTIONS)]
+        for reader, writer in held:
+            writer.write(b"POST /v1/count/a?add=1&ttl_ms=5000 HTTP/1.1\r\n\r\n")
+            assert (await _answers(reader, 1))[0][0] == 200
+        more, _ = await asyncio.open_connection(host, port)
+        with pytest.raises(ConnectionResetError):
+            await more.readexactly(1)
+        held.pop()[1].close()
+        while len(server._connections) >= CONNECTIONS:
+            await asyncio.sleep(0)
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(b"POST /v1/count/a?add=0&ttl_ms=5000 HTTP/1.1\r\n\r\n")
+        assert (await _answers(reader, 1)) == [(200, b"32")]
+        server.stop()
+
+    on_loop(scenario)
--- /dev/null
+++ b/tests/hosted/test_front.py
@@ -0,0 +1,247 @@
+"""Which tenant a request is for, seen from a client's socket."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from conftest import Seen, on_loop
+from standins.hosted import Hosted, request, serve, status
+
+
+def test_each_tenants_requests_go_to_its_own_hosts_and_come_back_whole() -> None:
+    async def scenario() -> None:
+        async with Hosted("a", "b") as rig:
+            # The same partner and the same id at two tenants, at once.
+            one = await rig.ask(request("a", "/api/p1?x=1", X_Request_Id="same"))
+            two = await rig.ask(request("b", "/api/p1", X_Request_Id="same"))
+            assert (status(one), one.body, status(two)) == (200, b"ok", 200)
+            (seen,) = rig.hosts["a"].seen
+            assert seen.line == "GET /api/p1?x=1 HTTP/1.1"
+            assert seen.headers["host"] == "a.example"
+            assert (seen.headers["x-request-id"], seen.headers["x-partner"], seen.headers["x-class"]) == (
+                "same",
+                "p1",
+                "read",
+            )
+            assert len(rig.hosts["b"].seen) == 1
+            assert [rig.service.slot(n).stats.units for n in "ab"] == [1, 1]
+
+    on_loop(scenario)
+
+
+def test_one_id_is_open_at_two_tenants_at_once_and_once_at_each() -> None:
+    async def scenario() -> None:
+        async with Hosted("a", "b", behave=lambda seen: None) as rig:
+            clients = [await rig.connect() for _ in range(3)]
+            for client, tenant in zip(clients, "aba", strict=True):
+                client.writer.write(request(tenant, X_Request_Id="same"))
+                await client.writer.drain()
+                if client is not clients[2]:
+                    await rig.until(lambda tenant=tenant: rig.hosts[tenant].seen)
+            assert status(await clients[2].read()) == 409
+            assert [len(rig.hosts[n].seen) for n in "ab"] == [1, 1]
+
+    on_loop(scenario)
+
+
+@pytest.mark.parametrize(
+    ("data", "wanted"),
+    [
+        (request(host=""), 400),
+        (request(host="a.example\r\nHost: a.example"), 400),
+        (request(host="a.example\r\nhost: b.example"), 400),
+        (request(host="A.EXAMPLE"), 200),
+        (request(host="a.example:8080"), 200),
+        (request(host="a.example."), 200),
+        (request(host="[::1]"), 404),
+        (request(host="a b"), 400),
+        (request(host="c.example"), 404),
+        (request(target="http://a.example/api/p1", host="b.example"), 200),
+        (request(target="http://c.example/api/p1"), 404),
+        (request(target="http://a.example/api/p1", host=""), 400),
+        (request(target="/api/../api/p1"), 400),
+        (request(target="/api/%2e%2E/p1"), 400),
+        (request(target="//api/p1"), 400),
+        (request(target="/api%2fp1"), 400),
+        (request(target="/%61pi/p1"), 200),
+        (request(target="/other/p1"), 404),
+        (request(method="DELETE", target="/api/p1"), 405),
+        (request(method="POST", target="/api/book/p1"), 400),  # keyed, and no key
+        (request(method="POST", target="/api/book/p1", Idempotency_Key="k"), 200),
+        (request(method="POST", target="/api/pay/p1"), 200),
+        (request(X_Deadline="soon"), 400),
+        (request(X_Deadline="900m", Quota_Info="units=2,spread=1,first=0"), 200),
+        (request(Quota_Info="units=0,spread=1,first=0"), 400),
+        (request(target="/api/"), 400),  # no partner
+        (request(version="1.0", host=""), 404),  # no tenant takes any host
+        (request(version="1.0"), 200),
+    ],
+)
+def test_host_and_target_are_read_in_one_way(data: bytes, wanted: int) -> None:
+    async def scenario() -> None:
+        async with Hosted("a", "b") as rig:
+            answer = await rig.ask(data)
+            assert status(answer) == wanted
+            assert not rig.hosts["b"].seen
+            assert len(rig.hosts["a"].seen) == (wanted == 200)
+            if wanted != 200:
+                told = json.loads(answer.body)
+                assert told["status"] == wanted and told["detail"]
+
+    on_loop(scenario)
+
+
+def test_a_tenant_for_any_host_takes_what_no_other_names() -> None:
+    async def scenario() -> None:
+        rig = Hosted("a", "any")
+        rig.per_tenant = {"any": {"host_names": ["*"]}}
+        async with rig:
+            assert await rig.status(request(host="c.example")) == 200
+            assert await rig.status(request(host="", version="1.0")) == 200
+            assert await rig.status(request("a")) == 200
+            assert [len(rig.hosts[n].seen) for n in ("a", "any")] == [1, 2]
+
+    on_loop(scenario)
+
+
+def test_what_is_not_there_leaves_a_connection_to_those_who_share_it() -> None:
+    async def scenario() -> None:
+        async with Hosted("a", "b") as rig:
+            client = await rig.connect()
+            client.writer.write(
+                request("none") + request("a", "/other") + request("a", "/api/p", "PUT") + request("b")
+            )
+            assert [status(await client.read()) for _ in range(4)] == [404, 404, 405, 200]
+
+    on_loop(scenario)
+
+
+def test_partners_have_their_plans_and_those_of_no_plan_are_turned_away() -> None:
+    async def scenario() -> None:
+        rig = Hosted("a", "b")
+        rig.per_tenant = {
+            "a": {"default_plan": "", "partners": {"p1": {"plan": "small"}}},
+            "b": {"partner_header": "X-Partner"},
+        }
+        async with rig:
+            assert await rig.status(request("a", "/api/p1")) == 200
+            assert await rig.status(request("a", "/api/p2")) == 404
+            assert await rig.status(request("b", "/api/p1")) == 400
+            assert await rig.status(request("b", "/api/p1", X_Partner="of b")) == 400
+            assert await rig.status(request("b", "/api/p1", X_Partner="p9")) == 200
+            assert rig.hosts["b"].seen[0].headers["x-partner"] == "p9"
+
+    on_loop(scenario)
+
+
+def test_quotas_of_one_partner_name_at_two_tenants_are_two() -> None:
+    async def scenario() -> None:
+        rig = Hosted("a", "b")
+        rig.per_tenant = {name: {"default_plan": "small"} for name in "ab"}
+        async with rig:
+            rig.service.resources.clock._offset += 3600  # both were born an hour back
+            client = await rig.connect()
+            found: dict[str, list[int]] = {"a": [], "b": []}
+            for _ in range(20):
+                found["a"].append(status(await client.ask(request("a"))))
+            for _ in range(3):
+                found["b"].append(status(await client.ask(request("b"))))
+            assert set(found["a"]) == {200, 429}
+            assert found["b"] == [200, 200, 200]
+            assert rig.service.slot("a").stats.refused == {"quota": found["a"].count(429)}
+            answer = await client.ask(request("a"))
+            assert float(answer.headers["retry-after"]) > 0
+            assert json.loads(answer.body)["detail"] == "quota"
+
+    on_loop(scenario)
+
+
+def test_a_route_s_pool_is_the_only_one_its_requests_go_to() -> None:
+    async def scenario() -> None:
+        rig = Hosted("a", "b")
+        async with rig:
+            rig.apply(
+                "a",
+                a={
+                    "pools": {
+                        "main": {"hosts": [{"id": "m", "address": f"127.0.0.1:{rig.hosts['a'].port}"}]},
+                        "spare": {"hosts": [{"id": "s", "address": f"127.0.0.1:{rig.hosts['b'].port}"}]},
+                        "none": {},
+                    },
+                    "routes": [
+                        {"name": "m", "prefix": "/api", "pool": "main", "class": "read"},
+                        {"name": "s", "prefix": "/spare", "pool": "spare", "class": "read"},
+                        {"name": "n", "prefix": "/none", "pool": "none", "class": "read"},
+                    ],
+                },
+            )
+            for path, wanted in (("/api/p", 200), ("/spare/p", 200), ("/none/p", 503)):
+                for _ in range(5):
+                    assert await rig.status(request("a", path)) == wanted
+            assert {s.line.split()[1] for s in rig.hosts["a"].seen} == {"/api/p"}
+            assert {s.line.split()[1] for s in rig.hosts["b"].seen} == {"/spare/p"}
+            assert rig.service.slot("a").stats.refused == {"no_host": 5}
+
+    on_loop(scenario)
+
+
+def test_a_tenant_whose_module_raises_harms_no_other() -> None:
+    async def scenario() -> None:
+        async with Hosted("a", "b") as rig:
+            core = rig.service.core("a")
+            handle = core._gateway.handle
+
+            def broken(now: float, event: object) -> object:
+                if type(event).__name__ in ("Request", "TimerDue"):
+                    raise RuntimeError("broken")
+                return handle(now, event)
+
+            core._gateway.handle = broken
+            client = await rig.connect()
+            for _ in range(5):
+                assert status(await client.ask(request("a"))) == 500
+                assert status(await client.ask(request("b"))) == 200
+            await rig.until(lambda: core.stats.faults > 6)  # its timer comes again
+            core._gateway.handle = handle
+            assert status(await client.ask(request("a"))) == 200
+            assert core.open_requests() == 0 and rig.service.resources.open.held == 0
+            assert not rig.service.slot("b").stats.faults
+
+    on_loop(scenario)
+
+
+def test_a_module_that_breaks_on_an_outcome_still_owes_no_answer() -> None:
+    async def scenario() -> None:
+        def full(seen: Seen) -> bytes:
+            return b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+        async with Hosted("a", behave=full) as rig:
+            core = rig.service.core("a")
+            handle = core._gateway.handle
+
+            def broken(now: float, event: object) -> object:
+                if type(event).__name__ == "Outcome":
+                    raise RuntimeError("broken")
+                return handle(now, event)
+
+            core._gateway.handle = broken
+            assert await rig.status(request("a")) == 502
+            assert core.open_requests() == 0
+
+    on_loop(scenario)
+
+
+def test_a_draining_tenant_takes_nothing_new_and_says_so() -> None:
+    async def scenario() -> None:
+        async with Hosted("a", "b", behave=lambda seen: None) as rig:
+            client = await rig.connect()
+            client.writer.write(request("a"))
+            await rig.until(lambda: rig.hosts["a"].seen)
+            rig.apply("a", "b", a={"state": "draining"})
+            answer = await rig.ask(request("a"))
+            assert status(answer) == 503 and json.loads(answer.body)["detail"] == "draining"
+            rig.hosts["a"].seen[0].writer.write(serve(rig.hosts["a"].seen[0]))
+            assert status(await client.read()) == 200
+
+    on_loop(scenario)
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that tests and benchmarks share."""
--- /dev/null
+++ b/tests/standins/hosted.py
@@ -0,0 +1,126 @@
+"""The hosted service in the test's own loop, between stand-in hosts and scripted clients."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from conftest import Behave, Fake, Seen, read_message
+
+from standins.tenants import config, table
+from yewstage.hosted.front import TenantServer
+from yewstage.hosted.service import Service
+from yewstage.tenants.model import ServiceConfig
+
+
+class Hosted:
+    """A service on a port of the system's choice; tenants have hosts of their own."""
+
+    def __init__(self, *tenants: str, behave: Behave | None = None, **changes: Any) -> None:
+        self.names, self.changes = list(tenants), changes
+        self.per_tenant: dict[str, dict[str, Any]] = {}
+        self.hosts = {name: Fake(behave or serve) for name in tenants}
+
+    async def __aenter__(self) -> Hosted:
+        for host in self.hosts.values():
+            await host.start()
+        self.service = Service(self.config(), asyncio.get_running_loop(), seed=7)
+        self.server = TenantServer(
+            self.service, asyncio.get_running_loop(), self.service.config.limits.sockets
+        )
+        self.service.start()
+        ((_, self.port),) = self.server.start(("127.0.0.1", 0))
+        return self
+
+    def config(self) -> ServiceConfig:
+        """The configuration of the tenants as they are named now."""
+        return config(
+            *(
+                table(
+                    name,
+                    *([self.hosts[name].port] if name in self.hosts else []),
+                    **self.per_tenant.get(name, {}),
+                )
+                for name in self.names
+            ),
+            **self.changes,
+        )
+
+    def apply(self, *tenants: str, **per_tenant: dict[str, Any]) -> None:
+        """Go over to these tenants."""
+        self.names, self.per_tenant = list(tenants), {**self.per_tenant, **per_tenant}
+        self.service.apply(self.config())
+
+    async def __aexit__(self, *exc: object) -> None:
+        self.server.stop_accepting()
+        for connection in list(self.server.connections):
+            connection.transport.abort()
+        self.service.stop()
+        for host in self.hosts.values():
+            host.stop()
+        await asyncio.sleep(0)
+
+    async def connect(self) -> Client:
+        """A connection of a client."""
+        return Client(*await asyncio.open_connection("127.0.0.1", self.port))
+
+    async def ask(self, data: bytes) -> Seen:
+        """One request on a connection of its own."""
+        client = await self.connect()
+        try:
+            return await client.ask(data)
+        finally:
+            client.writer.close()
+
+    async def status(self, data: bytes) -> int:
+        """The status of one request on a connection of its own."""
+        return status(await self.ask(data))
+
+    async def until(self, condition: Any) -> None:
+        """Wait for what must come; a test that waits in vain ends at its own limit."""
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+class Client:
+    """A connection of a client."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    async def ask(self, data: bytes) -> Seen:
+        """Write a request, read its answer."""
+        self.writer.write(data)
+        return await self.read()
+
+    async def read(self) -> Seen:
+        """The next answer."""
+        return await read_message(self.reader, self.writer)
+
+
+def serve(seen: Seen) -> bytes:
+    """A host that serves at once."""
+    return b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok"
+
+
+def status(seen: Seen) -> int:
+    """An answer's status."""
+    return int(seen.line.split()[1])
+
+
+def request(
+    tenant: str = "a",
+    target: str = "/api/p1",
+    method: str = "GET",
+    host: str | None = None,
+    version: str = "1.1",
+    body: str = "",
+    **headers: str,
+) -> bytes:
+    """A request as bytes; `host` "" leaves the header out."""
+    host = f"{tenant}.example" if host is None else host
+    lines = [f"{method} {target} HTTP/{version}"] + ([f"Host: {host}"] if host else [])
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    if method != "GET":
+        lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n" + body).encode()
--- /dev/null
+++ b/tests/standins/tenants.py
@@ -0,0 +1,103 @@
+"""Tenants for tests: small ones by hand, whole configurations by tables."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+from yewstage import interface as api
+from yewstage.hosted.config import parse
+from yewstage.tenants.model import Pool, Route, ServiceConfig, Tenant, methods_of
+
+READ = api.RequestClass("read", aim_ms=1500, deadline_ms=3000, worth=3)
+BOOK = api.RequestClass("book", aim_ms=1500, deadline_ms=3000, worth=2, effect="keyed", window_ms=4000)
+PAY = api.RequestClass("pay", aim_ms=1500, deadline_ms=3000, worth=2, effect="unsafe")
+SETTINGS = api.Settings(
+    classes=(READ, BOOK, PAY),
+    plans=(api.Plan("team", rate=50, burst=100),),
+    cancel=True,
+    may_count=True,
+    try_limit=3,
+    max_retry_after_ms=10_000,
+)
+
+
+def route(
+    name: str,
+    prefix: str = "/api",
+    cls: api.RequestClass = READ,
+    pool: str = "main",
+    methods: str = "",
+    **headers: str,
+) -> Route:
+    """A route; header names are given with underscores."""
+    chosen = frozenset(m.encode() for m in methods.split()) or methods_of(cls.effect)
+    return Route(
+        name,
+        prefix.encode(),
+        chosen,
+        tuple(sorted((k.lower().replace("_", "-").encode(), v.encode()) for k, v in headers.items())),
+        pool,
+        cls.name,
+        cls.effect,
+    )
+
+
+def tenant(name: str, *routes: Route, **changes: Any) -> Tenant:
+    """A tenant at the host of its own name."""
+    fields: dict[str, Any] = {
+        "id": name,
+        "host_names": (f"{name}.example",),
+        "path_prefixes": (b"/",),
+        "routes": routes or (route("reads"),),
+        "pools": (Pool("main"),),
+        "settings": SETTINGS,
+        "default_plan": "team",
+    }
+    return Tenant(**{**fields, **changes})
+
+
+CLASSES = {
+    "read": {"aim_ms": 1500, "deadline_ms": 3000, "worth": 3},
+    "book": {"aim_ms": 1500, "deadline_ms": 3000, "worth": 2, "effect": "keyed", "window_ms": 4000},
+    "pay": {"aim_ms": 1500, "deadline_ms": 3000, "worth": 2, "effect": "unsafe"},
+}
+PLANS = {"team": {"rate": 500, "burst": 1000}, "small": {"rate": 2, "burst": 4, "over_cost": 1.0}}
+
+
+def table(name: str, *ports: int, **changes: Any) -> dict[str, Any]:
+    """A tenant's table, with a pool of hosts on these ports."""
+    fields: dict[str, Any] = {
+        "id": name,
+        "host_names": [f"{name}.example"],
+        "default_plan": "team",
+        "pools": {
+            "main": {
+                "hosts": [
+                    {"id": f"{name}-{i}", "address": f"127.0.0.1:{port}"} for i, port in enumerate(ports)
+                ]
+            }
+        },
+        "routes": [
+            {"name": "reads", "prefix": "/api", "pool": "main", "class": "read"},
+            {"name": "books", "prefix": "/api/book", "pool": "main", "class": "book"},
+            {"name": "pays", "prefix": "/api/pay", "pool": "main", "class": "pay"},
+        ],
+    }
+    return {**fields, **changes}
+
+
+def tables(*tenants: dict[str, Any], **changes: Any) -> dict[str, Any]:
+    """A whole configuration's tables, listening on a port that the system chooses."""
+    return {
+        "listeners": [{"address": "127.0.0.1:0"}],
+        "classes": CLASSES,
+        "plans": PLANS,
+        "tenants": list(tenants),
+        **changes,
+    }
+
+
+def config(*tenants: dict[str, Any], **changes: Any) -> ServiceConfig:
+    """A whole configuration."""
+    return parse(tables(*tenants, **changes), "test.toml", Path("."))
--- /dev/null
+++ b/yewstage/cli.py
@@ -0,0 +1,160 @@
+"""`hillmux`: the command line."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import sys
+from pathlib import Path
+
+import click
+
+from yewstage.hosted.config import ConfigFaultsError
+
+FAULT = 2  # exit status for a configuration or an address that is no good
+
+
+@click.group(epilog="Example: hillmux demo")
+@click.version_option(package_name="yewstage", prog_name="hillmux")
+def main() -> None:
+    """An API gateway for many tenants, whose partners share fleets of hosts under quotas."""
+
+
+@main.command(epilog="Example: hillmux serve --config examples/one-tenant.toml")
+@click.option(
+    "--config",
+    "path",
+    required=True,
+    type=click.Path(path_type=Path),
+    metavar="FILE",
+    help="The configuration, in TOML.",
+)
+def serve(path: Path) -> None:
+    """Serve the tenants of a configuration.
+
+    SIGHUP reads the file anew; SIGTERM finishes what was taken and ends with 0. A configuration with faults
+    ends it with 2, each fault on a line of its own.
+    """
+    import uvloop
+
+    from yewstage.hosted.serve import serve as run
+
+    config = _load(path)
+    _log(config.name, config.limits.log_lines)
+    try:
+        uvloop.run(run(path, config))
+    except OSError as error:
+        _fail(f"{path}: {error}")
+
+
+@main.command(epilog="Example: hillmux check examples/one-tenant.toml")
+@click.argument("path", type=click.Path(path_type=Path), metavar="FILE")
+def check(path: Path) -> None:
+    """Look a configuration over and tell every fault in it, without starting anything."""
+    config = _load(path)
+    from yewstage.hosted.config import load_hosts
+
+    faults = []
+    for tenant in config.tenants:
+        for pool in tenant.pools:
+            if pool.hosts_file:
+                try:
+                    load_hosts(Path(pool.hosts_file), pool.name)
+                except ConfigFaultsError as error:
+                    faults.append(str(error))
+    if faults:
+        _fail("\n".join(faults))
+    click.echo(
+        f"{path}: sound: {len(config.tenants)} tenants, "
+        f"{sum(len(t.routes) for t in config.tenants)} routes, "
+        f"{sum(len(p.servers) for t in config.tenants for p in t.pools)} hosts"
+    )
+
+
+@main.command(epilog="Example: hillmux counter --listen 127.0.0.1:6400")
+@click.option(
+    "--listen", required=True, metavar="HOST:PORT", help="The address; port 0 lets the system choose."
+)
+@click.option(
+    "--names",
+    default=1_000_000,
+    show_default=True,
+    type=click.IntRange(min=1),
+    help="The most names that are held at once.",
+)
+def counter(listen: str, names: int) -> None:
+    """Keep counts for several gateways, by the counter's published protocol. They are lost when it ends."""
+    import uvloop
+
+    host, colon, port = listen.rpartition(":")
+    if not colon or not host or not port.isdigit() or int(port) > 65535:
+        _fail(f"--listen: found {listen!r}, expected HOST:PORT, with a port from 0 to 65535")
+    _log("counter", 50)
+    try:
+        uvloop.run(_count(host.strip("[]"), int(port), names))
+    except OSError as error:
+        _fail(f"--listen: {error}")
+
+
+@main.command(epilog="Example: hillmux demo --seconds 20")
+@click.option(
+    "--seconds",
+    default=20.0,
+    show_default=True,
+    type=click.FloatRange(6, 600),
+    help="How long the traffic lasts.",
+)
+@click.option(
+    "--plain", is_flag=True, help="A plain log instead of the live table, as where there is no terminal."
+)
+def demo(seconds: float, plain: bool) -> None:
+    """Start a gateway with three tenants and stand-in booking nodes, flood one tenant, remove another."""
+    import uvloop
+
+    from yewstage.demo.run import run
+
+    sys.exit(uvloop.run(run(seconds, plain or not sys.stdout.isatty())))
+
+
+async def _count(host: str, port: int, names: int) -> None:
+    import signal
+
+    from yewstage.counter import Store
+    from yewstage.counter.service import CounterServer
+
+    loop = asyncio.get_running_loop()
+    server = CounterServer(Store(names), loop)
+    address = await server.start(host, port)
+    done = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, done.set)
+    logging.info("listening on %s:%d", *address)
+    await done.wait()
+    server.stop()
+
+
+def _load(path: Path):  # type: ignore[no-untyped-def]
+    from yewstage.hosted.config import load
+
+    try:
+        return load(path)
+    except ConfigFaultsError as error:
+        _fail(str(error))
+
+
+def _log(name: str, lines: int) -> None:
+    from yewstage.net import life
+
+    life.set_up_log(name)
+    for handler in logging.getLogger().handlers:
+        handler.filters.clear()
+        handler.addFilter(life.RateLimit(2 * lines))  # tenants are held to their parts of `lines` before
+
+
+def _fail(text: str) -> None:
+    click.echo(text, err=True)
+    sys.exit(FAULT)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/yewstage/demo/run.py
@@ -0,0 +1,261 @@
+"""The demonstration: three tenants, one flooded, one removed, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+from rich.console import Console
+from rich.live import Live
+from rich.table import Table
+
+from yewstage.demo.load import Load
+from yewstage.demo.node import BookingNode
+
+TENANTS = ("adjara", "imereti", "svaneti")
+RATE, FLOOD = 30.0, 20.0  # requests a second of a tenant, and how many times that a flood is
+PARTNERS = [f"partner-{i}" for i in range(4)]
+LOOK_S = 0.5
+START_S = 10.0
+
+HEAD = """\
+state_folder = "state"
+
+[gateway]
+name = "demo"
+
+[[listeners]]
+address = "127.0.0.1:{port}"
+
+[classes.slot-lookup]
+aim_ms = 2500
+deadline_ms = 10000
+effect = "safe"
+worth = 3
+
+[classes.slot-booking]
+aim_ms = 2000
+deadline_ms = 6000
+effect = "keyed"
+window_ms = 4000
+worth = 2
+
+[plans.business]
+rate = 40
+burst = 80
+ceiling_rate = 80
+ceiling_burst = 160
+"""
+TENANT = """
+[[tenants]]
+id = "{id}"
+host_names = ["{id}.example"]
+default_plan = "business"
+pools.nodes.hosts_file = "{id}-hosts.toml"
+
+[[tenants.routes]]
+name = "lookups"
+prefix = "/api/slots"
+class = "slot-lookup"
+pool = "nodes"
+
+[[tenants.routes]]
+name = "bookings"
+prefix = "/api/bookings"
+class = "slot-booking"
+pool = "nodes"
+"""
+
+
+def write_config(folder: Path, port: int, tenants: tuple[str, ...]) -> Path:
+    """The gateway's configuration for these tenants."""
+    path = folder / "hillmux.toml"
+    path.write_text(HEAD.format(port=port) + "".join(TENANT.format(id=name) for name in tenants))
+    return path
+
+
+def write_hosts(folder: Path, tenant: str, nodes: list[BookingNode]) -> None:
+    """A tenant's file of hosts."""
+    lines = [
+        f'[[hosts]]\nid = "{tenant}-{i}"\naddress = "127.0.0.1:{node.port}"\n' for i, node in enumerate(nodes)
+    ]
+    (folder / f"{tenant}-hosts.toml").write_text("\n".join(lines))
+
+
+class Gateway:
+    """`hillmux serve` as a process of its own."""
+
+    def __init__(self, config: Path) -> None:
+        self._config = config
+        self.process: asyncio.subprocess.Process
+        self.port = 0
+        self.log: list[str] = []
+        self._reading: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start it, and wait until it listens. RuntimeError with its last words if it does not."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "yewstage.cli",
+            "serve",
+            "--config",
+            str(self._config),
+            stderr=asyncio.subprocess.PIPE,
+        )
+        assert self.process.stderr is not None
+        async with asyncio.timeout(START_S):
+            while line := (await self.process.stderr.readline()).decode():
+                self.log.append(line)
+                if "listening on" in line:
+                    self.port = int(line.rsplit(":", 1)[1])
+                    self._reading = asyncio.create_task(self._read())
+                    return
+        raise RuntimeError("the gateway did not start: " + "".join(self.log))
+
+    async def _read(self) -> None:
+        assert self.process.stderr is not None
+        while line := (await self.process.stderr.readline()).decode():
+            self.log.append(line)
+            del self.log[:-1000]
+
+    def reload(self) -> None:
+        """Have it read its configuration anew."""
+        self.process.send_signal(signal.SIGHUP)
+
+    async def stop(self) -> int:
+        """SIGTERM; its exit status."""
+        if self.process.returncode is None:
+            self.process.terminate()
+        status = await self.process.wait()
+        if self._reading is not None:
+            await self._reading
+        return status
+
+
+async def run(seconds: float, plain: bool) -> int:
+    """Play the demonstration; 0 if every request had exactly one answer and the gateway ended well."""
+    console = Console()
+    with tempfile.TemporaryDirectory(prefix="hillmux-demo-") as name:
+        folder = Path(name)
+        nodes = {tenant: [await BookingNode(seed=i).start() for i in range(3)] for tenant in TENANTS}
+        for tenant, its in nodes.items():
+            write_hosts(folder, tenant, its)
+        gateway = Gateway(write_config(folder, 0, TENANTS))
+        await gateway.start()
+        loads = [
+            Load(gateway.port, tenant, f"{tenant}.example", PARTNERS, RATE, seed)
+            for seed, tenant in enumerate(TENANTS)
+        ]
+        tasks = [asyncio.create_task(load.run()) for load in loads]
+        console.print(
+            f"gateway on 127.0.0.1:{gateway.port}, {len(TENANTS)} tenants with 3 booking nodes each"
+        )
+        try:
+            await _play(console, plain, seconds, folder, gateway, loads)
+        finally:
+            for load in loads:
+                load.stop()
+            await asyncio.gather(*tasks)
+            status = await gateway.stop()
+            for its in nodes.values():
+                for node in its:
+                    node.stop()
+    console.print(_table(loads, {}, "summary"))
+    good = status == 0 and all(load.answered() == load.sent for load in loads)
+    console.print(
+        f"requests {sum(load.sent for load in loads)}, with exactly one final answer "
+        f"{sum(load.answered() for load in loads)}; the gateway ended with {status}"
+    )
+    return 0 if good else 1
+
+
+async def _play(
+    console: Console, plain: bool, seconds: float, folder: Path, gateway: Gateway, loads: list[Load]
+) -> None:
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    flooded, removed = loads[0], loads[1]
+    acts = [(0.25, "flood"), (0.6, "remove"), (0.75, "calm"), (1.0, "end")]
+    last = {load.tenant: 0 for load in loads}
+    phase = "calm"
+    live = None if plain else Live(console=console, auto_refresh=False)
+    if live is not None:
+        live.start()
+    try:
+        while True:
+            await asyncio.sleep(LOOK_S)
+            part = (loop.time() - began) / seconds
+            while acts and part >= acts[0][0]:
+                phase = acts.pop(0)[1]
+                if phase == "flood":
+                    flooded.rate = FLOOD * RATE
+                    phase = f"{flooded.tenant} is flooded, {FLOOD:g} times its rate"
+                elif phase == "remove":
+                    write_config(folder, gateway.port, tuple(t for t in TENANTS if t != removed.tenant))
+                    gateway.reload()
+                    phase = f"{removed.tenant} was removed, its clients still call"
+                elif phase == "calm":
+                    flooded.rate = RATE
+                    phase = "the flood is over"
+                else:
+                    return
+            rates = {load.tenant: (load.sent - last[load.tenant]) / LOOK_S for load in loads}
+            last = {load.tenant: load.sent for load in loads}
+            if live is not None:
+                live.update(_table(loads, rates, phase), refresh=True)
+            else:
+                for load in loads:
+                    console.print(
+                        f"{part * seconds:5.1f}s {phase}: {_line(load, rates[load.tenant])}", soft_wrap=True
+                    )
+    finally:
+        if live is not None:
+            live.stop()
+
+
+def _line(load: Load, rate: float) -> str:
+    return (
+        f"{load.tenant} {rate:.0f}/s served {load.served} refused {_causes(load)} gone {load.gone} "
+        f"p50 {load.times.quantile(0.5):.1f} ms p99 {load.times.quantile(0.99):.1f} ms units {load.units:g}"
+    )
+
+
+def _causes(load: Load) -> str:
+    return ", ".join(f"{cause} {count}" for cause, count in sorted(load.refused.items())) or "0"
+
+
+def _table(loads: list[Load], rates: dict[str, float], title: str) -> Table:
+    table = Table(title=title)
+    for column in (
+        "tenant",
+        "requests/s",
+        "requests",
+        "served",
+        "refused, by cause",
+        "gone",
+        "failed",
+        "no answer",
+        "p50 ms",
+        "p99 ms",
+        "quota used",
+    ):
+        table.add_column(column, justify="left" if column in ("tenant", "refused, by cause") else "right")
+    for load in loads:
+        table.add_row(
+            load.tenant,
+            f"{rates.get(load.tenant, 0.0):.0f}",
+            str(load.sent),
+            str(load.served),
+            _causes(load),
+            str(load.gone),
+            str(load.failed),
+            str(load.unanswered),
+            f"{load.times.quantile(0.5):.1f}",
+            f"{load.times.quantile(0.99):.1f}",
+            f"{load.units:g}",
+        )
+    return table
--- /dev/null
+++ b/yewstage/hosted/core.py
@@ -0,0 +1,287 @@
+"""One tenant's core: its own module, hosts and counts, within its shares of what the process has."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from itertools import islice
+from typing import Protocol
+
+from yewstage import interface as api
+from yewstage.hosted.resources import SHARE, Resources
+from yewstage.hosted.stats import Stats
+from yewstage.net.core import Client, Core, CounterClient, Order, Pulse, _Open
+from yewstage.net.discovery import Listing
+from yewstage.net.hosts import Attempt, Hosts, _Connection
+from yewstage.net.http1 import Reply
+from yewstage.tenants.model import Tenant
+
+log = logging.getLogger(__name__)
+
+DOZE_AFTER_S = 2.0  # since the last request
+DOZE_S = 5.0  # between housekeeping timers while there is nothing to keep
+RETIRE_EVERY = 10  # housekeeping timers between looks at idle connections
+RETRY_TIMER_MS = 100.0  # a timer that the module broke on comes again
+LOOKED_AT = 16  # newest requests, of which one gives way
+NO_MODULE_MS = 1000.0  # Retry-After of what the service itself refuses
+CONFLICT = "conflict"
+
+
+class TenantCounter(CounterClient, Protocol):
+    """A counter that a tenant can be cut off from."""
+
+    def close(self) -> None:
+        """Reply no more."""
+
+
+class TenantHosts(Hosts):
+    """A tenant's connections, held against its shares."""
+
+    def __init__(
+        self,
+        tenant: Tenant,
+        loop: asyncio.AbstractEventLoop,
+        resources: Resources,
+        ended: Callable[[Attempt, str, Reply | None], None],
+        make_room: Callable[[str], bool],
+    ) -> None:
+        super().__init__(loop, int(resources.hosts.whole), tenant.dial_ms, tenant.idle_ms, ended)
+        self._tenant, self._resources, self._make_room = tenant.id, resources, make_room
+
+    def empty(self) -> bool:
+        """Whether no connection is left, nor a dial."""
+        return not self._connections and not self._dials
+
+    def _may_dial(self) -> bool:
+        # Guards the descriptors and the dials of the others.
+        if not self._resources.dials.take(self._tenant):
+            return False
+        if self._resources.hosts.take(self._tenant):
+            return True
+        # An idle connection of our own gives way, else one of whoever holds more than its part. Either is
+        # gone within this turn of the loop, before the dial is up.
+        if self.drop_idle() or (self._resources.hosts.within(self._tenant) and self._make_room(self._tenant)):
+            self._resources.hosts.charge(self._tenant, 1.0)
+            return True
+        self._resources.dials.give(self._tenant)
+        return False
+
+    def _dial_over(self) -> None:
+        super()._dial_over()
+        self._resources.dials.give(self._tenant)
+        self._resources.hosts.give(self._tenant)  # it stands for itself now, if it is up
+
+    def opened(self, connection: _Connection) -> None:
+        super().opened(connection)
+        self._resources.hosts.charge(self._tenant, 1.0)
+
+    def closed(self, connection: _Connection) -> None:
+        if connection in self._connections:
+            self._resources.hosts.give(self._tenant)
+        super().closed(connection)
+
+
+class TenantCore(Core):
+    """Events of a tenant's requests and hosts in, actions of its module out.
+
+    Awake, the module has its timer as often as it asks. With nothing open and no pressure left it dozes: the
+    timer comes each DOZE_S, and at once when a request comes. When the module says that nothing is left which
+    a fresh one would not know, it is put away whole; `settled` tells the service so.
+    """
+
+    def __init__(
+        self,
+        tenant: Tenant,
+        loop: asyncio.AbstractEventLoop,
+        pulse: Pulse,
+        resources: Resources,
+        stats: Stats,
+        seed: int,
+        settled: Callable[[TenantCore], None],
+        make_room: Callable[[str], bool],
+    ) -> None:
+        super().__init__(tenant.settings, seed, loop, pulse)
+        self.tenant = tenant
+        self._clock = resources.clock
+        self._resources, self.stats, self._settled = resources, stats, settled
+        self._hosts: TenantHosts = TenantHosts(tenant, loop, resources, self._ended, make_room)
+        self._timers: dict[str, asyncio.TimerHandle] = {}
+        self._dozing = False
+        self._busy_at = loop.time()
+        self._sweeps = 0
+        self._leaving = self._closed = False
+        self._counts: TenantCounter | None = None
+        self.cause = ""  # of the refusal that is being answered
+
+    def start(self, born_ms: float, listing: Listing, counter: TenantCounter) -> None:
+        """Begin as one that was born then and idle since: its ceilings have earned what they could."""
+        self._counter = self._counts = counter
+        for act in self._gateway.handle(born_ms, api.ServerList("kept", ())):
+            self._act(act)
+        self._apply(listing, "full")
+
+    def update(self, tenant: Tenant, listing: Listing) -> None:
+        """Go on under a changed configuration whose settings are the same."""
+        self.tenant = tenant
+        self._apply(listing, "full")
+
+    def list_hosts(self, listing: Listing) -> None:
+        """The whole list of hosts, anew."""
+        self._apply(listing, "full")
+
+    def leave(self) -> None:
+        """Take nothing new; close once the last request has its answer and its attempts are over."""
+        self._leaving = True
+        self._close_if_done()
+
+    def empty(self) -> bool:
+        """Whether nothing is left: no request, timer or connection."""
+        return self._closed and not self._requests and not self._timers and self._hosts.empty()
+
+    def open_requests(self) -> int:
+        """Requests that are owed an answer, or whose attempts are out."""
+        return len(self._requests)
+
+    # Requests
+
+    def take(self, client: Client, order: Order, make_room: Callable[[str], bool]) -> str | None:
+        """Take a request; None: it was refused at once, for the cause in `cause`."""
+        tenant, size = self.tenant.id, len(order.head) + len(order.body)
+        shares = self._resources.open
+        if not shares.take(tenant) and not (make_room(tenant) and shares.take(tenant)):
+            self.cause = SHARE
+            return None
+        if not self._resources.buffer.take(tenant, size):
+            shares.give(tenant)
+            self.cause = SHARE
+            return None
+        self._wake()
+        rid = self.request(client, order)
+        if rid is None:
+            shares.give(tenant)
+            self._resources.buffer.give(tenant, size)
+            self.cause = CONFLICT
+        return rid
+
+    def give_way(self) -> bool:
+        """Answer one request early, the newest that was never sent or may be repeated if there is one."""
+        newest = [r for r in islice(reversed(self._requests.values()), LOOKED_AT) if r.client is not None]
+        for request in newest:
+            harmless = all(a is None for a in request.attempts) or self._safe(request)
+            if harmless:
+                self.cause = SHARE
+                self._answer(request, 503, retry_after_ms=NO_MODULE_MS)
+                self._post(api.ClientLeft(request.id))
+                return True
+        if newest:
+            self._answer(newest[0], 502)
+            self._post(api.ClientLeft(newest[0].id))
+        return bool(newest)
+
+    def drop_idle(self) -> bool:
+        """End an idle connection to a host, if there is one."""
+        return self._hosts.drop_idle()
+
+    def _safe(self, request: _Open) -> bool:
+        return any(c.name == request.order.class_name and c.effect == "safe" for c in self.settings.classes)
+
+    def _wake(self) -> None:
+        self._busy_at = self._loop.time()
+        if self._dozing:
+            self._dozing = False
+            handle = self._timers.pop("sweep", None)
+            if handle is not None:
+                handle.cancel()
+            self._post(api.TimerDue("sweep"))
+
+    def _forget(self, request: _Open) -> None:
+        held = request.id in self._requests
+        super()._forget(request)
+        if held and request.id not in self._requests:
+            self._resources.open.give(self.tenant.id)
+            self._resources.buffer.give(self.tenant.id, len(request.order.head) + len(request.order.body))
+            if self._leaving:
+                self._loop.call_soon(self._close_if_done)
+
+    def _answer(
+        self, request: _Open | None, status: int, reply: Reply | None = None, retry_after_ms: float = 0.0
+    ) -> None:
+        if request is not None and request.client is not None:
+            if status == 200:
+                self.stats.served += 1
+                self.stats.times.add((time.monotonic() - request.order.read_at) * 1000)
+            elif status in (429, 503):
+                self.stats.refuse(self.cause)
+            else:
+                self.stats.failed += 1
+                self.cause = "failed"
+        super()._answer(request, status, reply, retry_after_ms)
+
+    def _refuse(self, act: api.Refuse) -> None:
+        self.cause = act.cause
+        status = 429 if act.cause in (api.QUOTA, api.CEILING) else 503
+        self._answer(self._requests.get(act.request), status, retry_after_ms=act.retry_after_ms)
+
+    def _send(self, act: api.Send) -> None:
+        request = self._requests.get(act.request)
+        first = request is not None and not request.attempts
+        super()._send(act)
+        if first and request is not None and request.attempts and request.attempts[0] is not None:
+            self.stats.units += request.order.units
+
+    # The module
+
+    def _module_failed(self, event: api.Event) -> None:
+        self.stats.faults += 1
+        super()._module_failed(event)
+        if isinstance(event, api.TimerDue):
+            # Guards the tenant against its own fault: without its timer the module would never see f rise.
+            self._timer(api.Timer(event.name, RETRY_TIMER_MS))
+
+    def _note(self, level: int, text: str, trace: bool = False) -> None:
+        if self._resources.may_log(self.tenant.id):
+            log.log(level, "tenant %s: %s", self.tenant.id, text, exc_info=trace)
+
+    def _timer(self, act: api.Timer) -> None:
+        delay_s = max(act.in_ms, 0.0) / 1000
+        if act.name == "sweep":
+            self._sweeps += 1
+            idle = self._loop.time() - self._busy_at > DOZE_AFTER_S and not self._requests
+            self._dozing = idle and self._gateway.idle()
+            if self._dozing:
+                delay_s = min(DOZE_S, self.tenant.idle_ms / 2000)
+            if self._dozing or self._sweeps % RETIRE_EVERY == 0:
+                self._hosts.retire()
+        if self._closed:
+            return
+        old = self._timers.get(act.name)
+        if old is not None:
+            old.cancel()
+        self._timers[act.name] = self._loop.call_later(delay_s, self._timer_due, act.name)
+
+    def _timer_due(self, name: str) -> None:
+        self._timers.pop(name, None)
+        self._post(api.TimerDue(name))
+        if self._dozing and name == "sweep" and self._gateway.settled() and not self._requests:
+            self._settled(self)
+
+    # The end
+
+    def _close_if_done(self) -> None:
+        if self._leaving and not self._requests:
+            self.close()
+
+    def close(self) -> None:
+        """End all that is left; nothing is open."""
+        if self._closed:
+            return
+        self._closed = True
+        for handle in self._timers.values():
+            handle.cancel()
+        self._timers.clear()
+        self._hosts.stop()
+        if self._counts is not None:
+            self._counts.close()
+        self._settled(self)
--- /dev/null
+++ b/yewstage/hosted/front.py
@@ -0,0 +1,401 @@
+"""The clients' side of many tenants: each request to its tenant, class, pool and plan, or why not."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+import secrets
+import time
+from typing import Any, Protocol, cast
+
+from yewstage import interface as api
+from yewstage.hosted.core import CONFLICT, NO_MODULE_MS, TenantCore
+from yewstage.hosted.resources import CROWDED, DRAINING, UNHEARD, Resources
+from yewstage.hosted.stats import Stats
+from yewstage.net.clients import (
+    DEADLINE,
+    IDLE_S,
+    WANTED,
+    WORD,
+    BadRequestError,
+    ClientConnection,
+    Server,
+    Terms,
+    _Message,
+)
+from yewstage.net.core import Order
+from yewstage.tenants import model
+from yewstage.tenants.router import Entry, Router
+from yewstage.tenants.target import Target, TargetError, read_target
+
+READY = b"/ready"
+CUSTOMER = re.compile(r"[!-~]{1,128}")
+WANTED_HERE = WANTED | {b"host"}
+RETURNED = frozenset((404, 405, 409, 410))  # whole and well framed: its connection carries others, too
+TITLES = {
+    404: "not found",
+    405: "method not allowed",
+    408: "request timeout",
+    409: "conflict",
+    410: "gone",
+    413: "too long",
+    429: "refused",
+    500: "gateway fault",
+    502: "failed",
+    503: "refused",
+    504: "too late",
+}
+
+
+class Slot(Protocol):
+    """What the front needs of a tenant."""
+
+    tenant: model.Tenant
+
+    @property
+    def stats(self) -> Stats:
+        """Its counts."""
+
+    @property
+    def plans(self) -> dict[str, str]:
+        """The plan of each partner that is listed."""
+
+    @property
+    def terms(self) -> Terms:
+        """What its requests may name."""
+
+
+class Tenants(Protocol):
+    """What the front needs of the service."""
+
+    draining: bool
+    router: Router
+    resources: Resources
+
+    def slot(self, tenant_id: str) -> Slot:
+        """A tenant that the router names."""
+
+    def core(self, tenant_id: str) -> TenantCore:
+        """Its core, awake."""
+
+    def make_room(self, tenant_id: str) -> bool:
+        """Have whoever holds more than its part answer one request early; whether anyone did."""
+
+    def ready(self) -> bool:
+        """Whether requests are taken."""
+
+
+class TenantConnection(ClientConnection):
+    """One connection; it may carry requests of many tenants, and belongs to the last one's."""
+
+    def __init__(self, server: TenantServer) -> None:
+        super().__init__(server)
+        self._front = server
+        self._service = server.service
+        self.owner = UNHEARD
+        self.unread = 0  # bytes answered that the client has not read, held against the owner's share
+        self._title = ""
+
+    @property
+    def wanted(self) -> frozenset[bytes]:  # type: ignore[override]
+        """The headers that are kept: those that some tenant's routes go by are among them."""
+        return self._front.wanted()
+
+    def data_received(self, data: bytes) -> None:
+        began = time.perf_counter()
+        super().data_received(data)
+        self._spent(time.perf_counter() - began)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._hold(0)
+        super().connection_lost(exc)
+
+    def pause_writing(self) -> None:
+        super().pause_writing()
+        self._hold(self.transport.get_write_buffer_size())
+
+    def resume_writing(self) -> None:
+        self._hold(self.transport.get_write_buffer_size())
+        super().resume_writing()
+
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        assert self._message is not None
+        self._message.old = self._parser.get_http_version() == "1.0"
+
+    def check(self, now: float) -> None:
+        # Guards the memory: a close waits for the client to read, and this one does not.
+        if now - self.since > IDLE_S and self.transport.get_write_buffer_size():
+            self.transport.abort()
+        else:
+            super().check(now)
+
+    def _spent(self, seconds: float) -> None:
+        if self.owner != UNHEARD and self._service.resources.loop.known(self.owner):
+            self._service.resources.loop.charge(self.owner, seconds)
+
+    def _hold(self, unread: int) -> None:
+        """Hold what the client has not read against the owner's share; one beyond it has to go."""
+        if unread == self.unread or self.owner == UNHEARD:
+            return
+        buffer, more = self._service.resources.buffer, unread - self.unread
+        self.unread = unread
+        if more < 0:
+            buffer.give(self.owner, -more)
+            return
+        if buffer.take(self.owner, more):
+            return
+        buffer.charge(self.owner, more)
+        if not buffer.within(self.owner, 0.0):
+            self.transport.abort()  # the client can tell that its answer is not whole
+
+    def _own(self, owner: str) -> None:
+        """The connection carries a request of this tenant now."""
+        if owner != self.owner:
+            self._hold(0)
+            self._front.moved(self, owner)
+            self.owner = owner
+
+    def _take(self, item: _Message | int) -> None:
+        self._busy = True
+        self._server.owes(self)
+        self._core = self._front.core
+        self._title = ""
+        try:
+            if isinstance(item, int):
+                raise BadRequestError("unreadable", item)
+            self._keep_alive = item.keep_alive
+            self._serve(item)
+        except BadRequestError as error:
+            self._title = str(error)
+            if error.status not in RETURNED:
+                self._keep_alive = False  # guards against a flood on one connection: it has to come again
+            self.answer(error.status)
+
+    def _serve(self, message: _Message) -> None:
+        try:
+            target = read_target(message.url, message.headers.get(b"host"), message.old)
+        except TargetError as error:
+            raise BadRequestError(str(error)) from None
+        service = self._service
+        entry = service.router.find(target.host, target.path)
+        if entry is None:
+            if target.path == READY and message.method == b"GET":
+                self._title = "ready" if service.ready() else "not ready"
+                self.answer(200 if service.ready() else 503)
+                return
+            raise BadRequestError("no tenant is served at this host and path", 404)
+        if entry.gone:
+            raise BadRequestError("this tenant was removed", 410)
+        tenant = entry.tenant
+        self._own(tenant.id)
+        slot = service.slot(tenant.id)
+        try:
+            order = self._order(message, target, entry, slot)
+        except BadRequestError:
+            slot.stats.rejected += 1
+            raise
+        slot.stats.requests += 1
+        if tenant.state == model.DRAINING:
+            self._turn_away(slot, DRAINING)
+        elif service.resources.crowded(tenant.id):
+            self._turn_away(slot, CROWDED)
+        else:
+            self._hand_over(slot, order)
+
+    def _hand_over(self, slot: Slot, order: Order) -> None:
+        core = self._service.core(slot.tenant.id)
+        core.draining = self._service.draining
+        self._core = cast(Any, core)
+        rid = core.take(self, order, self._service.make_room)
+        if rid is not None:
+            if self._busy:  # else it is answered already
+                self._open = rid
+        elif core.cause == CONFLICT:
+            slot.stats.requests -= 1
+            slot.stats.rejected += 1
+            raise BadRequestError("X-Request-Id: is in use", 409)
+        else:
+            self._turn_away(slot, core.cause)
+
+    def _turn_away(self, slot: Slot, cause: str) -> None:
+        slot.stats.refuse(cause)
+        self._title = cause
+        self.answer(503, retry_after_ms=NO_MODULE_MS)
+
+    def _order(self, message: _Message, target: Target, entry: Entry, slot: Slot) -> Order:
+        """The request as its tenant's module and hosts are told of it; BadRequestError where it is none."""
+        headers, tenant = message.headers, entry.tenant
+        route = Router.route(entry, message.method, target.path, headers)
+        if isinstance(route, frozenset):
+            if not route:
+                raise BadRequestError("no route of this tenant has this path", 404)
+            raise BadRequestError("expected " + ", ".join(sorted(m.decode() for m in route)), 405)
+        partner = (
+            headers.get(tenant.partner_header, b"")
+            if tenant.partner_header
+            else target.path.rpartition(b"/")[2]
+        ).decode("latin-1")
+        if not CUSTOMER.fullmatch(partner):
+            raise BadRequestError("partner: expected 1 to 128 visible ASCII characters")
+        plan = slot.plans.get(partner) or tenant.default_plan
+        if not plan:
+            raise BadRequestError("partner: is not one of this tenant's", 404)
+        terms = slot.terms
+        cls = terms.classes[route.class_name.encode()]
+        time_left_ms = cls.deadline_ms
+        if b"x-deadline" in headers:
+            deadline = DEADLINE.fullmatch(headers[b"x-deadline"])
+            if deadline is None:
+                raise BadRequestError("X-Deadline: expected a number and m or u, as in 480m")
+            time_left_ms = min(float(deadline[1]) / (1 if deadline[2] == b"m" else 1000), time_left_ms)
+        units, width, first = 1.0, tenant.settings.fleet_size, 0
+        if b"quota-info" in headers:
+            units, width, first = terms.quota_info(headers[b"quota-info"])
+        rid = headers.get(b"x-request-id") or secrets.token_hex(16).encode()
+        return Order(
+            rid,
+            cls.name,
+            plan,
+            partner,
+            time_left_ms,
+            units,
+            width,
+            first,
+            headers.get(b"x-retry") == b"1",
+            message.read_at,
+            _head(message, target, route, cls, rid, partner),
+            b"".join(message.body),
+            route.pool,
+        )
+
+    def answer(
+        self, status: int, body: bytes = b"", content_type: bytes = b"", retry_after_ms: float = 0.0
+    ) -> None:
+        """The one answer; without a body of its own it says why in one (RFC 9457)."""
+        if status != 200 and not body:
+            detail = self._title or (self._core.cause if isinstance(self._core, TenantCore) else "")
+            body = json.dumps(
+                {"status": status, "title": TITLES.get(status, "bad request"), "detail": detail}
+            ).encode()
+            content_type = b"application/problem+json"
+        if self._service.draining:
+            self._keep_alive = False
+        super().answer(status, body, content_type, retry_after_ms)
+        if not self.transport.is_closing():
+            self._hold(self.transport.get_write_buffer_size())
+
+
+def _head(
+    message: _Message, target: Target, route: model.Route, cls: api.RequestClass, rid: bytes, partner: str
+) -> bytes:
+    """The head for the host: method, target in origin form, id, key, class and partner."""
+    headers, key = message.headers, message.headers.get(b"idempotency-key")
+    if not WORD.fullmatch(rid) or (key is not None and not WORD.fullmatch(key)):
+        raise BadRequestError("X-Request-Id or Idempotency-Key: expected 1 to 128 visible ASCII characters")
+    if cls.effect == "keyed" and key is None:
+        raise BadRequestError(f"Idempotency-Key: is missing, class {cls.name!r} is keyed")
+    if cls.effect == "safe" and message.body:
+        raise BadRequestError(f"body: found one, class {cls.name!r} is safe")
+    lines = [
+        b"%b %b HTTP/1.1\r\nHost: %b\r\nX-Request-Id: %b\r\nX-Class: %b\r\nX-Partner: %b\r\n"
+        % (
+            message.method,
+            target.origin,
+            target.host.encode() or b"upstream",
+            rid,
+            cls.name.encode(),
+            partner.encode(),
+        )
+    ]
+    if key is not None:
+        lines.append(b"Idempotency-Key: %b\r\n" % key)
+    if message.method != b"GET":
+        lines.append(b"Content-Length: %d\r\n" % message.size)
+    if b"content-type" in headers:
+        lines.append(b"Content-Type: %b\r\n" % headers[b"content-type"])
+    return b"".join(lines)
+
+
+class TenantServer(Server[TenantConnection]):
+    """Accepts clients for all tenants; when descriptors run out, whoever holds more than its part gives."""
+
+    connection = TenantConnection
+
+    def __init__(self, service: Tenants, loop: asyncio.AbstractEventLoop, sockets: int) -> None:
+        self.service = service
+        self._idle: dict[str, dict[TenantConnection, None]] = {}  # by owner, owed nothing, the longest first
+        self._wanted: frozenset[bytes] = WANTED_HERE
+        self._routed: frozenset[bytes] = frozenset()
+        self._reclaiming = False
+        super().__init__(cast(Any, service), loop, sockets)
+
+    def _read_terms(self) -> None:
+        """Each tenant has its own."""
+
+    def wanted(self) -> frozenset[bytes]:
+        """The headers that are kept."""
+        routed = self.service.router.headers
+        if routed is not self._routed:
+            self._routed, self._wanted = routed, WANTED_HERE | routed
+        return self._wanted
+
+    def opened(self, connection: TenantConnection) -> None:
+        self.service.resources.clients.charge(UNHEARD, 1.0)
+        super().opened(connection)
+
+    def closed(self, connection: TenantConnection) -> None:
+        if connection in self.connections:
+            self.service.resources.clients.give(connection.owner)
+        super().closed(connection)
+
+    def moved(self, connection: TenantConnection, owner: str) -> None:
+        """A connection carries another tenant's request than before."""
+        clients = self.service.resources.clients
+        clients.give(connection.owner)
+        clients.charge(owner, 1.0)
+
+    def waits(self, connection: TenantConnection) -> None:
+        super().waits(connection)
+        self._idle.setdefault(connection.owner, {})[connection] = None
+
+    def owes(self, connection: TenantConnection) -> None:
+        super().owes(connection)
+        idle = self._idle.get(connection.owner)
+        if idle is not None:
+            idle.pop(connection, None)
+            if not idle:
+                del self._idle[connection.owner]
+
+    def _room(self) -> bool:
+        """Whether there is a descriptor for one more, if need be of one that is owed nothing.
+
+        Guards each tenant's connections against another's flood, silent or not: whoever holds most for its
+        weight gives up the one idle for longest; those that never asked count as one more tenant.
+        """
+        if len(self.connections) + len(self._pending) < self._most:
+            return True
+        clients = self.service.resources.clients
+        if not self._idle and not self._reclaim():
+            return False
+        if len(self.connections) + len(self._pending) < self._most:
+            return True
+        owner = max(self._idle, key=lambda o: clients.holds(o) / clients.entitled(o), default=None)
+        if owner is None:
+            return False
+        oldest = next(iter(self._idle[owner]))
+        self.closed(oldest)
+        oldest.transport.abort()
+        return True
+
+    def _reclaim(self) -> bool:
+        """Have a request answered early whose tenant holds more connections than its part, all busy."""
+        if self._reclaiming:  # an answer makes its connection idle, which asks for room
+            return False
+        self._reclaiming = True
+        try:
+            victim = self.service.resources.clients.victim(UNHEARD)
+            return victim is not None and victim != UNHEARD and self.service.core(victim).give_way()
+        finally:
+            self._reclaiming = False
--- /dev/null
+++ b/yewstage/hosted/resources.py
@@ -0,0 +1,69 @@
+"""What all tenants of a process share, each as a ledger: who holds how much of it."""
+
+from __future__ import annotations
+
+import time
+
+from yewstage.net.core import Clock
+from yewstage.tenants.model import Limits, Tenant
+from yewstage.tenants.shares import RESERVE, Shares
+
+CLIENT_SHARE, HOST_SHARE = 0.5, 0.36  # of the descriptors, as on the platform
+TURN_S = 0.1  # how often the loop's time is dealt out anew
+UNHEARD = "(unheard)"  # holds the connections that have not asked for anything yet
+CROWDED, SHARE, DRAINING = "gateway_time", "gateway_share", "draining"  # causes of the service's own refusals
+
+
+class Resources:
+    """The ledgers."""
+
+    def __init__(self, limits: Limits) -> None:
+        self.clock = Clock()  # one for all: no tenant's windows move if the system's clock is set
+        self.open = Shares(limits.open_requests)
+        self.buffer = Shares(limits.buffer_mb * 1024 * 1024)
+        self.clients = Shares(max(int(CLIENT_SHARE * limits.sockets), 1))
+        self.hosts = Shares(max(int(HOST_SHARE * limits.sockets), 1))
+        self.dials = Shares(limits.dials)
+        self.lines = Shares(limits.log_lines)  # by the second
+        self.loop = Shares(limits.loop_share * TURN_S)  # seconds, by the turn
+        self._all = (self.open, self.buffer, self.clients, self.hosts, self.dials, self.lines, self.loop)
+        self.clients.know(UNHEARD, 1.0)
+        self._second = 0
+        self.lines_left_out = 0
+
+    def know(self, tenant: Tenant) -> None:
+        """A tenant, and its weight from now on."""
+        for shares in self._all:
+            shares.know(tenant.id, tenant.share)
+
+    def forget(self, tenant_id: str) -> bool:
+        """A tenant that is gone; False while it still holds something that lasts."""
+        lasting = (self.open, self.buffer, self.clients, self.hosts, self.dials)
+        if any(shares.holds(tenant_id) > 0 for shares in lasting):
+            return False
+        for shares in (self.lines, self.loop):
+            shares.give(tenant_id, shares.holds(tenant_id))
+        for shares in self._all:
+            shares.forget(tenant_id)
+        return True
+
+    def crowded(self, tenant_id: str) -> bool:
+        """Whether a tenant has had its part of the loop's time in this turn, and little is left.
+
+        Guards the others' time: what is refused here costs a fifth of what the module and a host would.
+        """
+        loop = self.loop
+        if loop.held < (1 - RESERVE) * loop.whole:
+            return False
+        return loop.holds(tenant_id) > min(loop.entitled(tenant_id), (1 - RESERVE) * loop.whole)
+
+    def may_log(self, tenant_id: str) -> bool:
+        """Whether a tenant may have one more line in the log in this second."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second = second
+            self.lines.turn()
+        if self.lines.known(tenant_id) and self.lines.take(tenant_id):
+            return True
+        self.lines_left_out += 1
+        return False
--- /dev/null
+++ b/yewstage/hosted/service.py
@@ -0,0 +1,335 @@
+"""The service: tenants by their registry, each with a core while it has something to do."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import secrets
+from dataclasses import dataclass, field
+
+from yewstage import interface as api
+from yewstage.counter import EmbeddedCounter, Store
+from yewstage.hosted.config import ConfigFaultsError, Fault, check_together
+from yewstage.hosted.core import TenantCore, TenantCounter
+from yewstage.hosted.counts import ScopedCounter, SharedCounter
+from yewstage.hosted.hostfiles import HostFiles
+from yewstage.hosted.resources import TURN_S, Resources
+from yewstage.hosted.stats import Stats
+from yewstage.net.clients import Terms
+from yewstage.net.core import Pulse
+from yewstage.net.discovery import Listing
+from yewstage.tenants import model, router
+from yewstage.tenants.registry import Change, Registry
+
+log = logging.getLogger(__name__)
+
+MOST_NAMES = (
+    32_768  # counts of one tenant in the embedded counter: four for each customer the module may know
+)
+TIDY_S = 1.0
+
+
+@dataclass(slots=True)
+class Slot:
+    """What is kept of a tenant whether it is awake or not."""
+
+    tenant: model.Tenant
+    born_ms: float  # since when its ceilings have been earning
+    core: TenantCore | None = None
+    store: Store | None = None  # its counts, where they are embedded; none until the first
+    _stats: Stats | None = field(default=None)
+    _plans: dict[str, str] | None = field(default=None)
+    _terms: Terms | None = field(default=None)
+
+    @property
+    def stats(self) -> Stats:
+        """Its counts since it was first asked for."""
+        if self._stats is None:
+            self._stats = Stats()
+        return self._stats
+
+    @property
+    def plans(self) -> dict[str, str]:
+        """The plan of each partner that is listed."""
+        if self._plans is None:
+            self._plans = dict(self.tenant.partners)
+        return self._plans
+
+    @property
+    def terms(self) -> Terms:
+        """What its requests may name."""
+        if self._terms is None:
+            self._terms = Terms(self.tenant.settings)
+        return self._terms
+
+    def asked(self) -> bool:
+        """Whether it has ever been asked for anything."""
+        return self._stats is not None
+
+    def rest(self) -> None:
+        """Keep only what cannot be made anew."""
+        self._plans = self._terms = None
+
+
+class Service:
+    """All tenants of a process."""
+
+    def __init__(
+        self, config: model.ServiceConfig, loop: asyncio.AbstractEventLoop, seed: int | None = None
+    ) -> None:
+        self.config, self._loop = config, loop
+        self.resources = Resources(config.limits)
+        self.router = router.Router()
+        self.draining = False
+        self._registry = Registry()
+        self._slots: dict[str, Slot] = {}
+        self._awake: dict[str, TenantCore] = {}
+        self._leaving: set[TenantCore] = set()  # of tenants that were removed, or whose settings changed
+        self._unowned: set[str] = set()  # removed, and their accounts not yet closed
+        self._pulse = Pulse(loop)
+        self._random = random.Random(secrets.randbits(64) if seed is None else seed)
+        self._files = HostFiles(loop, self._hosts_changed)
+        self._shared = (
+            SharedCounter(loop, config.counter, config.count_wait_ms) if config.counter is not None else None
+        )
+        self._turn: asyncio.TimerHandle | None = None
+        self._tidy: asyncio.TimerHandle | None = None
+
+    # --- Life ---------------------------------------------------------------------------------------------
+
+    def start(self) -> None:
+        """Take the configuration in, and begin."""
+        self._pulse.start()
+        if self._shared is not None:
+            self._shared.start()
+        self.apply(self.config)
+        self._files.start()
+        self._next_turn()
+        self._tidy_up()
+
+    def stop(self) -> None:
+        """Close everything towards hosts and counter."""
+        self._pulse.stop()
+        self._files.stop()
+        for handle in (self._turn, self._tidy):
+            if handle is not None:
+                handle.cancel()
+        for core in (*self._awake.values(), *self._leaving):
+            core.close()
+        if self._shared is not None:
+            self._shared.stop()
+
+    def ready(self) -> bool:
+        """Whether requests are taken."""
+        return not self.draining
+
+    def longest_s(self) -> float:
+        """The longest that a request may still take, in seconds."""
+        cores = [*self._awake.values(), *self._leaving]
+        return max((c.deadline_ms for core in cores for c in core.settings.classes), default=0.0) / 1000
+
+    def fail_all(self) -> None:
+        """Answer all that is open as failed."""
+        for core in (*self._awake.values(), *self._leaving):
+            core.fail_all()
+
+    # --- Tenants ------------------------------------------------------------------------------------------
+
+    def apply(self, config: model.ServiceConfig) -> list[Change]:
+        """Go over to other tenants, plans, pools, routes and shares, all or nothing.
+
+        Requests in flight keep what they began with and get their one answer. What cannot change while in
+        service (listeners, limits, the counter's place) stays as it is and is told in the log.
+
+        Raises:
+            ConfigFaultsError: tenants or routes contradict each other; nothing has changed then.
+        """
+        faults = [Fault("", "tenants", text) for text in check_together(config.tenants)]
+        faults += [
+            Fault("", f"tenants ({tenant.id}).routes", text)
+            for tenant in config.tenants
+            for text in router.check_routes(tenant)
+        ]
+        if faults:
+            raise ConfigFaultsError(faults)
+        changes = self._registry.changes(config.tenants)
+        for change in changes:  # first all that goes: a place is free then for who takes it over
+            if change.old is not None and change.new is not None:
+                self.router.take_out(change.old)
+            elif change.old is not None:
+                self.router.remove(change.old)
+        for change in changes:
+            if change.new is not None:
+                self.router.put(change.new)
+            self._carry_out(change)
+            self._registry.commit(change)
+        fixed = ("listeners", "limits", "counter", "count_wait_ms", "number", "fleet_size", "state_folder")
+        kept = [name for name in fixed if getattr(config, name) != getattr(self.config, name)]
+        if kept:
+            log.warning("these need a restart, and stay as they are: %s", ", ".join(kept))
+        if changes:
+            log.info(
+                "tenants: %s",
+                ", ".join(
+                    f"{kind} {sum(c.kind == kind for c in changes)}"
+                    for kind in ("added", "changed", "removed")
+                ),
+            )
+        return changes
+
+    def _carry_out(self, change: Change) -> None:
+        if change.new is None:
+            self._remove(change.id)
+            return
+        self.resources.know(change.new)
+        slot = self._slots.get(change.id)
+        if slot is None:
+            slot = self._slots[change.id] = Slot(change.new, self.resources.clock.now_ms())
+        elif change.new_module:
+            # A module's settings are fixed. The new one starts with empty ceilings, as a gateway does that
+            # starts anew, so that the two together send on no more than one might have.
+            if slot.core is not None:
+                self._let_go(slot.core)
+                slot.core = None
+            slot.born_ms = self.resources.clock.now_ms()
+        slot.tenant = change.new
+        slot.rest()
+        self._files.watch(change.new)
+        if slot.core is not None:
+            slot.core.update(change.new, self._listing(change.new))
+
+    def _remove(self, tenant_id: str) -> None:
+        slot = self._slots.pop(tenant_id)
+        self._files.forget(tenant_id)
+        if slot.core is not None:
+            self._let_go(slot.core)
+        elif not any(core.tenant.id == tenant_id for core in self._leaving):
+            self._unowned.add(tenant_id)
+
+    def _let_go(self, core: TenantCore) -> None:
+        """A core that takes nothing new, and closes with its last request."""
+        self._awake.pop(core.tenant.id, None)
+        self._leaving.add(core)
+        core.leave()
+
+    def _listing(self, tenant: model.Tenant) -> Listing:
+        servers: list[api.Server] = []
+        addresses: dict[str, model.Address] = {}
+        for pool in tenant.pools:
+            found = self._files.hosts(tenant.id, pool.name) if pool.hosts_file else None
+            servers += found[0] if found is not None else pool.servers
+            addresses.update(found[1] if found is not None else pool.addresses)
+        return Listing(0, True, tuple(servers), addresses)
+
+    def _hosts_changed(self, tenant_id: str) -> None:
+        slot = self._slots.get(tenant_id)
+        if slot is not None and slot.core is not None:
+            slot.core.list_hosts(self._listing(slot.tenant))
+
+    # --- For the front ------------------------------------------------------------------------------------
+
+    def slot(self, tenant_id: str) -> Slot:
+        """A tenant that the router names."""
+        return self._slots[tenant_id]
+
+    def slots(self) -> list[Slot]:
+        """All tenants that are served."""
+        return list(self._slots.values())
+
+    def core(self, tenant_id: str) -> TenantCore:
+        """A tenant's core, made if it has none."""
+        slot = self._slots[tenant_id]
+        if slot.core is None:
+            slot.core = self._awake[tenant_id] = self._make(slot)
+        return slot.core
+
+    def make_room(self, tenant_id: str) -> bool:
+        """Have the tenant furthest beyond its part of open requests answer one early."""
+        victim = self.resources.open.victim(tenant_id)
+        if victim is None:
+            return False
+        cores = [
+            core
+            for core in (self._awake.get(victim), *self._leaving)
+            if core is not None and core.tenant.id == victim
+        ]
+        return any(core.give_way() for core in cores)
+
+    def _room_for_host(self, tenant_id: str) -> bool:
+        victim = self.resources.hosts.victim(tenant_id)
+        core = self._awake.get(victim) if victim is not None else None
+        return core is not None and (core.drop_idle() or core.give_way())
+
+    def _make(self, slot: Slot) -> TenantCore:
+        tenant = slot.tenant
+        core = TenantCore(
+            tenant,
+            self._loop,
+            self._pulse,
+            self.resources,
+            slot.stats,
+            self._random.getrandbits(64),
+            self._settled,
+            self._room_for_host,
+        )
+        counter: TenantCounter
+        if self._shared is not None:
+            counter = ScopedCounter(self._shared, model.scope_of(tenant.id), core._post)
+        else:
+            if slot.store is None:
+                slot.store = Store(MOST_NAMES)
+            counter = EmbeddedCounter(slot.store, self.resources.clock.now_ms, core._post)
+        core.start(slot.born_ms, self._listing(tenant), counter)
+        return core
+
+    # --- Rest and end -------------------------------------------------------------------------------------
+
+    def _settled(self, core: TenantCore) -> None:
+        """A core that has nothing left to remember, or has closed."""
+        if core in self._leaving:
+            return  # looked after by the tidying
+        slot = self._slots.get(core.tenant.id)
+        if slot is None or slot.core is not core or self.draining:
+            return
+        if slot.store is not None:
+            slot.store.sweep(self.resources.clock.now_ms())
+            if len(slot.store):
+                return  # a count's life is not over
+            slot.store = None
+        slot.core = None
+        slot.rest()
+        self._awake.pop(core.tenant.id, None)
+        self._leaving.add(core)
+        core.leave()
+
+    def _tidy_up(self) -> None:
+        """Give back all that tenants held which have gone, once their last connection has ended."""
+        self._tidy = self._loop.call_later(TIDY_S, self._tidy_up)
+        for core in [core for core in self._leaving if core.empty()]:
+            self._leaving.discard(core)
+            tenant_id = core.tenant.id
+            if tenant_id not in self._slots:
+                self._unowned.add(tenant_id)
+        self._unowned -= {
+            tenant_id
+            for tenant_id in self._unowned
+            if tenant_id in self._slots or self.resources.forget(tenant_id)
+        }
+
+    def _next_turn(self) -> None:
+        self._turn = self._loop.call_later(TURN_S, self._next_turn)
+        self.resources.loop.turn()
+
+    def leftovers(self, tenant_id: str) -> list[str]:
+        """What is still held of a tenant that was removed; none once all is given back."""
+        left = [
+            f"core with {core.open_requests()} requests"
+            for core in self._leaving
+            if core.tenant.id == tenant_id
+        ]
+        if self.resources.open.known(tenant_id):
+            left.append("an account")
+        if tenant_id in self._slots or tenant_id in self._awake:
+            left.append("a slot")
+        return left
--- /dev/null
+++ b/yewstage/hosted/shape.py
@@ -0,0 +1,219 @@
+"""The shape of the configuration file: what may stand where. Nothing here opens a file."""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
+from pydantic_core import PydanticCustomError
+
+from yewstage.tenants.target import TargetError, host_name
+
+IDENTIFIER = re.compile(r"[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?")
+TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]{1,64}")  # a header's name (RFC 9110 section 5.6.2)
+VALUE = re.compile(r"[!-~]{1,128}")
+PREFIX = re.compile(r"/(?:[A-Za-z0-9._~!$&'()*+,;=:@-]+/?)*")
+
+
+def _expected(what: str) -> PydanticCustomError:
+    return PydanticCustomError("expected", "{what}", {"what": what})
+
+
+def _address(value: Any) -> tuple[str, int]:
+    host, colon, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    if not (colon and host and port.isascii() and port.isdigit() and int(port) < 65536):
+        raise _expected("HOST:PORT, with a port from 0 to 65535")
+    return host.strip("[]"), int(port)
+
+
+def _matching(pattern: re.Pattern[str], what: str) -> BeforeValidator:
+    def check(value: Any) -> str:
+        if not isinstance(value, str) or not pattern.fullmatch(value):
+            raise _expected(what)
+        return value
+
+    return BeforeValidator(check)
+
+
+def _host(value: Any) -> str:
+    if value == "*":
+        return "*"
+    try:
+        name = host_name(value.encode()) if isinstance(value, str) else ""
+    except TargetError:
+        name = ""
+    if not name:
+        raise _expected("a host name such as api.example.org, an [IPv6] address, or * for those of no tenant")
+    return name
+
+
+def _prefix(value: Any) -> str:
+    if (
+        not isinstance(value, str)
+        or not PREFIX.fullmatch(value)
+        or any(part in (".", "..") for part in value.split("/"))
+    ):
+        raise _expected("a path that starts with /, with no escape, empty segment or dot segment")
+    return value
+
+
+Address = Annotated[tuple[str, int], BeforeValidator(_address)]
+Identifier = Annotated[str, _matching(IDENTIFIER, "1 to 63 lower-case letters, digits and inner hyphens")]
+Word = Annotated[str, _matching(VALUE, "1 to 128 visible ASCII characters")]
+HeaderName = Annotated[str, _matching(TOKEN, "a header's name")]
+HostName = Annotated[str, BeforeValidator(_host)]
+Prefix = Annotated[str, BeforeValidator(_prefix)]
+Positive = Annotated[float, Field(gt=0, le=1e12, allow_inf_nan=False)]
+NotNegative = Annotated[float, Field(ge=0, le=1e12, allow_inf_nan=False)]
+
+
+class Shape(BaseModel):
+    """A table of the file; a field that it does not name is a fault."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class ClassShape(Shape):
+    """A class of request."""
+
+    aim_ms: Positive
+    deadline_ms: Positive
+    effect: Literal["safe", "keyed", "unsafe"] = "safe"
+    worth: NotNegative = 1.0
+    late_worth: NotNegative = 0.0
+    key_scope: Literal["all", "zone", "cell"] = "all"
+    window_ms: NotNegative = 0.0
+
+
+class PlanShape(Shape):
+    """A plan of partners."""
+
+    rate: NotNegative = 0.0
+    burst: NotNegative = 0.0
+    worth: NotNegative = 1.0
+    over_worth: NotNegative = 0.0
+    over_cost: NotNegative = 0.0
+    ceiling_rate: NotNegative = 0.0
+    ceiling_burst: NotNegative = 0.0
+    ceiling_slack: NotNegative = 0.0
+
+
+class HostShape(Shape):
+    """One booking node."""
+
+    id: Word
+    address: Address
+    zone: str = ""
+    cell: int = 0
+    weight: Positive = 1.0
+    state: Literal["ready", "draining"] = "ready"
+    started_at_ms: NotNegative = 0.0
+
+
+class PoolShape(Shape):
+    """Hosts, listed or in a file of their own."""
+
+    hosts: tuple[HostShape, ...] = ()
+    hosts_file: str = ""
+
+
+class HostsFileShape(Shape):
+    """A file of hosts."""
+
+    hosts: tuple[HostShape, ...]
+
+
+class RouteShape(Shape):
+    """Which requests are of which class, and where they go."""
+
+    name: Word
+    prefix: Prefix = "/"
+    methods: tuple[Literal["GET", "POST", "PUT", "PATCH", "DELETE"], ...] = ()
+    headers: dict[HeaderName, Word] = {}
+    pool: Identifier
+    class_: Word = Field(alias="class")
+
+
+class PartnerShape(Shape):
+    """One partner of a tenant."""
+
+    plan: Word
+
+
+class ModuleShape(Shape):
+    """What the tenant's decision module is told beside classes and plans."""
+
+    try_limit: Annotated[int, Field(ge=1, le=16)] = 3
+    max_retry_after_ms: NotNegative = 10_000.0
+    most_units: Positive = 1000.0
+    drain_grace_ms: NotNegative = 1000.0
+    cold_from: Annotated[float, Field(gt=0, le=1)] = 1.0
+    cold_ms: NotNegative = 0.0
+    fall_multiple: Positive = 1.0
+    tip_after_ms: NotNegative = 0.0
+    dial_timeout_ms: Positive = 250.0
+    conn_idle_ms: Positive = 15_000.0
+
+
+class TenantShape(Shape):
+    """One tenant."""
+
+    id: Identifier
+    state: Literal["active", "draining"] = "active"
+    share: Annotated[float, Field(ge=0.01, le=1000)] = 1.0
+    host_names: Annotated[tuple[HostName, ...], Field(min_length=1, max_length=64)]
+    path_prefixes: Annotated[tuple[Prefix, ...], Field(min_length=1, max_length=64)] = ("/",)
+    partner_header: HeaderName | None = None
+    default_plan: str = ""
+    partners: dict[Word, PartnerShape] = {}
+    classes: dict[Word, ClassShape] = {}
+    plans: dict[Word, PlanShape] = {}
+    pools: Annotated[dict[Identifier, PoolShape], Field(min_length=1, max_length=64)]
+    routes: Annotated[tuple[RouteShape, ...], Field(min_length=1, max_length=1000)]
+    module: ModuleShape = ModuleShape()
+
+
+class GatewayShape(Shape):
+    """This process among those that serve the same tenants."""
+
+    name: Word = "hillmux"
+    number: Annotated[int, Field(ge=0)] = 0
+    fleet_size: Annotated[int, Field(ge=1, le=1000)] = 1
+
+
+class ListenerShape(Shape):
+    """An address to listen on."""
+
+    address: Address
+
+
+class LimitsShape(Shape):
+    """What the process may hold in all."""
+
+    sockets: Annotated[int, Field(ge=128)] = 1024
+    open_requests: Annotated[int, Field(ge=16)] = 2000
+    buffer_mb: Annotated[float, Field(ge=1)] = 64.0
+    dials: Annotated[int, Field(ge=4)] = 64
+    log_lines: Annotated[int, Field(ge=1)] = 50
+    loop_share: Annotated[float, Field(gt=0, le=1)] = 0.7
+
+
+class CounterShape(Shape):
+    """Where counts are kept: no address means inside the process."""
+
+    address: Address | None = None
+    wait_ms: Positive = 30.0
+
+
+class FileShape(Shape):
+    """The whole file. Tenants are looked at one by one, so that a fault in one hides none in another."""
+
+    state_folder: str = ""
+    gateway: GatewayShape = GatewayShape()
+    listeners: Annotated[tuple[ListenerShape, ...], Field(min_length=1, max_length=16)]
+    limits: LimitsShape = LimitsShape()
+    counter: CounterShape = CounterShape()
+    classes: dict[Word, ClassShape] = {}
+    plans: dict[Word, PlanShape] = {}
+    tenants: list[Any] = []
