--- /dev/null
+++ b/tests/hosted/test_isolation.py
@@ -0,0 +1,385 @@
+"""What tenants share: none may take what is another's, by any kind of flood."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import json
+import logging
+import socket
+from collections import Counter
+
+import pytest
+from conftest import LOOP, Seen, on_loop
+from standins.hosted import Hosted, request, serve, status
+
+from yewstage.hosted import front, resources
+from yewstage.hosted import service as service_module
+from yewstage.hosted.resources import CROWDED, UNHEARD, Resources
+from yewstage.tenants.model import Limits
+
+
+def silent(seen: Seen) -> None:
+    return None
+
+
+def slow(seen: Seen) -> None:
+    """A host that answers after 10 ms."""
+    loop = asyncio.get_running_loop()
+    loop.call_later(0.01, lambda: seen.writer.is_closing() or seen.writer.write(serve(seen)))
+
+
+async def ask_all(rig: Hosted, tenant: str, count: int, at_once: int) -> Counter[int]:
+    """Requests over kept connections, so many at once; the answers by status."""
+    found: Counter[int] = Counter()
+    todo = iter(range(count))
+
+    async def one() -> None:
+        client = await rig.connect()
+        for _ in todo:
+            found[status(await client.ask(request(tenant)))] += 1
+        client.writer.close()
+
+    await asyncio.gather(*(one() for _ in range(at_once)))
+    return found
+
+
+def test_one_of_three_is_flooded_and_another_removed_and_the_third_loses_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(service_module, "TIDY_S", 0.02)
+
+    async def scenario() -> None:
+        # The whole is 30 requests at once, so each one's share is 10, and 200 at once are 20 times that.
+        async with Hosted("a", "b", "c", behave=slow, limits={"open_requests": 30, "sockets": 4096}) as rig:
+            flood = asyncio.create_task(ask_all(rig, "a", 2000, 200))
+            calm = asyncio.create_task(ask_all(rig, "b", 150, 5))
+            going = asyncio.create_task(ask_all(rig, "c", 150, 5))
+            await rig.until(lambda: rig.service.slot("c").stats.served > 40)
+            kept = rig.service.slot("c").stats
+            rig.apply("a", "b")
+            found = {"a": await flood, "b": await calm, "c": await going}
+            assert {name: sum(counts.values()) for name, counts in found.items()} == {
+                "a": 2000,
+                "b": 150,
+                "c": 150,
+            }
+            stats = rig.service.slot("b").stats
+            assert found["b"] == {200: 150} and stats.refused == {} and stats.failed == 0
+            assert stats.units == stats.requests == 150  # what it spent is what it asked for
+            assert set(found["a"]) == {200, 503}
+            assert found["a"][503] > found["a"][200] > 0
+            assert set(found["c"]) <= {200, 410, 503} and found["c"][410] > 0
+            assert kept.answered() == kept.requests
+            await rig.until(lambda: not rig.service.leftovers("c"))
+            assert rig.service.resources.open.held == 0
+
+    on_loop(scenario)
+
+
+def test_what_was_lent_is_taken_back_at_once_and_each_has_one_answer() -> None:
+    async def scenario() -> None:
+        async with Hosted("a", "b", behave=silent, limits={"open_requests": 16}) as rig:
+            clients = [await rig.connect() for _ in range(20)]
+            for client in clients:
+                client.writer.write(request("a"))
+            stats = rig.service.slot("a").stats
+            await rig.until(lambda: stats.requests == 20)
+            assert rig.service.resources.open.holds("a") == 12  # all but the reserve
+            assert stats.refused == {"gateway_share": 8}
+            mine = [await rig.connect() for _ in range(8)]
+            for client in mine:
+                client.writer.write(request("b"))
+            await rig.until(lambda: rig.service.slot("b").stats.requests == 8)
+            assert rig.service.slot("b").stats.refused == {}
+            assert rig.service.resources.open.holds("b") == 8
+            await rig.until(lambda: len(rig.hosts["b"].seen) == 8)
+            assert stats.refused == {"gateway_share": 12}  # four of those that were out gave way
+            for fake in rig.hosts.values():
+                for seen in fake.seen:
+                    if not seen.writer.is_closing():
+                        seen.writer.write(serve(seen))
+            found = Counter([status(await client.read()) for client in clients])
+            assert found == {200: 8, 503: 12}
+            assert [status(await client.read()) for client in mine] == [200] * 8
+
+    on_loop(scenario)
+
+
+def test_of_those_that_give_way_none_that_may_have_run_is_said_to_be_harmless() -> None:
+    async def scenario() -> None:
+        async with Hosted("a", "b", behave=silent, limits={"open_requests": 16}) as rig:
+            client = await rig.connect()
+            client.writer.write(request("a", "/api/pay/p", "POST"))
+            await rig.until(lambda: rig.hosts["a"].seen)
+            assert rig.service.core("a").give_way()
+            assert status(await client.read()) == 502
+            assert not rig.service.core("a").give_way()
+
+    on_loop(scenario)
+
+
+def test_a_flood_on_one_connection_that_carries_two_tenants_in_turn() -> None:
+    async def scenario() -> None:
+        rig = Hosted("a", "b")
+        rig.per_tenant = {"a": {"default_plan": "small"}}
+        async with rig:
+            rig.service.resources.clock._offset += 3600
+            client = await rig.connect()
+            found: dict[str, Counter[int]] = {"a": Counter(), "b": Counter()}
+            for _ in range(20):
+                client.writer.write((request("a") + request("b")) * 4)
+                for _ in range(4):
+                    for name in "ab":
+                        found[name][status(await client.read())] += 1
+            assert found["b"] == {200: 80}
+            assert sum(found["a"].values()) == 80 and found["a"][429] > 60
+            assert rig.service.slot("b").stats.units == 80
+            assert rig.service.resources.clients.holds("a") + rig.service.resources.clients.holds("b") == 1
+
+    on_loop(scenario)
+
+
+def test_one_that_opens_all_connections_and_says_nothing_shuts_nobody_out() -> None:
+    async def scenario() -> None:
+        async with Hosted("a", "b", limits={"sockets": 128}) as rig:  # 64 of them for clients
+            kept = await rig.connect()
+            assert status(await kept.ask(request("b"))) == 200
+            flood = [await asyncio.open_connection(LOOP, rig.port) for _ in range(200)]
+            await rig.until(lambda: rig.service.resources.clients.holds(UNHEARD) >= 62)
+            for _ in range(5):
+                assert status(await kept.ask(request("b"))) == 200  # the one that it had
+                assert await rig.status(request("b")) == 200  # and new ones
+            assert len(rig.server.connections) <= 64
+            for _, writer in flood:
+                writer.close()
+
+    on_loop(scenario)
+
+
+def test_one_that_keeps_all_connections_gives_its_own_to_others() -> None:
+    async def scenario() -> None:
+        async with Hosted("a", "b", limits={"sockets": 128}) as rig:
+            kept = await rig.connect()
+            assert status(await kept.ask(request("b"))) == 200
+            flood = [await rig.connect() for _ in range(63)]
+            for client in flood:
+                assert status(await client.ask(request("a"))) == 200
+            assert rig.service.resources.clients.holds("a") == 63
+            mine = [await rig.connect() for _ in range(20)]
+            for client in (kept, *mine):
+                assert status(await client.ask(request("b"))) == 200
+            assert rig.service.resources.clients.holds("b") == 21
+            assert len(rig.server.connections) <= 64
+
+    on_loop(scenario)
+
+
+def test_one_whose_busy_connections_are_all_has_to_give_one() -> None:
+    async def scenario() -> None:
+        async with Hosted("a", "b", behave=silent, limits={"sockets": 128, "dials": 256}) as rig:
+            rig.hosts["b"].behave = serve
+            rig.service.resources.hosts.whole = 1000.0  # it is the clients' side that runs out here
+            flood = [await rig.connect() for _ in range(64)]
+            for client in flood:
+                client.writer.write(request("a"))
+            stats = rig.service.slot("a").stats
+            await rig.until(lambda: stats.requests == 64)
+            assert await rig.status(request("b")) == 200
+            assert stats.refused == {"gateway_share": 1}
+
+    on_loop(scenario)
+
+
+def test_answers_that_clients_do_not_read_fill_no_memory_but_their_own_share() -> None:
+    async def scenario() -> None:
+        body = b"x" * 64 * 1024
+        answer = b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+        async with Hosted(
+            "a", "b", behave=lambda seen: answer, limits={"buffer_mb": 1, "sockets": 1024}
+        ) as rig:
+            buffer = rig.service.resources.buffer
+            peaks = []
+            clients: list[socket.socket] = []
+            for _ in range(30):
+                one = socket.socket()
+                one.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                one.setblocking(False)
+                await asyncio.get_running_loop().sock_connect(one, (LOOP, rig.port))
+                clients.append(one)
+                for _ in range(8):
+                    await asyncio.get_running_loop().sock_sendall(one, request("a"))
+                peaks.append(buffer.held)
+                client = await rig.connect()
+                assert len((await client.ask(request("b"))).body) == len(body)
+                client.writer.close()
+            assert max(peaks) > 128 * 1024  # they do hold something
+            # What cannot be refused any more, one answer, may stand beyond the whole.
+            assert max(peaks) <= buffer.whole + len(body) + 1024
+            assert rig.service.slot("b").stats.refused == {}
+            for one in clients:
+                one.close()
+            await rig.until(lambda: buffer.held == 0)
+
+    on_loop(scenario)
+
+
+def test_a_client_that_never_reads_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(front, "IDLE_S", 0.1)
+
+    async def scenario() -> None:
+        body = b"x" * 64 * 1024
+        answer = b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+        async with Hosted("a", behave=lambda seen: answer) as rig:
+            one = socket.socket()
+            one.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            one.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(one, (LOOP, rig.port))
+            for _ in range(8):
+                await asyncio.get_running_loop().sock_sendall(one, request("a") * 8)
+            await rig.until(lambda: rig.service.resources.buffer.held > len(body))
+            await rig.until(lambda: not rig.server.connections)
+            assert rig.service.resources.buffer.held == 0
+            one.close()
+
+    on_loop(scenario)
+
+
+def test_dials_that_never_come_up_leave_dials_to_the_others() -> None:
+    async def scenario() -> None:
+        with socket.create_server((LOOP, 0), backlog=0) as full:
+            waiting = [socket.socket() for _ in range(3)]
+            for one in waiting:
+                one.setblocking(False)
+                one.connect_ex(full.getsockname())
+            rig = Hosted("a", "b", limits={"dials": 8})
+            rig.per_tenant = {
+                "a": {
+                    "pools": {
+                        "main": {"hosts": [{"id": "full", "address": f"{LOOP}:{full.getsockname()[1]}"}]}
+                    }
+                }
+            }
+            async with rig:
+                clients = [await rig.connect() for _ in range(20)]
+                for client in clients:
+                    client.writer.write(request("a"))
+                await rig.until(lambda: rig.service.resources.dials.holds("a") == 6)
+                assert await rig.status(request("b")) == 200
+                assert {status(await client.read()) for client in clients} == {503}
+                assert rig.service.resources.dials.held == rig.service.resources.hosts.holds("a") == 0
+            for one in waiting:
+                one.close()
+
+    on_loop(scenario)
+
+
+@pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL])
+def test_the_last_descriptor_is_our_trouble_and_no_hosts(
+    number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        async with Hosted("a") as rig:
+            loop = asyncio.get_running_loop()
+
+            class NoDescriptors:
+                """The loop, but for its dials."""
+
+                async def create_connection(self, *args: object) -> None:
+                    raise OSError(number, "none left")
+
+                def __getattr__(self, name: str) -> object:
+                    return getattr(loop, name)
+
+            hosts = rig.service.core("a")._hosts
+            hosts._loop = NoDescriptors()
+            for _ in range(4):
+                assert await rig.status(request("a")) == 503
+            (host,) = rig.service.core("a")._gateway.hosts.values()
+            assert host.fails == 0 and not host.died
+            hosts._loop = loop
+            assert await rig.status(request("a")) == 200
+            assert rig.service.resources.dials.held == 0
+
+    on_loop(scenario)
+
+
+def test_a_loud_tenant_leaves_lines_in_the_log_to_the_others(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(resources.time, "monotonic", lambda: 100.0)
+
+    async def scenario() -> None:
+        async with Hosted("a", "b", limits={"log_lines": 8}) as rig:
+            caplog.set_level(logging.INFO)
+            caplog.clear()
+            for _ in range(50):
+                rig.service.core("a")._note(logging.INFO, "noise")
+            for _ in range(2):
+                rig.service.core("b")._note(logging.INFO, "news")
+            told = Counter(record.getMessage() for record in caplog.records)
+            assert told == {"tenant a: noise": 6, "tenant b: news": 2}
+            assert rig.service.resources.lines_left_out == 44
+
+    on_loop(scenario)
+
+
+def test_the_loops_time_is_refused_to_who_has_had_its_part_and_to_nobody_else() -> None:
+    async def scenario() -> None:
+        async with Hosted("a", "b") as rig:
+            loop = rig.service.resources.loop
+            rig.service._turn.cancel()
+            loop.charge("a", loop.whole)  # as by a flood in this turn
+            loop.charge("b", loop.whole / 100)
+            client = await rig.connect()
+            answer = await client.ask(request("a"))
+            assert status(answer) == 503 and json.loads(answer.body)["detail"] == CROWDED
+            assert float(answer.headers["retry-after"]) > 0
+            assert status(await client.ask(request("b"))) == 200
+            assert not rig.hosts["a"].seen
+            rig.service._next_turn()
+            assert status(await client.ask(request("a"))) == 200
+
+    on_loop(scenario)
+
+
+def test_what_a_request_costs_the_loop_is_its_tenants() -> None:
+    async def scenario() -> None:
+        async with Hosted("a", "b") as rig:
+            rig.service._turn.cancel()
+            client = await rig.connect()
+            for _ in range(10):
+                await client.ask(request("a"))
+            loop = rig.service.resources.loop
+            assert loop.holds("a") > 0 and loop.holds("b") == 0
+
+    on_loop(scenario)
+
+
+def test_a_tenant_is_refused_only_when_it_is_beyond_its_part_and_others_are_there() -> None:
+    made = Resources(Limits())
+    for name in "ab":
+        made.loop.know(name, 1.0)
+    made.loop.charge("a", made.loop.whole * 1.4)
+    assert not made.crowded("a")  # alone, it has all that is idle
+    made.loop.charge("b", made.loop.whole * 0.01)
+    assert made.crowded("a") and not made.crowded("b")
+    made.turn()
+    assert not made.crowded("a")
+    made.loop.charge("a", made.loop.whole * 0.9)
+    assert not made.crowded("a")  # some is left to lend
+    made.loop.charge("a", made.loop.whole * 0.25)
+    assert made.crowded("a")  # the other was there a moment ago
+    for _ in range(2):
+        made.turn()
+    made.loop.charge("a", made.loop.whole * 1.4)
+    assert not made.crowded("a")
+
+
+def test_of_many_that_are_busy_alike_none_is_crowded() -> None:
+    made = Resources(Limits())
+    for i in range(100):
+        made.loop.know(f"t{i}", 1.0)
+        made.loop.charge(f"t{i}", made.loop.whole * (0.015 if i % 2 else 0.012))
+    assert made.loop.held > made.loop.whole
+    assert not any(made.crowded(f"t{i}") for i in range(100))
--- a/yewstage/hosted/config.py
+++ b/yewstage/hosted/config.py
@@ -181,11 +181,12 @@
 
 
 class _Maker:
-    """Shapes to tenants; settings that are alike are made once, however many tenants have them."""
+    """Shapes to tenants; settings and routes that are alike are made once, however many tenants have them."""
 
     def __init__(self, head: shape.FileShape, file: str, folder: Path, faults: list[Fault]) -> None:
         self._head, self._file, self._folder, self._faults = head, file, folder, faults
         self._settings: dict[api.Settings, api.Settings] = {}
+        self._routes: dict[tuple[model.Route, ...], tuple[model.Route, ...]] = {}
 
     def tenant(self, shaped: shape.TenantShape, at: str) -> model.Tenant:
         """One tenant; what is wrong with it beyond its shape is added to the faults."""
@@ -211,14 +212,14 @@
             self._fault(
                 f"{at}.partners", "found none and no default_plan, expected either: nobody could call"
             )
+        routes = tuple(
+            self._route(route, shaped, classes, f"{at}.routes[{i}]") for i, route in enumerate(shaped.routes)
+        )
         tenant = model.Tenant(
             id=shaped.id,
             host_names=shaped.host_names,
             path_prefixes=tuple(prefix.encode() for prefix in shaped.path_prefixes),
-            routes=tuple(
-                self._route(route, shaped, classes, f"{at}.routes[{i}]")
-                for i, route in enumerate(shaped.routes)
-            ),
+            routes=self._routes.setdefault(routes, routes),
             pools=self._pools(shaped, at),
             settings=self._settings_of(shaped, classes, plans),
             state=shaped.state,
--- a/yewstage/hosted/front.py
+++ b/yewstage/hosted/front.py
@@ -6,6 +6,8 @@
 import json
 import re
 import secrets
+import select
+import socket
 import time
 from typing import Any, Protocol, cast
 
@@ -30,6 +32,7 @@
 from yewstage.tenants.target import Target, TargetError, read_target
 
 READY = b"/ready"
+SEND_BUFFER = 64 * 1024  # bytes of answers that the system holds for a client
 CUSTOMER = re.compile(r"[!-~]{1,128}")
 WANTED_HERE = WANTED | {b"host"}
 RETURNED = frozenset((404, 405, 409, 410))  # whole and well framed: its connection carries others, too
@@ -102,6 +105,11 @@
         """The headers that are kept: those that some tenant's routes go by are among them."""
         return self._front.wanted()
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # Guards the system's memory, too: it would take megabytes for a client that does not read.
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
+        super().connection_made(transport)
+
     def data_received(self, data: bytes) -> None:
         began = time.perf_counter()
         super().data_received(data)
@@ -374,12 +382,12 @@
         Guards each tenant's connections against another's flood, silent or not: whoever holds most for its
         weight gives up the one idle for longest; those that never asked count as one more tenant.
         """
-        if len(self.connections) + len(self._pending) < self._most:
+        if self._free() or not self._asked():
             return True
         clients = self.service.resources.clients
         if not self._idle and not self._reclaim():
             return False
-        if len(self.connections) + len(self._pending) < self._most:
+        if self._free():
             return True
         owner = max(self._idle, key=lambda o: clients.holds(o) / clients.entitled(o), default=None)
         if owner is None:
@@ -389,6 +397,13 @@
         oldest.transport.abort()
         return True
 
+    def _asked(self) -> bool:
+        """Whether a client waits to be accepted: nobody gives anything up for none."""
+        poll = select.poll()
+        for listener in self._listeners:
+            poll.register(listener, select.POLLIN)
+        return bool(poll.poll(0))
+
     def _reclaim(self) -> bool:
         """Have a request answered early whose tenant holds more connections than its part, all busy."""
         if self._reclaiming:  # an answer makes its connection idle, which asks for room
--- a/yewstage/hosted/hostfiles.py
+++ b/yewstage/hosted/hostfiles.py
@@ -7,30 +7,41 @@
 import os
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 
 from yewstage import interface as api
-from yewstage.hosted.config import ConfigFaultsError, load_hosts
+from yewstage.hosted.config import ConfigFaultsError, Fault, load_hosts
+from yewstage.tenants.addresses import AddressBook
 from yewstage.tenants.model import Address, Tenant
 
 log = logging.getLogger(__name__)
 
 LOOK_S = 0.25
-LOOKS = 250  # files looked at in one go: a thousand a second, and the loop is held for under a millisecond
+LOOKS = 250  # files looked at in one go: a thousand a second, and the loop is held for about a millisecond
 
 Hosts = tuple[tuple[api.Server, ...], tuple[tuple[str, Address], ...]]
-Stamp = tuple[int, int, int] | None
+
+
+@dataclass(slots=True, eq=False)
+class _File:
+    tenant: str
+    pool: str
+    path: str
+    stamp: tuple[int, int, int] | None = None
+    read: bool = False
+    hosts: Hosts = ((), ())
 
 
 class HostFiles:
     """Watches the files of all tenants' pools."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, changed: Callable[[str], None]) -> None:
-        self._loop, self._changed = loop, changed
-        self._files: dict[tuple[str, str], str] = {}  # tenant and pool: path
-        self._found: dict[tuple[str, str], Hosts] = {}
-        self._stamps: dict[tuple[str, str], Stamp] = {}
-        self._round: deque[tuple[str, str]] = deque()
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, book: AddressBook, changed: Callable[[str], None]
+    ) -> None:
+        self._loop, self._book, self._changed = loop, book, changed
+        self._files: dict[str, dict[str, _File]] = {}  # by tenant and pool
+        self._round: deque[_File] = deque()
         self._timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
@@ -44,60 +55,72 @@
 
     def watch(self, tenant: Tenant) -> None:
         """Look at the files of a tenant's pools from now on, and at no others of its."""
-        wanted = {(tenant.id, pool.name): pool.hosts_file for pool in tenant.pools if pool.hosts_file}
-        for key in [
-            key for key in self._files if key[0] == tenant.id and wanted.get(key) != self._files[key]
-        ]:
-            self._drop(key)
-        for key, path in wanted.items():
-            if key not in self._files:
-                self._files[key] = path
-                self._round.append(key)
-                self._read(key)
+        wanted = {pool.name: pool.hosts_file for pool in tenant.pools if pool.hosts_file}
+        files = self._files.setdefault(tenant.id, {})
+        for file in [file for file in files.values() if wanted.get(file.pool) != file.path]:
+            self._drop(file)
+        for pool, path in wanted.items():
+            if pool not in files:
+                files[pool] = _File(tenant.id, pool, path)
+                self._round.append(files[pool])
+                self._read(files[pool])
+        if not files:
+            del self._files[tenant.id]
 
     def forget(self, tenant_id: str) -> None:
         """A tenant that is gone."""
-        for key in [key for key in self._files if key[0] == tenant_id]:
-            self._drop(key)
+        for file in list(self._files.get(tenant_id, {}).values()):
+            self._drop(file)
+        self._files.pop(tenant_id, None)
 
     def hosts(self, tenant_id: str, pool: str) -> Hosts:
         """The hosts that a file last held; none before it was first read."""
-        return self._found.get((tenant_id, pool), ((), ()))
+        file = self._files.get(tenant_id, {}).get(pool)
+        return file.hosts if file is not None else ((), ())
 
-    def _drop(self, key: tuple[str, str]) -> None:
-        del self._files[key]
-        self._found.pop(key, None)
-        self._stamps.pop(key, None)
-        self._round.remove(key)
+    def _drop(self, file: _File) -> None:
+        del self._files[file.tenant][file.pool]
+        self._round.remove(file)
+        self._book.release((file.tenant, file.path))
 
     def _look(self) -> None:
         self._timer = self._loop.call_later(LOOK_S, self._look)
         for _ in range(min(LOOKS, len(self._round))):
-            key = self._round[0]
+            file = self._round[0]
             self._round.rotate(-1)
-            if self._read(key):
-                self._changed(key[0])
+            if self._read(file):
+                self._changed(file.tenant)
 
-    def _read(self, key: tuple[str, str]) -> bool:
+    def _read(self, file: _File) -> bool:
         """Read a file that is not as it was; whether its hosts are others now.
 
         Any difference counts, not only a later time: a file may be put back, and clocks are set back.
         """
-        path = self._files[key]
-        stamp: Stamp
+        stamp: tuple[int, int, int] | None
         try:
-            status = os.stat(path)
+            status = os.stat(file.path)
             stamp = (status.st_mtime_ns, status.st_size, status.st_ino)
         except OSError:
             stamp = None
-        if key in self._stamps and self._stamps[key] == stamp:
+        if file.read and file.stamp == stamp:
             return False
-        self._stamps[key] = stamp
+        file.read, file.stamp = True, stamp
         try:
-            hosts = load_hosts(Path(path), key[1])
+            hosts = load_hosts(Path(file.path), file.pool)
+            addresses = [address for _, address in hosts[1]]
+            taken = self._book.others(file.tenant, addresses)
+            if taken:
+                raise ConfigFaultsError(
+                    [
+                        Fault(
+                            file.path, "hosts", f"found {host}:{port}, which is a host of tenant {other[0]!r}"
+                        )
+                        for (host, port), other in taken.items()
+                    ]
+                )
         except ConfigFaultsError as error:
-            log.error("tenant %s: the hosts of pool %s are kept: %s", key[0], key[1], error)
+            log.error("tenant %s: the hosts of pool %s are kept: %s", file.tenant, file.pool, error)
             return False
-        changed = hosts != self._found.get(key)
-        self._found[key] = hosts
+        self._book.claim((file.tenant, file.path), addresses)
+        changed, file.hosts = hosts != file.hosts, hosts
         return changed
--- a/yewstage/hosted/resources.py
+++ b/yewstage/hosted/resources.py
@@ -6,9 +6,10 @@
 
 from yewstage.net.core import Clock
 from yewstage.tenants.model import Limits, Tenant
-from yewstage.tenants.shares import RESERVE, Shares
+from yewstage.tenants.shares import Shares
 
 CLIENT_SHARE, HOST_SHARE = 0.5, 0.36  # of the descriptors, as on the platform
+SLACK = 0.1  # of the loop's share, by which a tenant may be beyond its part: chance alone is no flood
 TURN_S = 0.1  # how often the loop's time is dealt out anew
 UNHEARD = "(unheard)"  # holds the connections that have not asked for anything yet
 CROWDED, SHARE, DRAINING = "gateway_time", "gateway_share", "draining"  # causes of the service's own refusals
@@ -29,6 +30,7 @@
         self._all = (self.open, self.buffer, self.clients, self.hosts, self.dials, self.lines, self.loop)
         self.clients.know(UNHEARD, 1.0)
         self._second = 0
+        self._was_shared = False  # the last turn was of more than one tenant
         self.lines_left_out = 0
 
     def know(self, tenant: Tenant) -> None:
@@ -48,14 +50,21 @@
         return True
 
     def crowded(self, tenant_id: str) -> bool:
-        """Whether a tenant has had its part of the loop's time in this turn, and little is left.
+        """Whether a tenant has had its part of the loop's time in this turn, and there is none left to lend.
+
+        One that is alone is never crowded, and of many that are busy alike none is, by the slack.
 
         Guards the others' time: what is refused here costs a fifth of what the module and a host would.
         """
         loop = self.loop
-        if loop.held < (1 - RESERVE) * loop.whole:
+        if loop.held < loop.whole or not (self._was_shared or loop.holders() > 1):
             return False
-        return loop.holds(tenant_id) > min(loop.entitled(tenant_id), (1 - RESERVE) * loop.whole)
+        return loop.holds(tenant_id) > loop.entitled(tenant_id) + SLACK * loop.whole
+
+    def turn(self) -> None:
+        """Deal the loop's time out anew."""
+        self._was_shared = self.loop.holders() > 1
+        self.loop.turn()
 
     def may_log(self, tenant_id: str) -> bool:
         """Whether a tenant may have one more line in the log in this second."""
--- a/yewstage/hosted/service.py
+++ b/yewstage/hosted/service.py
@@ -20,6 +20,7 @@
 from yewstage.net.core import Pulse
 from yewstage.net.discovery import Listing
 from yewstage.tenants import model, router
+from yewstage.tenants.addresses import AddressBook
 from yewstage.tenants.registry import Change, Registry
 
 log = logging.getLogger(__name__)
@@ -89,7 +90,8 @@
         self._unowned: set[str] = set()  # removed, and their accounts not yet closed
         self._pulse = Pulse(loop)
         self._random = random.Random(secrets.randbits(64) if seed is None else seed)
-        self._files = HostFiles(loop, self._hosts_changed)
+        self._book = AddressBook()
+        self._files = HostFiles(loop, self._book, self._hosts_changed)
         self._shared = (
             SharedCounter(loop, config.counter, config.count_wait_ms) if config.counter is not None else None
         )
@@ -151,6 +153,7 @@
             for tenant in config.tenants
             for text in router.check_routes(tenant)
         ]
+        faults += self._taken(config)
         if faults:
             raise ConfigFaultsError(faults)
         changes = self._registry.changes(config.tenants)
@@ -178,6 +181,26 @@
             )
         return changes
 
+    def _taken(self, config: model.ServiceConfig) -> list[Fault]:
+        """Hosts that a tenant lists and another tenant's file holds."""
+        files = {
+            tenant.id: {pool.hosts_file for pool in tenant.pools if pool.hosts_file}
+            for tenant in config.tenants
+        }
+        faults = []
+        for tenant in config.tenants:
+            listed = [address for pool in tenant.pools for _, address in pool.addresses]
+            for (host, port), (other, path) in self._book.others(tenant.id, listed).items():
+                if path in files.get(other, ()):
+                    faults.append(
+                        Fault(
+                            "",
+                            f"tenants ({tenant.id}).pools",
+                            f"found {host}:{port}, which {path} lists for tenant {other!r}",
+                        )
+                    )
+        return faults
+
     def _carry_out(self, change: Change) -> None:
         if change.new is None:
             self._remove(change.id)
@@ -195,6 +218,9 @@
             slot.born_ms = self.resources.clock.now_ms()
         slot.tenant = change.new
         slot.rest()
+        self._book.claim(
+            (change.id, ""), [address for pool in change.new.pools for _, address in pool.addresses]
+        )
         self._files.watch(change.new)
         if slot.core is not None:
             slot.core.update(change.new, self._listing(change.new))
@@ -202,6 +228,7 @@
     def _remove(self, tenant_id: str) -> None:
         slot = self._slots.pop(tenant_id)
         self._files.forget(tenant_id)
+        self._book.release((tenant_id, ""))
         if slot.core is not None:
             self._let_go(slot.core)
         elif not any(core.tenant.id == tenant_id for core in self._leaving):
@@ -319,7 +346,7 @@
 
     def _next_turn(self) -> None:
         self._turn = self._loop.call_later(TURN_S, self._next_turn)
-        self.resources.loop.turn()
+        self.resources.turn()
 
     def leftovers(self, tenant_id: str) -> list[str]:
         """What is still held of a tenant that was removed; none once all is given back."""
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -9,7 +9,7 @@
 import socket
 import time
 from collections import deque
-from functools import lru_cache
+from functools import lru_cache, partial
 from typing import Any, Generic, Protocol, TypeVar
 
 import httptools
@@ -382,6 +382,10 @@
             self.transport.close()
 
 
+def _itself(connection: Connection) -> Connection:
+    return connection
+
+
 class Server(Generic[Connection]):
     """Accepts clients while there is room for them."""
 
@@ -398,6 +402,7 @@
         self._listeners: list[socket.socket] = []
         self._accepting = False
         self._pending: set[asyncio.Task] = set()
+        self._coming: set[Connection] = set()  # accepted, and not yet up
 
     def _read_terms(self) -> Terms | None:
         return Terms(self.core.settings)
@@ -442,6 +447,7 @@
 
     def opened(self, connection: Connection) -> None:
         """A connection is up, and silent so far."""
+        self._coming.discard(connection)
         self.connections.add(connection)
         self.waits(connection)
 
@@ -482,7 +488,7 @@
         that had an answer goes first: its client asks again elsewhere, while the first request on a new
         connection that is closed has failed.
         """
-        if len(self.connections) + len(self._pending) < self._most:
+        if self._free():
             return True
         oldest = next(iter(self._kept or self._unheard), None)
         if oldest is None:
@@ -491,6 +497,9 @@
         oldest.transport.abort()
         return True
 
+    def _free(self) -> bool:
+        return len(self.connections) + len(self._coming) < self._most
+
     def _accept(self, listener: socket.socket) -> None:
         # Guards the descriptors: beyond the bound clients wait in the backlog, and a failing accept is
         # tried again later. Neither may end the listener.
@@ -508,14 +517,16 @@
                 self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
                 return
             accepted.setblocking(False)
+            connection = self.connection(self)
+            self._coming.add(connection)
             task = self.loop.create_task(
-                self.loop.connect_accepted_socket(lambda: self.connection(self), accepted))
+                self.loop.connect_accepted_socket(partial(_itself, connection), accepted))
             self._pending.add(task)
-            task.add_done_callback(self._accepted)
+            task.add_done_callback(partial(self._accepted, connection))
 
-    def _accepted(self, task: asyncio.Task) -> None:
-        # Until here the connection counted twice, which may have paused the listener with room left.
+    def _accepted(self, connection: Connection, task: asyncio.Task) -> None:
         self._pending.discard(task)
+        self._coming.discard(connection)
         if not task.cancelled() and task.exception() is not None:
             log.warning("a client was gone before it was taken: %s", task.exception())
         self._resume()
--- a/yewstage/tenants/router.py
+++ b/yewstage/tenants/router.py
@@ -26,23 +26,32 @@
 
 
 @dataclass(slots=True)
-class _Prefixes:
-    """Tenants of one host name by prefix."""
+class _Rules:
+    """Compiled routes, shared by all tenants whose routes are alike: by method and prefix in one word."""
 
-    entries: dict[bytes, Entry] = field(default_factory=dict)
-    depth: int = 0
+    by_word: dict[bytes, tuple[Route, ...]]  # the most specific first
+    depth: int
+    uses: int = 0
 
 
 @dataclass(slots=True)
 class Entry:
-    """A tenant's compiled routes: by prefix, then by method, the most specific first."""
+    """A tenant with its routes."""
 
     tenant: Tenant
-    rules: dict[bytes, dict[bytes, list[Route]]]
-    depth: int
+    rules: _Rules
     gone: bool = False  # the tenant was removed: 410
 
 
+@dataclass(slots=True)
+class _Prefixes:
+    """Tenants of one host name by prefix."""
+
+    entries: dict[bytes, Entry] = field(default_factory=dict)
+    depth: int = 0
+    root: Entry | None = None  # the only one, for all paths: no walk
+
+
 def segments(prefix: bytes) -> bytes:
     """A prefix without its trailing slash: `/` is the empty one."""
     return prefix.rstrip(b"/")
@@ -110,6 +119,7 @@
     def __init__(self) -> None:
         self._hosts: dict[str, _Prefixes] = {}
         self._tombstones: dict[tuple[str, bytes], Entry] = {}  # the oldest first
+        self._rules: dict[tuple[Route, ...], _Rules] = {}  # those in use
         self._header_uses: dict[bytes, int] = {}
         self.headers: frozenset[bytes] = frozenset()  # those that some route goes by
 
@@ -126,7 +136,7 @@
                 faults.append(_both_claim(held.tenant.id, tenant.id, host, prefix))
         if faults:
             raise RouteFault("; ".join(faults))
-        entry = Entry(tenant, *_compile(tenant))
+        entry = Entry(tenant, self._rules_of(tenant))
         for place in _places(tenant):
             self._tombstones.pop(place, None)
             self._place(place, entry)
@@ -139,12 +149,17 @@
             entry = held.entries.get(place[1]) if held is not None else None
             if entry is not None and not entry.gone and entry.tenant.id == tenant.id:
                 self._unplace(place)
+        rules = self._rules.get(tenant.routes)
+        if rules is not None:
+            rules.uses -= 1
+            if not rules.uses:
+                del self._rules[tenant.routes]
         self._count_headers(tenant, -1)
 
     def remove(self, tenant: Tenant) -> None:
         """Take a tenant out; its places answer as gone until another takes them, or many others have gone."""
         self.take_out(tenant)
-        entry = Entry(tenant, {}, 0, gone=True)
+        entry = Entry(tenant, NO_RULES, gone=True)
         for place in _places(tenant):
             while len(self._tombstones) >= MOST_TOMBSTONES:
                 oldest = next(iter(self._tombstones))
@@ -156,35 +171,47 @@
     def find(self, host: str, path: bytes) -> Entry | None:
         """The tenant that a request is for."""
         held = self._hosts.get(host) or self._hosts.get(ANY_HOST)
-        return None if held is None else _longest(held.entries, held.depth, path)
+        if held is None:
+            return None
+        return held.root or _longest(held.entries, held.depth, path)
 
     @staticmethod
     def route(
         entry: Entry, method: bytes, path: bytes, headers: dict[bytes, bytes]
     ) -> Route | frozenset[bytes]:
         """The tenant's route; else the methods that would have had one there (none: no such path)."""
-        allowed: set[bytes] = set()
-        for prefix in _upwards(path, entry.depth):
-            by_method = entry.rules.get(prefix)
-            if by_method is None:
-                continue
-            for route in by_method.get(method, ()):
-                if all(headers.get(name) == value for name, value in route.headers):
+        rules = entry.rules
+        for prefix in _upwards(path, rules.depth):
+            for route in rules.by_word.get(method + prefix, ()):
+                if not route.headers or all(headers.get(name) == value for name, value in route.headers):
                     return route
-            allowed.update(by_method)
-        return frozenset(allowed)
+        return frozenset(
+            word.partition(b"/")[0]
+            for prefix in _upwards(path, rules.depth)
+            for word in rules.by_word
+            if word.partition(b"/")[1:] == prefix.partition(b"/")[1:]
+        )
 
     def _place(self, place: tuple[str, bytes], entry: Entry) -> None:
         held = self._hosts.setdefault(place[0], _Prefixes())
         held.entries[place[1]] = entry
         held.depth = max(held.depth, place[1].count(b"/"))
+        held.root = held.entries.get(b"") if len(held.entries) == 1 else None
 
     def _unplace(self, place: tuple[str, bytes]) -> None:
         held = self._hosts[place[0]]
         del held.entries[place[1]]
+        held.root = held.entries.get(b"") if len(held.entries) == 1 else None
         if not held.entries:
             del self._hosts[place[0]]
 
+    def _rules_of(self, tenant: Tenant) -> _Rules:
+        rules = self._rules.get(tenant.routes)
+        if rules is None:
+            rules = self._rules[tenant.routes] = _compile(tenant.routes)
+        rules.uses += 1
+        return rules
+
     def _count_headers(self, tenant: Tenant, step: int) -> None:
         for name in _headers(tenant):
             uses = self._header_uses.get(name, 0) + step
@@ -205,12 +232,18 @@
     return [(host, segments(prefix)) for host in tenant.host_names for prefix in tenant.path_prefixes]
 
 
-def _compile(tenant: Tenant) -> tuple[dict[bytes, dict[bytes, list[Route]]], int]:
-    rules: dict[bytes, dict[bytes, list[Route]]] = {}
-    for route in sorted(tenant.routes, key=lambda r: -len(r.headers)):
+def _compile(routes: tuple[Route, ...]) -> _Rules:
+    rules: dict[bytes, list[Route]] = {}
+    for route in sorted(routes, key=lambda r: -len(r.headers)):
         for method in route.methods:
-            rules.setdefault(segments(route.prefix), {}).setdefault(method, []).append(route)
-    return rules, max((prefix.count(b"/") for prefix in rules), default=0)
+            rules.setdefault(method + segments(route.prefix), []).append(route)
+    return _Rules(
+        {word: tuple(found) for word, found in rules.items()},
+        max((segments(route.prefix).count(b"/") for route in routes), default=0),
+    )
+
+
+NO_RULES = _Rules({}, 0)
 
 
 def _upwards(path: bytes, depth: int) -> Iterable[bytes]:
--- a/yewstage/tenants/shares.py
+++ b/yewstage/tenants/shares.py
@@ -61,6 +61,10 @@
         """Whether a tenant has an account."""
         return tenant in self._accounts
 
+    def holders(self) -> int:
+        """How many hold something."""
+        return len(self._holders)
+
     def entitled(self, tenant: str) -> float:
         """What a tenant may hold whatever the others want."""
         account = self._accounts[tenant]
--- a/yewstage/tenants/target.py
+++ b/yewstage/tenants/target.py
@@ -6,7 +6,8 @@
 import re
 from dataclasses import dataclass
 
-LABEL = re.compile(r"[a-z0-9_](?:[a-z0-9_-]{0,61}[a-z0-9_])?")
+LABEL = r"[a-z0-9_](?:[a-z0-9_-]{0,61}[a-z0-9_])?"
+NAME = re.compile(rf"{LABEL}(?:\.{LABEL})*")
 PORT = re.compile(r"[0-9]{0,5}")
 UNRESERVED = frozenset(b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~")
 ESCAPE = re.compile(rb"%([0-9A-Fa-f]{2})?")
@@ -83,7 +84,7 @@
     if not PORT.fullmatch(port):
         raise TargetError("Host: its port is no number")
     name = name.removesuffix(".")
-    if len(name) > 253 or not all(LABEL.fullmatch(label) for label in name.split(".")):
+    if len(name) > 253 or not NAME.fullmatch(name):
         raise TargetError("Host: is no host name")
     return name
 
