--- a/Makefile
+++ b/Makefile
@@ -18,8 +18,8 @@
 bench-tenants: $(SET_UP)
 	.venv/bin/python benchmarks/tenants.py
 
-$(SET_UP): requirements.txt requirements-service.txt requirements-dev.txt pyproject.toml
+$(SET_UP): Makefile requirements.txt requirements-service.txt requirements-dev.txt pyproject.toml
 	test -x .venv/bin/python || $(PYTHON) -m venv .venv
 	.venv/bin/pip -q install -r requirements-dev.txt
-	.venv/bin/pip -q install --no-deps -e .
+	.venv/bin/pip -q install --no-deps --config-settings editable_mode=compat -e .
 	touch $@
--- a/benchmarks/tenants.py
+++ b/benchmarks/tenants.py
@@ -216,11 +216,34 @@
     report.tell(
         "CPU with 10,000 tenants and no request", (cpu_s(many.process.pid) - before) / 5 * 100, "% of a core"
     )
+    await reload(report, many, folder / "many.toml")
     await many.stop()
     for node in nodes:
         node.stop()
 
 
+async def reload(report: Report, gateway: Gateway, path: Path) -> None:
+    """How long one request waits at most while 10,000 tenants are read anew and one is another."""
+    path.write_text(path.read_text().replace('"t9999', '"other'))
+    reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
+    took: dict[bool, list[float]] = {False: [], True: []}
+    for reloading in (False, True):
+        if reloading:
+            gateway.reload()
+        end = time.monotonic() + (60 if reloading else 3)
+        while time.monotonic() < end and not (reloading and any("reloaded" in line for line in gateway.log)):
+            began = time.perf_counter()
+            writer.write(b"GET /api/slots/p HTTP/1.1\r\nHost: t0.example\r\n\r\n")
+            await read_answer(reader)
+            took[reloading].append((time.perf_counter() - began) * 1000)
+            await asyncio.sleep(0.002)
+    for reloading, name in ((False, "before"), (True, "while 10,000 tenants are read anew")):
+        found = sorted(took[reloading])
+        report.tell(f"p99 of a lookup {name}", found[int(len(found) * 0.99)], "ms")
+        report.tell(f"longest lookup {name}", found[-1], "ms")
+    writer.close()
+
+
 # --- A flood ----------------------------------------------------------------------------------------------
 
 
@@ -275,9 +298,12 @@
     With a quota (`rate`, units a second of each of 8 partners) the flooded tenant's own module refuses most;
     without one its hosts are overrun, and its module and the shares have to hold it.
     """
-    nodes = subprocess.Popen([sys.executable, __file__, "--nodes", "3"], stdout=subprocess.PIPE, text=True)
-    assert nodes.stdout is not None
-    ports = json.loads(nodes.stdout.readline())
+    # A process for each tenant's host: they have nothing in common but the gateway.
+    nodes = [
+        subprocess.Popen([sys.executable, __file__, "--nodes", "1"], stdout=subprocess.PIPE, text=True)
+        for _ in range(3)
+    ]
+    ports = [port for node in nodes if node.stdout is not None for port in json.loads(node.stdout.readline())]
     gateway, _ = await started(write(folder / "three.toml", 3, ports, rate))
     share = 60.0  # requests a second of each tenant when all are calm
     calm: list[float] = []
@@ -299,8 +325,9 @@
             ratios.append(pair[20] / pair[1])
     finally:
         await gateway.stop()
-        nodes.terminate()
-        nodes.wait()
+        for node in nodes:
+            node.terminate()
+            node.wait()
     report.tell(f"p99 of the third, calm, {how}", statistics.median(calm), "ms")
     report.tell(f"p99 of the third, first at 20 times its share, {how}", statistics.median(pressed), "ms")
     report.tell(f"the same, flooded to calm, median of pairs, {how}", statistics.median(ratios), "ratio", 1.3)
--- a/tests/hosted/test_changes.py
+++ b/tests/hosted/test_changes.py
@@ -20,6 +20,7 @@
 from yewstage.hosted import hostfiles
 from yewstage.hosted import service as service_module
 from yewstage.hosted.config import ConfigFaultsError
+from yewstage.hosted.resources import UNHEARD
 from yewstage.hosted.service import Service
 
 
@@ -191,6 +192,32 @@
     on_loop(scenario)
 
 
+def test_a_tenant_that_comes_back_at_once_finds_what_it_had_spent() -> None:
+    async def scenario() -> None:
+        rig = Hosted("a", "b")
+        rig.per_tenant = {"a": {"default_plan": "small"}}
+        async with rig:
+            later = 3600.0
+            rig.service.resources.clock._offset += later
+            client = await rig.connect()
+            while status(await client.ask(request("a"))) == 200:
+                pass
+            served = rig.service.slot("a").stats.served
+            assert served >= 4
+            rig.apply("b")
+            await rig.until(lambda: not rig.service.leftovers("a"))
+            assert "a" in rig.service._stores
+            rig.apply("a", "b")
+            assert rig.service.resources.clients.holds(UNHEARD) == 1  # its idle connection is nobody's now
+            found = [status(await client.ask(request("a"))) for _ in range(6)]
+            assert found.count(200) <= 1  # what came back in these milliseconds, not a burst anew
+            rig.apply("b")
+            rig.service.resources.clock._offset += later
+            await rig.until(lambda: "a" not in rig.service._stores)
+
+    on_loop(scenario)
+
+
 def test_changed_plans_make_a_new_module_and_what_is_out_ends_with_the_old_one() -> None:
     async def scenario() -> None:
         async with Hosted("a", "b", behave=silent) as rig:
--- a/tests/hosted/test_config.py
+++ b/tests/hosted/test_config.py
@@ -12,7 +12,7 @@
 from conftest import ROOT
 from standins.tenants import table, tables
 
-from yewstage.hosted.config import ConfigFaultsError, load, load_hosts, parse
+from yewstage.hosted.config import ConfigFaultsError, check_files, load, load_hosts, parse
 from yewstage.tenants.model import scope_of
 
 
@@ -194,6 +194,28 @@
         load_hosts(path, "main")
 
 
+def test_several_gateways_need_a_counter_that_they_share() -> None:
+    raw = changed("gateway", {"fleet_size": 2})
+    (told,) = faults(raw)
+    assert told.startswith("f.toml: counter.address: is missing")
+    raw["counter"] = {"address": "127.0.0.1:6400"}
+    assert parse(raw, "f.toml", Path(".")).fleet_size == 2
+
+
+def test_check_looks_into_the_files_of_hosts_too(tmp_path: Path) -> None:
+    (tmp_path / "a.toml").write_text('[[hosts]]\nid="x"\naddress="127.0.0.1:9002"\n')
+    (tmp_path / "c.toml").write_text('[[hosts]]\nid="x"\n')
+    raw = tables(
+        table("a", pools={"main": {"hosts_file": "a.toml"}}),
+        table("b", 9002),
+        table("c", pools={"main": {"hosts_file": "c.toml"}}),
+    )
+    told = check_files(parse(raw, "f.toml", tmp_path))
+    assert len(told) == 2
+    assert "found 127.0.0.1:9002, which is a host of tenant 'b'" in told[0]
+    assert "hosts[0].address: is missing" in told[1]
+
+
 def hillmux(*words: str) -> subprocess.CompletedProcess[str]:
     return subprocess.run(
         [sys.executable, "-m", "yewstage.cli", *words],
@@ -234,11 +256,12 @@
 
 
 def test_the_platforms_start_imports_nothing_of_the_service() -> None:
+    # pathlib (with fnmatch, ntpath and urllib) is half a megabyte of each platform gateway's memory.
     code = (
-        "import sys, yewstage.__main__, yewstage.wirehost; "
-        "print([m for m in sys.modules if m.split('.')[0] in ('click', 'pydantic', 'rich', 'tomli') "
-        "or m.startswith(('yewstage.hosted', 'yewstage.tenants', 'yewstage.counter', 'yewstage.demo', "
-        "'yewstage.cli'))])"
+        "import sys; before = set(sys.modules); import yewstage.__main__, yewstage.wirehost; "
+        "print(sorted(m for m in set(sys.modules) - before if m.split('.')[0] in "
+        "('click', 'pydantic', 'rich', 'tomli', 'tomllib', 'pathlib', 'secrets') or m.startswith(("
+        "'yewstage.hosted', 'yewstage.tenants', 'yewstage.counter', 'yewstage.demo', 'yewstage.cli'))))"
     )
     done = subprocess.run(
         [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=30, check=True
--- a/tests/hosted/test_front.py
+++ b/tests/hosted/test_front.py
@@ -245,3 +245,112 @@
             assert status(await client.read()) == 200
 
     on_loop(scenario)
+
+
+def test_headers_go_through_both_ways_but_for_those_of_one_connection() -> None:
+    async def scenario() -> None:
+        def created(seen: Seen) -> bytes:
+            return (
+                b"HTTP/1.1 201 X\r\nContent-Type: application/json\r\nLocation: /api/9\r\nSet-Cookie: a=1\r\n"
+                b"Set-Cookie: b=2\r\nBilled-Units: 1\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\n{}"
+            )
+
+        async with Hosted("a", behave=created) as rig:
+            client = await rig.connect()
+            client.writer.write(
+                request(
+                    "a",
+                    "/api/pay/p",
+                    "POST",
+                    body="{}",
+                    Content_Type="application/json",
+                    Authorization="Bearer x",
+                    Accept="application/json",
+                    X_Secret="s",
+                    Connection="keep-alive, x-secret",
+                    X_Class="pay-less",
+                    X_Partner="other",
+                    X_Forwarded_For="192.0.2.1",
+                )
+            )
+            head = (await client.reader.readuntil(b"\r\n\r\n")).decode()
+            assert head.startswith("HTTP/1.1 201 ")
+            assert "Location: /api/9\r\n" in head and head.count("Set-Cookie: ") == 2
+            assert "Billed-Units" not in head and "Keep-Alive" not in head
+            assert head.count("Content-Length") == head.count("Content-Type") == 1
+            headers = rig.hosts["a"].seen[0].headers
+            assert headers["authorization"] == "Bearer x" and headers["accept"] == "application/json"
+            assert "x-secret" not in headers and "connection" not in headers
+            assert (headers["x-class"], headers["x-partner"]) == ("pay", "p")
+            assert headers["via"] == "1.1 hillmux" and headers["x-forwarded-for"] == "127.0.0.1"
+
+    on_loop(scenario)
+
+
+@pytest.mark.parametrize("code", [204, 301, 404, 409, 422])
+def test_an_answer_that_is_the_tenants_own_business_is_passed_on_and_not_tried_again(code: int) -> None:
+    async def scenario() -> None:
+        length = b"" if code == 204 else b"Content-Length: 2\r\n"
+        body = b"" if code == 204 else b"no"
+
+        async with Hosted(
+            "a", behave=lambda seen: b"HTTP/1.1 %d X\r\n%b\r\n%b" % (code, length, body)
+        ) as rig:
+            client = await rig.connect()
+            for _ in range(3):  # the connection is fit for the next one
+                answer = await client.ask(request("a"))
+                assert (status(answer), answer.body) == (code, body)
+                assert ("content-length" in answer.headers) == (code != 204)
+            assert len(rig.hosts["a"].seen) == 3
+            assert rig.service.slot("a").stats.served == 3
+
+    on_loop(scenario)
+
+
+def test_a_wrong_method_is_told_the_right_ones() -> None:
+    async def scenario() -> None:
+        async with Hosted("a") as rig:
+            client = await rig.connect()
+            answer = await client.ask(request("a", "/api/x", "PUT"))
+            assert (status(answer), answer.headers["allow"]) == (405, "GET")
+            assert "allow" not in (await client.ask(request("a"))).headers
+
+    on_loop(scenario)
+
+
+def test_retry_after_is_in_whole_seconds_for_clients_at_large() -> None:
+    async def scenario() -> None:
+        rig = Hosted("a")
+        rig.per_tenant = {"a": {"default_plan": "small"}}
+        async with rig:
+            client = await rig.connect()
+            while status(answer := await client.ask(request("a"))) != 429:
+                pass
+            assert answer.headers["retry-after"].isdigit() and int(answer.headers["retry-after"]) >= 1
+
+    on_loop(scenario)
+
+
+def test_what_the_framing_is_faulted_for_is_told() -> None:
+    async def scenario() -> None:
+        async with Hosted("a") as rig:
+            twice = await rig.ask(request("a", host="a.example\r\nHost: a.example"))
+            assert (status(twice), json.loads(twice.body)["detail"]) == (400, "a header came twice")
+            long = await rig.ask(request("a", "/api/pay/p", "POST").replace(b": 0\r\n", b": 99999\r\n"))
+            assert status(long) == 413 and json.loads(long.body)["detail"] == "Content-Length"
+            noise = await rig.ask(b"\x16\x03\x01\r\n\r\n")
+            assert status(noise) == 400 and "HTTP/1.1" in json.loads(noise.body)["detail"]
+
+    on_loop(scenario)
+
+
+def test_a_fault_of_ours_in_taking_a_request_is_answered_and_harms_no_other() -> None:
+    async def scenario() -> None:
+        async with Hosted("a", "b") as rig:
+            slot = rig.service.slot
+            rig.service.slot = lambda name: 1 / 0 if name == "a" else slot(name)
+            client = await rig.connect()
+            client.writer.write(request("a") + request("b"))
+            assert [status(await client.read()) for _ in range(2)] == [500, 200]
+
+    on_loop(scenario)
--- a/tests/hosted/test_isolation.py
+++ b/tests/hosted/test_isolation.py
@@ -245,6 +245,29 @@
     on_loop(scenario)
 
 
+def test_bodies_that_never_end_fill_no_memory_but_their_own_share() -> None:
+    async def scenario() -> None:
+        async with Hosted("a", "b", limits={"buffer_mb": 1, "sockets": 1024}) as rig:
+            buffer, peaks = rig.service.resources.buffer, []
+            half = request("a", "/api/pay/p", "POST").replace(b": 0\r\n", b": 60000\r\n") + b"x" * 50_000
+            clients = []
+            for _ in range(60):
+                client = await rig.connect()
+                client.writer.write(half)
+                clients.append(client)
+                assert await rig.status(request("b", "/api/pay/p", "POST", body="y" * 20_000)) == 200
+                peaks.append(buffer.held)
+            assert max(peaks) > 0.7 * buffer.whole
+            assert max(peaks) <= buffer.whole + 60_000
+            told = await clients[-1].read()
+            assert status(told) == 503 and json.loads(told.body)["detail"] == "gateway_share"
+            for client in clients:
+                client.writer.close()
+            await rig.until(lambda: buffer.held == 0)
+
+    on_loop(scenario)
+
+
 def test_dials_that_never_come_up_leave_dials_to_the_others() -> None:
     async def scenario() -> None:
         with socket.create_server((LOOP, 0), backlog=0) as full:
--- a/tests/hosted/test_rest.py
+++ b/tests/hosted/test_rest.py
@@ -54,7 +54,7 @@
                 later(rig, 5)
                 await rig.until(lambda: core._dozing or core.empty())
             await rig.until(lambda: core.empty())
-            assert rig.service._awake == {} and rig.service.slot("a").store is None
+            assert rig.service._awake == {} and rig.service._stores == {}
             assert rig.service.slot("a").born_ms == born
             client = await rig.connect()
             found = [status(await client.ask(request("a"))) for _ in range(8)]
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -105,8 +105,8 @@
     assert mine == [x for x in alone if x != "OK"]
 
 
-def test_readme_example_runs() -> None:
-    code = re.search(r"```python\n(.*?)```", (ROOT / "README.md").read_text(), re.S)
+def test_the_page_s_example_runs() -> None:
+    code = re.search(r"```python\n(.*?)```", (ROOT / "docs" / "platform.md").read_text(), re.S)
     assert code
     done = subprocess.run([sys.executable, "-c", code[1]], capture_output=True, text=True, cwd=ROOT,
                           check=False)
--- a/yewstage/cli.py
+++ b/yewstage/cli.py
@@ -52,16 +52,9 @@
 def check(path: Path) -> None:
     """Look a configuration over and tell every fault in it, without starting anything."""
     config = _load(path)
-    from yewstage.hosted.config import load_hosts
-
-    faults = []
-    for tenant in config.tenants:
-        for pool in tenant.pools:
-            if pool.hosts_file:
-                try:
-                    load_hosts(Path(pool.hosts_file), pool.name)
-                except ConfigFaultsError as error:
-                    faults.append(str(error))
+    from yewstage.hosted.config import check_files
+
+    faults = check_files(config)
     if faults:
         _fail("\n".join(faults))
     click.echo(
--- a/yewstage/hosted/config.py
+++ b/yewstage/hosted/config.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import tomllib
 from collections.abc import Iterable
 from dataclasses import dataclass
 from functools import cache
 from pathlib import Path
+from types import ModuleType
 from typing import Any
 
 import tomli
@@ -14,6 +16,7 @@
 from yewstage import interface as api
 from yewstage.hosted import shape
 from yewstage.tenants import model, router
+from yewstage.tenants.addresses import AddressBook
 
 MOST_FAULTS = 100  # told at once
 SHOWN = 60  # characters of what was found
@@ -48,22 +51,22 @@
     return TypeAdapter(kind)
 
 
-def load(path: Path) -> model.ServiceConfig:
-    """The configuration in a file.
+def load(path: Path, gently: bool = False) -> model.ServiceConfig:
+    """The configuration in a file; `gently`: slower, and other threads are not held up.
 
     Raises:
         ConfigFaultsError: with every fault that was found.
     """
-    return parse(read_toml(path), str(path), path.parent)
+    return parse(read_toml(path, tomllib if gently else tomli), str(path), path.parent)
 
 
-def read_toml(path: Path) -> dict[str, Any]:
+def read_toml(path: Path, reader: ModuleType = tomli) -> dict[str, Any]:
     """A file's tables; ConfigFaultsError where it is none."""
     try:
-        return tomli.loads(path.read_text(encoding="utf-8"))
+        return dict(reader.loads(path.read_text(encoding="utf-8")))
     except OSError as error:
         raise ConfigFaultsError([Fault(str(path), "", f"cannot be read: {error.strerror}")]) from None
-    except (UnicodeDecodeError, tomli.TOMLDecodeError) as error:
+    except (UnicodeDecodeError, tomli.TOMLDecodeError, tomllib.TOMLDecodeError) as error:
         raise ConfigFaultsError([Fault(str(path), "", f"is no TOML in UTF-8: {error}")]) from None
 
 
@@ -84,6 +87,9 @@
                 f"{head.gateway.fleet_size - 1} (below fleet_size)",
             )
         )
+    if head.gateway.fleet_size > 1 and head.counter.address is None:
+        text = f"is missing, expected HOST:PORT: gateway.fleet_size is {head.gateway.fleet_size}"
+        faults.append(Fault(file, "counter.address", text))
     tenants: list[model.Tenant] = []
     maker = _Maker(head, file, folder, faults)
     for i, entry in enumerate(head.tenants):
@@ -101,6 +107,7 @@
         state_folder=str(folder / head.state_folder) if head.state_folder else "",
         number=head.gateway.number,
         fleet_size=head.gateway.fleet_size,
+        drain_s=head.gateway.drain_s,
         counter=head.counter.address,
         count_wait_ms=COUNT_PATIENCE * head.counter.wait_ms,
         limits=model.Limits(
@@ -136,6 +143,32 @@
     return faults
 
 
+def check_files(config: model.ServiceConfig) -> list[str]:
+    """What is wrong with the files of hosts that a configuration names, one by one and together."""
+    book, faults = AddressBook(), list[str]()
+    for tenant in config.tenants:
+        book.claim((tenant.id, ""), [address for pool in tenant.pools for _, address in pool.addresses])
+    for tenant in config.tenants:
+        for pool in tenant.pools:
+            if not pool.hosts_file:
+                continue
+            try:
+                addresses = [address for _, address in load_hosts(Path(pool.hosts_file), pool.name)[1]]
+            except ConfigFaultsError as error:
+                faults += [str(fault) for fault in error.faults]
+                continue
+            faults += [
+                str(
+                    Fault(
+                        pool.hosts_file, "hosts", f"found {host}:{port}, which is a host of tenant {other!r}"
+                    )
+                )
+                for (host, port), (other, _) in book.others(tenant.id, addresses).items()
+            ]
+            book.claim((tenant.id, pool.hosts_file), addresses)
+    return faults
+
+
 def load_hosts(path: Path, pool: str) -> tuple[tuple[api.Server, ...], tuple[tuple[str, model.Address], ...]]:
     """A pool's file of hosts: servers, and addresses by name. ConfigFaultsError where it is none."""
     faults: list[Fault] = []
--- a/yewstage/hosted/core.py
+++ b/yewstage/hosted/core.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable
 from itertools import islice
-from typing import Protocol
+from typing import Any, Protocol, cast
 
 from yewstage import interface as api
 from yewstage.hosted.resources import SHARE, Resources
@@ -27,6 +27,24 @@
 LOOKED_AT = 16  # newest requests, of which one gives way
 NO_MODULE_MS = 1000.0  # Retry-After of what the service itself refuses
 CONFLICT = "conflict"
+LINES_KEPT = b":lines"  # no header can be called so
+# Of an answer, these are for one connection only (RFC 9110 section 7.6.1), or between host and gateway.
+OWN_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"content-type",
+        b"billed-units",
+        b"x-not-run",
+        b"x-load",
+    )
+)
 
 
 class TenantCounter(CounterClient, Protocol):
@@ -36,9 +54,24 @@
         """Reply no more."""
 
 
+class TenantHostConnection(_Connection):
+    """One connection to a tenant's host; keeps the header lines that the client gets, too."""
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        super().on_header(name, value)
+        if name.lower() not in OWN_HEADERS and b":done" not in self._headers:
+            self._headers[LINES_KEPT] = b"%b%b: %b\r\n" % (self._headers.get(LINES_KEPT, b""), name, value)
+
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        self._headers[b":done"] = b""  # what still comes are trailers
+
+
 class TenantHosts(Hosts):
     """A tenant's connections, held against its shares."""
 
+    connection = TenantHostConnection
+
     def __init__(
         self,
         tenant: Tenant,
@@ -50,6 +83,12 @@
         super().__init__(loop, int(resources.hosts.whole), tenant.dial_ms, tenant.idle_ms, ended)
         self._tenant, self._resources, self._make_room = tenant.id, resources, make_room
 
+    def judge(self, reply: Reply) -> str:
+        """An answer that is the tenant's own business, a 404 as much as a 201, was served."""
+        if 200 <= reply.status < 500 and reply.status not in (408, 429):
+            return api.OK
+        return super().judge(reply)
+
     def empty(self) -> bool:
         """Whether no connection is left, nor a dial."""
         return not self._connections and not self._dials
@@ -209,7 +248,7 @@
         self, request: _Open | None, status: int, reply: Reply | None = None, retry_after_ms: float = 0.0
     ) -> None:
         if request is not None and request.client is not None:
-            if status == 200:
+            if reply is not None:
                 self.stats.served += 1
                 self.stats.times.add((time.monotonic() - request.order.read_at) * 1000)
             elif status in (429, 503):
@@ -219,6 +258,11 @@
                 self.cause = "failed"
         super()._answer(request, status, reply, retry_after_ms)
 
+    def _pass_on(self, client: Client, reply: Reply) -> None:
+        cast(Any, client).passing = True
+        cast(Any, client).more = reply.headers.get(LINES_KEPT, b"")
+        super()._pass_on(client, reply)
+
     def _refuse(self, act: api.Refuse) -> None:
         self.cause = act.cause
         status = 429 if act.cause in (api.QUOTA, api.CEILING) else 503
--- a/yewstage/hosted/front.py
+++ b/yewstage/hosted/front.py
@@ -4,16 +4,18 @@
 
 import asyncio
 import json
+import logging
 import re
 import secrets
 import select
 import socket
 import time
+from collections.abc import Callable
 from typing import Any, Protocol, cast
 
 from yewstage import interface as api
 from yewstage.hosted.core import CONFLICT, NO_MODULE_MS, TenantCore
-from yewstage.hosted.resources import CROWDED, DRAINING, UNHEARD, Resources
+from yewstage.hosted.resources import CROWDED, DRAINING, SHARE, UNHEARD, Resources
 from yewstage.hosted.stats import Stats
 from yewstage.net.clients import (
     DEADLINE,
@@ -31,7 +33,35 @@
 from yewstage.tenants.router import Entry, Router
 from yewstage.tenants.target import Target, TargetError, read_target
 
+log = logging.getLogger(__name__)
+
 READY = b"/ready"
+FAULTS = {408: "the request took too long to come", 413: "the body is longer than may be passed on"}
+# Of a request, these are for one connection only (RFC 9110 section 7.6.1), or made anew for the host.
+# `connection` is kept until what it names is known.
+OWN_HEADERS = frozenset(
+    (
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"host",
+        b"content-length",
+        b"content-type",
+        b"expect",
+        b"x-request-id",
+        b"x-class",
+        b"x-partner",
+        b"idempotency-key",
+        b"x-deadline",
+        b"plan",
+        b"quota-info",
+        b"x-retry",
+    )
+)
 SEND_BUFFER = 64 * 1024  # bytes of answers that the system holds for a client
 CUSTOMER = re.compile(r"[!-~]{1,128}")
 WANTED_HERE = WANTED | {b"host"}
@@ -51,6 +81,16 @@
 }
 
 
+class _TenantMessage(_Message):
+    """One request, with the header lines that go on to the host unchanged."""
+
+    __slots__ = ("rest",)
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.rest: list[tuple[bytes, bytes]] = []
+
+
 class Slot(Protocol):
     """What the front needs of a tenant."""
 
@@ -75,6 +115,7 @@
     draining: bool
     router: Router
     resources: Resources
+    disown: Callable[[str], None]  # called with each tenant that is gone
 
     def slot(self, tenant_id: str) -> Slot:
         """A tenant that the router names."""
@@ -92,13 +133,18 @@
 class TenantConnection(ClientConnection):
     """One connection; it may carry requests of many tenants, and belongs to the last one's."""
 
+    message = _TenantMessage
+
     def __init__(self, server: TenantServer) -> None:
         super().__init__(server)
         self._front = server
         self._service = server.service
         self.owner = UNHEARD
         self.unread = 0  # bytes answered that the client has not read, held against the owner's share
-        self._title = ""
+        self.reading = 0  # bytes of requests that are not yet taken, held likewise
+        self._title = self._fault = ""
+        self._peer = b""
+        self.passing = False  # the answer that is being written is a host's
 
     @property
     def wanted(self) -> frozenset[bytes]:  # type: ignore[override]
@@ -108,15 +154,19 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # Guards the system's memory, too: it would take megabytes for a client that does not read.
         transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
+        self._peer = str((transport.get_extra_info("peername") or ("",))[0]).encode()
         super().connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
         began = time.perf_counter()
         super().data_received(data)
+        self._hold_request()
         self._spent(time.perf_counter() - began)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._hold(0)
+        self._service.resources.buffer.give(self.owner, self.reading)
+        self.reading = 0
         super().connection_lost(exc)
 
     def pause_writing(self) -> None:
@@ -127,8 +177,19 @@
         self._hold(self.transport.get_write_buffer_size())
         super().resume_writing()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        super().on_header(name, value)
+        name = name.lower()
+        if name not in OWN_HEADERS:
+            assert isinstance(self._message, _TenantMessage)
+            self._message.rest.append((name, value))
+
     def on_headers_complete(self) -> None:
-        super().on_headers_complete()
+        try:
+            super().on_headers_complete()
+        except BadRequestError as error:
+            self._fault = str(error)
+            raise
         assert self._message is not None
         self._message.old = self._parser.get_http_version() == "1.0"
 
@@ -145,7 +206,7 @@
 
     def _hold(self, unread: int) -> None:
         """Hold what the client has not read against the owner's share; one beyond it has to go."""
-        if unread == self.unread or self.owner == UNHEARD:
+        if unread == self.unread:
             return
         buffer, more = self._service.resources.buffer, unread - self.unread
         self.unread = unread
@@ -158,13 +219,41 @@
         if not buffer.within(self.owner, 0.0):
             self.transport.abort()  # the client can tell that its answer is not whole
 
+    def _hold_request(self) -> None:
+        """Hold what has come of requests that are not yet taken; one beyond its share is turned away."""
+        size = 0 if self._message is None else self._message.head + self._message.size
+        for item in self._queue:
+            size += 0 if isinstance(item, int) else item.head + item.size
+        buffer, more = self._service.resources.buffer, size - self.reading
+        if more <= 0 or self.transport.is_closing():
+            more = max(more, -self.reading)
+            buffer.give(self.owner, -min(more, 0))
+            self.reading += min(more, 0)
+            return
+        self.reading = size
+        if not buffer.take(self.owner, more):
+            buffer.charge(self.owner, more)
+            if not buffer.within(self.owner, 0.0):
+                self._reject(503)
+                self._pump()
+
     def _own(self, owner: str) -> None:
         """The connection carries a request of this tenant now."""
         if owner != self.owner:
             self._hold(0)
+            self._service.resources.buffer.give(self.owner, self.reading)
+            self.reading = 0
             self._front.moved(self, owner)
             self.owner = owner
 
+    def disown(self) -> None:
+        """Its tenant is gone; the connection, owed nothing, is nobody's."""
+        self._server.owes(self)
+        unread = self.unread
+        self._own(UNHEARD)
+        self._hold(unread)
+        self._server.waits(self)
+
     def _take(self, item: _Message | int) -> None:
         self._busy = True
         self._server.owes(self)
@@ -172,14 +261,22 @@
         self._title = ""
         try:
             if isinstance(item, int):
-                raise BadRequestError("unreadable", item)
+                raise BadRequestError(self._fault or FAULTS.get(item, "no HTTP/1.1 request"), item)
             self._keep_alive = item.keep_alive
             self._serve(item)
         except BadRequestError as error:
             self._title = str(error)
+            if error.status == 503:
+                self._title = SHARE
             if error.status not in RETURNED:
                 self._keep_alive = False  # guards against a flood on one connection: it has to come again
             self.answer(error.status)
+        except Exception:
+            # Guards the one answer, and the others on this connection, against a fault of ours.
+            log.exception("a request could not be taken")
+            if self._busy:
+                self._title = "gateway fault"
+                self.answer(500)
 
     def _serve(self, message: _Message) -> None:
         try:
@@ -239,7 +336,9 @@
         if isinstance(route, frozenset):
             if not route:
                 raise BadRequestError("no route of this tenant has this path", 404)
-            raise BadRequestError("expected " + ", ".join(sorted(m.decode() for m in route)), 405)
+            allowed = ", ".join(sorted(m.decode() for m in route))
+            self.more = b"Allow: %b\r\n" % allowed.encode()
+            raise BadRequestError(f"method: expected {allowed}", 405)
         partner = (
             headers.get(tenant.partner_header, b"")
             if tenant.partner_header
@@ -273,16 +372,21 @@
             first,
             headers.get(b"x-retry") == b"1",
             message.read_at,
-            _head(message, target, route, cls, rid, partner),
+            _head(message, target, route, cls, rid, partner, self._peer),
             b"".join(message.body),
             route.pool,
         )
 
+    def _retry_after(self, wait_ms: float) -> bytes:
+        """Whole seconds, as clients at large read it (RFC 9110 section 10.2.3)."""
+        return b"Retry-After: %d\r\n" % max(-(-wait_ms // 1000), 1)
+
     def answer(
         self, status: int, body: bytes = b"", content_type: bytes = b"", retry_after_ms: float = 0.0
     ) -> None:
         """The one answer; without a body of its own it says why in one (RFC 9457)."""
-        if status != 200 and not body:
+        passed_on, self.passing = self.passing, False
+        if status != 200 and not passed_on:
             detail = self._title or (self._core.cause if isinstance(self._core, TenantCore) else "")
             body = json.dumps(
                 {"status": status, "title": TITLES.get(status, "bad request"), "detail": detail}
@@ -292,11 +396,18 @@
             self._keep_alive = False
         super().answer(status, body, content_type, retry_after_ms)
         if not self.transport.is_closing():
+            self._hold_request()
             self._hold(self.transport.get_write_buffer_size())
 
 
 def _head(
-    message: _Message, target: Target, route: model.Route, cls: api.RequestClass, rid: bytes, partner: str
+    message: _Message,
+    target: Target,
+    route: model.Route,
+    cls: api.RequestClass,
+    rid: bytes,
+    partner: str,
+    peer: bytes,
 ) -> bytes:
     """The head for the host: method, target in origin form, id, key, class and partner."""
     headers, key = message.headers, message.headers.get(b"idempotency-key")
@@ -323,9 +434,29 @@
         lines.append(b"Content-Length: %d\r\n" % message.size)
     if b"content-type" in headers:
         lines.append(b"Content-Type: %b\r\n" % headers[b"content-type"])
+    lines += _rest(message)
+    lines.append(b"X-Forwarded-For: %b\r\nVia: 1.1 hillmux\r\n" % peer)
     return b"".join(lines)
 
 
+def _rest(message: _Message) -> list[bytes]:
+    """The client's own header lines, but for those that it says are for this connection only."""
+    assert isinstance(message, _TenantMessage)
+    named = frozenset(
+        token.strip().lower()
+        for name, value in message.rest
+        if name == b"connection"
+        for token in value.split(b",")
+    )
+    if any(b"\r" in value or b"\n" in value for _, value in message.rest):
+        raise BadRequestError("headers: a value goes over more than one line")
+    return [
+        b"%b: %b\r\n" % (name, value)
+        for name, value in message.rest
+        if name != b"connection" and name not in named
+    ]
+
+
 class TenantServer(Server[TenantConnection]):
     """Accepts clients for all tenants; when descriptors run out, whoever holds more than its part gives."""
 
@@ -337,6 +468,7 @@
         self._wanted: frozenset[bytes] = WANTED_HERE
         self._routed: frozenset[bytes] = frozenset()
         self._reclaiming = False
+        service.disown = self.disown
         super().__init__(cast(Any, service), loop, sockets)
 
     def _read_terms(self) -> None:
@@ -358,6 +490,11 @@
             self.service.resources.clients.give(connection.owner)
         super().closed(connection)
 
+    def disown(self, owner: str) -> None:
+        """A tenant is gone: its idle connections are nobody's."""
+        for connection in list(self._idle.get(owner, ())):
+            connection.disown()
+
     def moved(self, connection: TenantConnection, owner: str) -> None:
         """A connection carries another tenant's request than before."""
         clients = self.service.resources.clients
--- a/yewstage/hosted/resources.py
+++ b/yewstage/hosted/resources.py
@@ -29,6 +29,7 @@
         self.loop = Shares(limits.loop_share * TURN_S)  # seconds, by the turn
         self._all = (self.open, self.buffer, self.clients, self.hosts, self.dials, self.lines, self.loop)
         self.clients.know(UNHEARD, 1.0)
+        self.buffer.know(UNHEARD, 1.0)
         self._second = 0
         self._was_shared = False  # the last turn was of more than one tenant
         self.lines_left_out = 0
--- a/yewstage/hosted/serve.py
+++ b/yewstage/hosted/serve.py
@@ -9,18 +9,20 @@
 import os
 import resource
 import signal
+import sys
 from collections.abc import Callable
 from pathlib import Path
 
 from yewstage.hosted.config import ConfigFaultsError, load
 from yewstage.hosted.front import TenantServer
-from yewstage.hosted.service import Service
+from yewstage.hosted.service import Prepared, Service
 from yewstage.net.life import Shutdown
-from yewstage.tenants.model import Address, ServiceConfig
+from yewstage.tenants.model import Address, ServiceConfig, Tenant
 
 log = logging.getLogger(__name__)
 
 GC_ALLOCATIONS = 20_000
+SWITCH_S = 0.0005  # how long the reading thread may keep the loop waiting
 LOCK = "hillmux.lock"
 
 
@@ -68,14 +70,34 @@
         while True:
             self._again = False
             try:
-                config = await asyncio.to_thread(load, self._path)  # the loop goes on serving meanwhile
-                self._service.apply(config)
-                log.info("reloaded: %d tenants", len(config.tenants))
+                prepared = await self._prepare()
+                self._service.carry_out(prepared)
+                log.info("reloaded: %d tenants", len(prepared.config.tenants))
             except ConfigFaultsError as error:
                 log.error("reload: the configuration is kept: %s", error)
             if not self._again:
                 return
 
+    async def _prepare(self) -> Prepared:
+        """Read and compare in another thread, while the loop goes on serving.
+
+        Guards the requests of all tenants against a stall: with 10,000 tenants the compiled reader held the
+        loop for half a second, a collection of all that was read for a tenth.
+        """
+        interval = sys.getswitchinterval()
+        sys.setswitchinterval(SWITCH_S)
+        gc.disable()
+        try:
+            return await asyncio.to_thread(_read_gently, self._path, self._service.tenants())
+        finally:
+            gc.enable()
+            sys.setswitchinterval(interval)
+
+
+def _read_gently(path: Path, before: dict[str, Tenant]) -> Prepared:
+    """Read a configuration with the reader that lets other threads run; the compiled one holds them up."""
+    return Service.prepare(load(path, gently=True), before)
+
 
 def allowed_sockets(wanted: int) -> int:
     """The descriptors that the process may use: the system's own limit may be lower."""
@@ -92,7 +114,7 @@
     folder.open()
     service = Service(config, loop)
     server = TenantServer(service, loop, allowed_sockets(config.limits.sockets))
-    shutdown = Shutdown(service, server, loop)
+    shutdown = Shutdown(service, server, loop, config.drain_s)
     reloader = Reloader(path, service)
     try:
         service.start()
--- a/yewstage/hosted/service.py
+++ b/yewstage/hosted/service.py
@@ -6,6 +6,7 @@
 import logging
 import random
 import secrets
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from yewstage import interface as api
@@ -21,7 +22,7 @@
 from yewstage.net.discovery import Listing
 from yewstage.tenants import model, router
 from yewstage.tenants.addresses import AddressBook
-from yewstage.tenants.registry import Change, Registry
+from yewstage.tenants.registry import Change, Registry, changes_between
 
 log = logging.getLogger(__name__)
 
@@ -31,6 +32,16 @@
 TIDY_S = 1.0
 
 
+@dataclass(slots=True, frozen=True)
+class Prepared:
+    """A configuration that was looked over, and what it changes."""
+
+    config: model.ServiceConfig
+    before: dict[str, model.Tenant]  # the tenants that it was compared with
+    changes: list[Change]
+    files: dict[str, set[str]]  # the files of hosts of each tenant
+
+
 @dataclass(slots=True)
 class Slot:
     """What is kept of a tenant whether it is awake or not."""
@@ -38,7 +49,6 @@
     tenant: model.Tenant
     born_ms: float  # since when its ceilings have been earning
     core: TenantCore | None = None
-    store: Store | None = None  # its counts, where they are embedded; none until the first
     _stats: Stats | None = field(default=None)
     _plans: dict[str, str] | None = field(default=None)
     _terms: Terms | None = field(default=None)
@@ -73,6 +83,10 @@
         self._plans = self._terms = None
 
 
+def _nobody(tenant_id: str) -> None:
+    """No front has connections."""
+
+
 class Service:
     """All tenants of a process."""
 
@@ -83,10 +97,14 @@
         self.resources = Resources(config.limits)
         self.router = router.Router()
         self.draining = False
+        self.disown: Callable[[str], None] = _nobody
         self._registry = Registry()
         self._slots: dict[str, Slot] = {}
         self._awake: dict[str, TenantCore] = {}
         self._leaving: set[TenantCore] = set()  # of tenants that were removed, or whose settings changed
+        self._stores: dict[
+            str, Store
+        ] = {}  # counts by tenant, where they are embedded; they outlive removals
         self._unowned: set[str] = set()  # removed, and their accounts not yet closed
         self._pulse = Pulse(loop)
         self._random = random.Random(secrets.randbits(64) if seed is None else seed)
@@ -147,16 +165,38 @@
         Raises:
             ConfigFaultsError: tenants or routes contradict each other; nothing has changed then.
         """
+        return self.carry_out(self.prepare(config, self.tenants()))
+
+    def tenants(self) -> dict[str, model.Tenant]:
+        """The tenants that are served, as they are now."""
+        return dict(self._registry.tenants)
+
+    @staticmethod
+    def prepare(config: model.ServiceConfig, before: dict[str, model.Tenant]) -> Prepared:
+        """Look a configuration over and find what has to change: all of the work that grows with the tenants,
+        which may be done in another thread. Raises as `apply` does."""
         faults = [Fault("", "tenants", text) for text in check_together(config.tenants)]
         faults += [
             Fault("", f"tenants ({tenant.id}).routes", text)
             for tenant in config.tenants
             for text in router.check_routes(tenant)
         ]
-        faults += self._taken(config)
         if faults:
             raise ConfigFaultsError(faults)
-        changes = self._registry.changes(config.tenants)
+        files = {
+            tenant.id: {pool.hosts_file for pool in tenant.pools if pool.hosts_file}
+            for tenant in config.tenants
+        }
+        return Prepared(config, before, changes_between(before, config.tenants), files)
+
+    def carry_out(self, prepared: Prepared) -> list[Change]:
+        """Go over to what was prepared; raises as `apply` does."""
+        if prepared.before != self._registry.tenants:  # another change came in between
+            prepared = self.prepare(prepared.config, self.tenants())
+        config, changes = prepared.config, prepared.changes
+        faults = self._taken(prepared)
+        if faults:
+            raise ConfigFaultsError(faults)
         for change in changes:  # first all that goes: a place is free then for who takes it over
             if change.old is not None and change.new is not None:
                 self.router.take_out(change.old)
@@ -181,14 +221,10 @@
             )
         return changes
 
-    def _taken(self, config: model.ServiceConfig) -> list[Fault]:
-        """Hosts that a tenant lists and another tenant's file holds."""
-        files = {
-            tenant.id: {pool.hosts_file for pool in tenant.pools if pool.hosts_file}
-            for tenant in config.tenants
-        }
-        faults = []
-        for tenant in config.tenants:
+    def _taken(self, prepared: Prepared) -> list[Fault]:
+        """Hosts that a changed tenant lists and another tenant's file holds."""
+        files, faults = prepared.files, []
+        for tenant in [change.new for change in prepared.changes if change.new is not None]:
             listed = [address for pool in tenant.pools for _, address in pool.addresses]
             for (host, port), (other, path) in self._book.others(tenant.id, listed).items():
                 if path in files.get(other, ()):
@@ -304,9 +340,8 @@
         if self._shared is not None:
             counter = ScopedCounter(self._shared, model.scope_of(tenant.id), core._post)
         else:
-            if slot.store is None:
-                slot.store = Store(MOST_NAMES)
-            counter = EmbeddedCounter(slot.store, self.resources.clock.now_ms, core._post)
+            store = self._stores.setdefault(tenant.id, Store(MOST_NAMES))
+            counter = EmbeddedCounter(store, self.resources.clock.now_ms, core._post)
         core.start(slot.born_ms, self._listing(tenant), counter)
         return core
 
@@ -319,25 +354,38 @@
         slot = self._slots.get(core.tenant.id)
         if slot is None or slot.core is not core or self.draining:
             return
-        if slot.store is not None:
-            slot.store.sweep(self.resources.clock.now_ms())
-            if len(slot.store):
-                return  # a count's life is not over
-            slot.store = None
+        if not self._emptied(core.tenant.id):
+            return  # a count's life is not over
         slot.core = None
         slot.rest()
         self._awake.pop(core.tenant.id, None)
         self._leaving.add(core)
         core.leave()
 
+    def _emptied(self, tenant_id: str) -> bool:
+        """Whether no count of a tenant is left; what held them is gone then."""
+        store = self._stores.get(tenant_id)
+        if store is not None:
+            store.sweep(self.resources.clock.now_ms())
+            if len(store):
+                return False
+            del self._stores[tenant_id]
+        return True
+
     def _tidy_up(self) -> None:
         """Give back all that tenants held which have gone, once their last connection has ended."""
         self._tidy = self._loop.call_later(TIDY_S, self._tidy_up)
+        # A tenant that comes back within the life of its counts finds them: removing it gives no allowance.
+        for tenant_id in [tenant_id for tenant_id in self._stores if tenant_id not in self._slots]:
+            self._emptied(tenant_id)
         for core in [core for core in self._leaving if core.empty()]:
             self._leaving.discard(core)
             tenant_id = core.tenant.id
             if tenant_id not in self._slots:
                 self._unowned.add(tenant_id)
+        for tenant_id in self._unowned - self._slots.keys():
+            if not any(core.tenant.id == tenant_id for core in self._leaving):
+                self.disown(tenant_id)
         self._unowned -= {
             tenant_id
             for tenant_id in self._unowned
--- a/yewstage/hosted/shape.py
+++ b/yewstage/hosted/shape.py
@@ -180,6 +180,7 @@
     name: Word = "hillmux"
     number: Annotated[int, Field(ge=0)] = 0
     fleet_size: Annotated[int, Field(ge=1, le=1000)] = 1
+    drain_s: Annotated[float, Field(ge=0, le=3600)] = 25.0
 
 
 class ListenerShape(Shape):
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -16,7 +16,7 @@
 
 from yewstage import interface as api
 from yewstage.net.core import Client, Order
-from yewstage.net.http1 import LONGEST_BODY
+from yewstage.net.http1 import LONGEST_BODY, NO_BODY
 
 log = logging.getLogger(__name__)
 Connection = TypeVar("Connection", bound="ClientConnection")
@@ -174,6 +174,8 @@
     """One connection of a client: requests are taken one at a time, in order."""
 
     wanted = WANTED  # the headers that are kept
+    message: type[_Message] = _Message  # what one request is read into
+    more = b""  # further header lines of the answer that is being written
 
     def __init__(self, server: Server[Any]) -> None:
         self._server, self._core = server, server.core
@@ -241,7 +243,7 @@
     def on_message_begin(self) -> None:
         if len(self._queue) > MOST_AHEAD:
             raise BadRequestError("too many requests at once")  # guards the memory and others' turns
-        self._message = _Message()
+        self._message = self.message()
 
     def on_url(self, url: bytes) -> None:
         self._message.url += url
@@ -340,11 +342,16 @@
             return
         self._server.waits(self)
         keep = self._keep_alive and not self._core.draining
-        parts = [LINES[status], b"Content-Length: %d\r\n" % len(body)]
+        parts = [LINES.get(status) or b"HTTP/1.1 %d \r\n" % status]
+        if status not in NO_BODY:
+            parts.append(b"Content-Length: %d\r\n" % len(body))
         if content_type:
             parts.append(b"Content-Type: %b\r\n" % content_type)
         if retry_after_ms > 0:
-            parts.append(b"Retry-After: %.3f\r\n" % (retry_after_ms / 1000))
+            parts.append(self._retry_after(retry_after_ms))
+        if self.more:
+            parts.append(self.more)
+            self.more = b""
         parts.append(b"\r\n" if keep else b"Connection: close\r\n\r\n")
         parts.append(body)
         self.transport.write(b"".join(parts))
@@ -352,6 +359,10 @@
             self._end(status)
         self._pump()
 
+    def _retry_after(self, wait_ms: float) -> bytes:
+        """The header's line; the platform reads decimals."""
+        return b"Retry-After: %.3f\r\n" % (wait_ms / 1000)
+
     def _end(self, status: int) -> None:
         """Close after the last answer. What a rejected client still sends is read for a while: a close with
         unread data resets the connection, and the answer with it."""
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -6,7 +6,6 @@
 import resource
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, replace
-from pathlib import Path
 
 from yewstage import interface as api
 from yewstage import wire
@@ -47,7 +46,8 @@
     if not path:
         raise ConfigError("ROUTER_CONFIG: is not set")
     try:
-        raw = json.loads(Path(path).read_text(encoding="utf-8"))
+        with open(path, encoding="utf-8") as file:  # pathlib would cost each gateway half a megabyte
+            raw = json.load(file)
     except (OSError, ValueError) as error:
         raise ConfigError(f"ROUTER_CONFIG: cannot be read: {error}") from None
     if not isinstance(raw, dict):
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -195,7 +195,11 @@
         if reply is None:
             client.answer(status, retry_after_ms=retry_after_ms)
         else:
-            client.answer(status, reply.body, reply.headers.get(b"content-type", b""))
+            self._pass_on(client, reply)
+
+    def _pass_on(self, client: Client, reply: Reply) -> None:
+        """A host's good answer goes to the client."""
+        client.answer(reply.status, reply.body, reply.headers.get(b"content-type", b""))
 
     def _close(self, request: _Open) -> None:
         request.client = None
@@ -246,7 +250,7 @@
         units = 0.0
         if result == api.OK:
             units = reply.amount(b"billed-units", self.settings.most_units)
-            self._answer(request, 200, reply)
+            self._answer(request, reply.status, reply)
         final = request.client is None
         self._forget(request)
         self._post(api.Outcome(attempt.request, attempt.number, attempt.server, result, took, final,
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -46,6 +46,8 @@
 class Hosts:
     """Sends attempts and reports how each one ended, exactly once."""
 
+    connection: type[_Connection]  # what is made of each dial
+
     def __init__(self, loop: asyncio.AbstractEventLoop, most: int, dial_ms: float, idle_ms: float,
                  ended: Callable[[Attempt, str, Reply | None], None]) -> None:
         self._loop, self._most, self._ended = loop, most, ended
@@ -118,7 +120,7 @@
             return
         self._dials += 1
         attempt.dial = self._loop.create_task(
-            self._loop.create_connection(lambda: _Connection(self, host), *host.address))
+            self._loop.create_connection(lambda: self.connection(self, host), *host.address))
         attempt.dial.add_done_callback(partial(self._dialled, attempt))
         attempt.dial_timer = self._loop.call_later(self._dial_s, self._dial_overdue, attempt)
 
@@ -234,7 +236,7 @@
             host.idle.append(connection)
         else:
             connection.drop()
-        self._end(attempt, _result(reply), reply)
+        self._end(attempt, self.judge(reply), reply)
 
     def spoilt(self, connection: _Connection) -> None:
         """What came is no answer: the attempt may have run."""
@@ -242,6 +244,14 @@
         if attempt is not None:
             self._end(attempt, api.SPOILT)
 
+    def judge(self, reply: Reply) -> str:
+        """What a whole answer means for its attempt."""
+        if reply.status == 200:
+            return api.OK
+        if reply.status in (503, 504) and reply.headers.get(b"x-not-run") == b"1":
+            return api.FULL
+        return api.ERROR
+
     def _close_idle(self, host: _Host) -> None:
         idle, host.idle = host.idle, []
         for connection in idle:
@@ -263,14 +273,6 @@
                 host.idle.pop(0).drop()
 
 
-def _result(reply: Reply) -> str:
-    if reply.status == 200:
-        return api.OK
-    if reply.status in (503, 504) and reply.headers.get(b"x-not-run") == b"1":
-        return api.FULL
-    return api.ERROR
-
-
 class _Connection(ReplyProtocol):
     """One connection to a host; carries one attempt at a time."""
 
@@ -308,3 +310,6 @@
 
     def lost(self) -> None:
         self._pool.closed(self)
+
+
+Hosts.connection = _Connection
--- a/yewstage/net/life.py
+++ b/yewstage/net/life.py
@@ -57,8 +57,9 @@
 class Shutdown:
     """SIGTERM: accept a little longer, finish what was taken, then end."""
 
-    def __init__(self, core: Drainable, server: Server[Any], loop: asyncio.AbstractEventLoop) -> None:
-        self._core, self._server, self._loop = core, server, loop
+    def __init__(self, core: Drainable, server: Server[Any], loop: asyncio.AbstractEventLoop,
+                 most_s: float = LONGEST_S) -> None:
+        self._core, self._server, self._loop, self._most_s = core, server, loop, most_s
         self.done = asyncio.Event()
 
     def begin(self) -> None:
@@ -68,7 +69,7 @@
         logging.info("draining")
         self._core.draining = True
         self._loop.call_later(ACCEPT_S, self._stop_accepting)
-        self._loop.call_later(min(self._core.longest_s(), LONGEST_S) + LAST_S, self._end)
+        self._loop.call_later(min(self._core.longest_s(), self._most_s) + LAST_S, self._end)
 
     def _stop_accepting(self) -> None:
         self._server.stop_accepting()
--- a/yewstage/tenants/model.py
+++ b/yewstage/tenants/model.py
@@ -100,6 +100,7 @@
     state_folder: str = ""
     number: int = 0
     fleet_size: int = 1
+    drain_s: float = 25.0  # after SIGTERM, what is open then is answered as failed
     counter: Address | None = None  # none: embedded
     count_wait_ms: float = 90.0  # how long a call is waited for
     limits: Limits = field(default_factory=Limits)
--- a/yewstage/tenants/registry.py
+++ b/yewstage/tenants/registry.py
@@ -40,24 +40,25 @@
         )
 
 
+def changes_between(before: dict[str, Tenant], wanted: Iterable[Tenant]) -> list[Change]:
+    """From what is to what is wanted: removals first, so that a place is free for who takes it over."""
+    after = {tenant.id: tenant for tenant in wanted}
+    out = [Change(REMOVED, old, None) for key, old in before.items() if key not in after]
+    for key, new in after.items():
+        old = before.get(key)
+        if old is None:
+            out.append(Change(ADDED, None, new))
+        elif old != new:
+            out.append(Change(CHANGED, old, new))
+    return out
+
+
 class Registry:
     """The tenants that are served."""
 
     def __init__(self) -> None:
         self.tenants: dict[str, Tenant] = {}
 
-    def changes(self, wanted: Iterable[Tenant]) -> list[Change]:
-        """From what is to what is wanted: removals first, so that a place is free for who takes it over."""
-        after = {tenant.id: tenant for tenant in wanted}
-        out = [Change(REMOVED, old, None) for key, old in self.tenants.items() if key not in after]
-        for key, new in after.items():
-            old = self.tenants.get(key)
-            if old is None:
-                out.append(Change(ADDED, None, new))
-            elif old != new:
-                out.append(Change(CHANGED, old, new))
-        return out
-
     def commit(self, change: Change) -> None:
         """A step that has been carried out."""
         if change.new is None:
