--- a/yewstage/cli.py
+++ b/yewstage/cli.py
@@ -57,10 +57,10 @@
     faults = check_files(config)
     if faults:
         _fail("\n".join(faults))
+    pools = [pool for tenant in config.tenants for pool in tenant.pools]
     click.echo(
-        f"{path}: sound: {len(config.tenants)} tenants, "
-        f"{sum(len(t.routes) for t in config.tenants)} routes, "
-        f"{sum(len(p.servers) for t in config.tenants for p in t.pools)} hosts"
+        f"{path}: sound: {len(config.tenants)} tenants, {sum(len(t.routes) for t in config.tenants)} routes, "
+        f"{sum(len(p.servers) for p in pools)} hosts, {sum(bool(p.hosts_file) for p in pools)} files of hosts"
     )
 
 
--- a/yewstage/demo/run.py
+++ b/yewstage/demo/run.py
@@ -8,6 +8,7 @@
 import tempfile
 from pathlib import Path
 
+from rich import box
 from rich.console import Console
 from rich.live import Live
 from rich.table import Table
@@ -138,7 +139,7 @@
 
 async def run(seconds: float, plain: bool) -> int:
     """Play the demonstration; 0 if every request had exactly one answer and the gateway ended well."""
-    console = Console()
+    console = Console(width=100 if plain else None)
     with tempfile.TemporaryDirectory(prefix="hillmux-demo-") as name:
         folder = Path(name)
         nodes = {tenant: [await BookingNode(seed=i).start() for i in range(3)] for tenant in TENANTS}
@@ -229,21 +230,24 @@
 
 
 def _table(loads: list[Load], rates: dict[str, float], title: str) -> Table:
-    table = Table(title=title)
-    for column in (
+    """What has come of each tenant's requests; 80 columns hold it."""
+    table = Table(title=title, box=box.SIMPLE_HEAD, pad_edge=False, padding=(0, 1))
+    columns = (
         "tenant",
-        "requests/s",
-        "requests",
+        "req/s",
+        "sent",
         "served",
-        "refused, by cause",
+        "refused by cause",
         "gone",
         "failed",
-        "no answer",
-        "p50 ms",
-        "p99 ms",
-        "quota used",
-    ):
-        table.add_column(column, justify="left" if column in ("tenant", "refused, by cause") else "right")
+        "lost",
+        "p50",
+        "p99",
+        "units",
+    )
+    for column in columns:
+        left = column in ("tenant", "refused by cause")
+        table.add_column(column, justify="left" if left else "right", no_wrap=column != "refused by cause")
     for load in loads:
         table.add_row(
             load.tenant,
