A tenant that takes much of the loop's time goes one by one, after others

Change: what connections of a tenant send that takes more than 1.5 times its part of the time taken, in this turn or the last, is handled one piece in each turn of the loop, after what others have ready; such a connection reads no more meanwhile, and is not idle. Tests of order, of answers, of a client that closes, and of what is not closed.

--- a/tests/hosted/test_isolation.py
+++ b/tests/hosted/test_isolation.py
@@ -480,3 +480,77 @@
             assert not rig.service.give_way("a") and not rig.service.give_way("never")
 
     on_loop(scenario)
+
+
+def test_who_takes_much_of_the_loops_time_is_known_in_this_turn_and_the_next() -> None:
+    made = Resources(Limits())
+    for name in "abc":
+        made.loop.know(name, 1.0)
+    made.loop.charge("a", 0.010)
+    assert not made.heavy("a")  # alone
+    made.loop.charge("b", 0.001)
+    assert made.heavy("a") and not made.heavy("b") and not made.heavy("c")
+    made.turn()
+    assert made.heavy("a") and not made.heavy("b")
+    made.turn()
+    assert not made.heavy("a")
+    for name in "abc":
+        made.loop.charge(name, 0.010)
+    assert not any(made.heavy(name) for name in "abc")
+
+
+def test_one_that_takes_much_waits_for_others_and_each_request_has_its_answer_in_order() -> None:
+    async def scenario() -> None:
+        async with Hosted("a", "b") as rig:
+            rig.service._turn.cancel()
+            rig.service.resources._heavy = frozenset("a")
+            clients = [await rig.connect() for _ in range(20)]
+            other = await rig.connect()
+            for client in (*clients, other):
+                assert status(await client.ask(request("b"))) == 200  # all are up
+            for client in clients:
+                assert status(await client.ask(request("a"))) == 200
+            taken: list[str] = []
+            serve_one = front.TenantConnection._serve
+
+            def noted(self: front.TenantConnection, message: object) -> None:
+                taken.append(message.headers[b"host"].decode()[0])
+                serve_one(self, message)
+
+            front.TenantConnection._serve = noted
+            try:
+                for client in clients:
+                    client.writer.write(request("a") + request("a", "/api/x", "PUT"))
+                other.writer.write(request("b"))
+                assert status(await other.read()) == 200
+                for client in clients:
+                    assert [status(await client.read()) for _ in range(2)] == [200, 405]
+            finally:
+                front.TenantConnection._serve = serve_one
+            assert taken.count("a") == 40 and taken.count("b") == 1
+            assert taken.index("b") < 20  # not behind the whole burst, though it was written last
+            assert not rig.server._deferred
+            # One that closes meanwhile, and a drain, lose nothing that was read.
+            clients[0].writer.write(request("a"))
+            clients[1].writer.write(request("a"))
+            clients[1].writer.close()
+            assert status(await clients[0].read()) == 200
+            assert status(await clients[2].ask(request("a"))) == 200
+
+    on_loop(scenario)
+
+
+def test_what_was_read_and_waits_is_not_closed_as_idle() -> None:
+    async def scenario() -> None:
+        async with Hosted("a") as rig:
+            client = await rig.connect()
+            assert status(await client.ask(request("a"))) == 200
+            rig.service.resources._heavy = frozenset("a")
+            rig.service._turn.cancel()
+            (connection,) = rig.server.connections
+            connection.data_received(request("a"))
+            connection.close_if_idle()
+            assert not rig.server._idle  # nor is it one of those that give way
+            assert status(await client.read()) == 200
+
+    on_loop(scenario)
--- a/yewstage/hosted/front.py
+++ b/yewstage/hosted/front.py
@@ -10,6 +10,7 @@
 import select
 import socket
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import Any, Protocol, cast
 
@@ -147,6 +148,7 @@
         self.reading = 0  # bytes of requests that are not yet taken, held likewise
         self._title = self._fault = ""
         self._peer = b""
+        self._behind = 0  # pieces of data that were read and wait for others' requests
         self._taking_s = 0.0  # of the data being handled, what was charged request by request
         self._turned_away = False  # a request was too much for its tenant before it had come whole
         self.passing = False  # the answer that is being written is a host's
@@ -158,6 +160,31 @@
         super().connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
+        if self._behind or (self.owner != UNHEARD and self._service.resources.heavy(self.owner)):
+            if not self._behind and not self._paused:
+                self.transport.pause_reading()  # guards the memory: one chunk of a connection waits, not more
+            self._behind += 1
+            self._server.owes(self)  # it is not idle: nobody may close it
+            self._front.defer(self, data)
+        else:
+            self._handle(data)
+
+    def go_on(self, data: bytes) -> None:
+        """Handle what was read a moment ago, in its order."""
+        self._behind -= 1
+        if self.transport.is_closing():
+            return
+        if not self._busy:
+            self._server.waits(self)
+        self._handle(data)
+        if not self._behind and not self._paused and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def close_if_idle(self) -> None:
+        if not self._behind:
+            super().close_if_idle()
+
+    def _handle(self, data: bytes) -> None:
         began = time.perf_counter()
         self._taking_s = 0.0
         super().data_received(data)
@@ -486,6 +513,7 @@
         self._idle: dict[str, dict[TenantConnection, None]] = {}  # by owner, owed nothing, the longest first
         self._wanted: frozenset[bytes] = WANTED_HERE
         self._routed: frozenset[bytes] = frozenset()
+        self._deferred: deque[tuple[TenantConnection, bytes]] = deque()
         self._reclaiming = False
         service.disown = self.disown
         super().__init__(cast(Any, service), loop, sockets)
@@ -500,6 +528,25 @@
             self._routed, self._wanted = routed, WANTED_HERE | routed
         return self._wanted
 
+    def defer(self, connection: TenantConnection, data: bytes) -> None:
+        """Handle data one by one, each after what others have ready in this turn of the loop.
+
+        Guards the others' time to an answer against bursts of one that takes much more than its part: without
+        it they stand behind the whole burst. Hurts: its own requests wait for a turn of the loop each.
+        """
+        self._deferred.append((connection, data))
+        if len(self._deferred) == 1:
+            self.loop.call_soon(self._go_on)
+
+    def _go_on(self) -> None:
+        connection, data = self._deferred[0]
+        try:
+            connection.go_on(data)
+        finally:
+            self._deferred.popleft()
+            if self._deferred:
+                self.loop.call_soon(self._go_on)
+
     def opened(self, connection: TenantConnection) -> None:
         self.service.resources.clients.charge(UNHEARD, 1.0)
         super().opened(connection)
--- a/yewstage/hosted/resources.py
+++ b/yewstage/hosted/resources.py
@@ -10,6 +10,7 @@
 
 CLIENT_SHARE, HOST_SHARE = 0.5, 0.36  # of the descriptors, as on the platform
 SLACK = 0.1  # of the loop's share, by which a tenant may be beyond its part: chance alone is no flood
+HEAVY = 1.5  # times a tenant's part of the time that is taken, beyond which others' requests go first
 TURN_S = 0.1  # how often the loop's time is dealt out anew
 UNHEARD = "(unheard)"  # holds the connections that have not asked for anything yet
 CROWDED, SHARE, DRAINING = "gateway_time", "gateway_share", "draining"  # causes of the service's own refusals
@@ -31,6 +32,7 @@
         self.clients.know(UNHEARD, 1.0)
         self.buffer.know(UNHEARD, 1.0)
         self._second = 0
+        self._heavy: frozenset[str] = frozenset()  # those that took much in the last turn
         self._was_shared = False  # the last turn was of more than one tenant
         self.lines_left_out = 0
 
@@ -62,8 +64,20 @@
             return False
         return loop.holds(tenant_id) > loop.entitled(tenant_id) + SLACK * loop.whole
 
+    def heavy(self, tenant_id: str) -> bool:
+        """Whether a tenant takes much more of the loop's time than its part of what all take, in this turn or
+        the last: what it sends goes one by one, after what others have ready."""
+        return tenant_id in self._heavy or self._takes_much(tenant_id)
+
+    def _takes_much(self, tenant_id: str) -> bool:
+        loop = self.loop
+        if loop.holders() < 2:
+            return False
+        return loop.holds(tenant_id) > HEAVY * loop.entitled(tenant_id) / loop.whole * loop.held
+
     def turn(self) -> None:
         """Deal the loop's time out anew."""
+        self._heavy = frozenset(name for name in self.loop.names() if self._takes_much(name))
         self._was_shared = self.loop.holders() > 1
         self.loop.turn()
 
--- a/yewstage/tenants/shares.py
+++ b/yewstage/tenants/shares.py
@@ -65,6 +65,10 @@
         """How many hold something."""
         return len(self._holders)
 
+    def names(self) -> list[str]:
+        """Who holds something."""
+        return list(self._holders)
+
     def entitled(self, tenant: str) -> float:
         """What a tenant may hold whatever the others want."""
         account = self._accounts[tenant]
