The loop's time is dealt out in a module of its own, free of I/O

Need: read once more, two decisions (who is crowded, who goes one by one) stood beside a clock in hosted/resources.py; three things were dead (list_hosts beside update, asked, a flag set for each request).

Change: yewstage/tenants/looptime.py, a ledger like the others, under the import contract; the dead parts are gone. No behaviour changes.

--- a/tests/hosted/test_isolation.py
+++ b/tests/hosted/test_isolation.py
@@ -421,19 +421,19 @@
     for name in "ab":
         made.loop.know(name, 1.0)
     made.loop.charge("a", made.loop.whole * 1.4)
-    assert not made.crowded("a")  # alone, it has all that is idle
+    assert not made.loop.crowded("a")  # alone, it has all that is idle
     made.loop.charge("b", made.loop.whole * 0.01)
-    assert made.crowded("a") and not made.crowded("b")
-    made.turn()
-    assert not made.crowded("a")
+    assert made.loop.crowded("a") and not made.loop.crowded("b")
+    made.loop.turn()
+    assert not made.loop.crowded("a")
     made.loop.charge("a", made.loop.whole * 0.9)
-    assert not made.crowded("a")  # some is left to lend
+    assert not made.loop.crowded("a")  # some is left to lend
     made.loop.charge("a", made.loop.whole * 0.25)
-    assert made.crowded("a")  # the other was there a moment ago
+    assert made.loop.crowded("a")  # the other was there a moment ago
     for _ in range(2):
-        made.turn()
+        made.loop.turn()
     made.loop.charge("a", made.loop.whole * 1.4)
-    assert not made.crowded("a")
+    assert not made.loop.crowded("a")
 
 
 def test_of_many_that_are_busy_alike_none_is_crowded() -> None:
@@ -442,14 +442,14 @@
         made.loop.know(f"t{i}", 1.0)
         made.loop.charge(f"t{i}", made.loop.whole * (0.015 if i % 2 else 0.012))
     assert made.loop.held > made.loop.whole
-    assert not any(made.crowded(f"t{i}") for i in range(100))
+    assert not any(made.loop.crowded(f"t{i}") for i in range(100))
 
 
 def test_on_a_connection_of_two_each_one_s_requests_are_charged_to_itself() -> None:
     async def scenario() -> None:
         async with Hosted("a", "b") as rig:
             rig.service._turn.cancel()
-            rig.service.resources.turn()
+            rig.service.resources.loop.turn()
             take = rig.service.core("a").take
 
             def slow_take(*words: object) -> object:
@@ -487,23 +487,23 @@
     for name in "abc":
         made.loop.know(name, 1.0)
     made.loop.charge("a", 0.010)
-    assert not made.heavy("a")  # alone
+    assert not made.loop.heavy("a")  # alone
     made.loop.charge("b", 0.001)
-    assert made.heavy("a") and not made.heavy("b") and not made.heavy("c")
-    made.turn()
-    assert made.heavy("a") and not made.heavy("b")
-    made.turn()
-    assert not made.heavy("a")
+    assert made.loop.heavy("a") and not made.loop.heavy("b") and not made.loop.heavy("c")
+    made.loop.turn()
+    assert made.loop.heavy("a") and not made.loop.heavy("b")
+    made.loop.turn()
+    assert not made.loop.heavy("a")
     for name in "abc":
         made.loop.charge(name, 0.010)
-    assert not any(made.heavy(name) for name in "abc")
+    assert not any(made.loop.heavy(name) for name in "abc")
 
 
 def test_one_that_takes_much_waits_for_others_and_each_request_has_its_answer_in_order() -> None:
     async def scenario() -> None:
         async with Hosted("a", "b") as rig:
             rig.service._turn.cancel()
-            rig.service.resources._heavy = frozenset("a")
+            rig.service.resources.loop._heavy = frozenset("a")
             clients = [await rig.connect() for _ in range(20)]
             other = await rig.connect()
             for client in (*clients, other):
@@ -545,7 +545,7 @@
         async with Hosted("a") as rig:
             client = await rig.connect()
             assert status(await client.ask(request("a"))) == 200
-            rig.service.resources._heavy = frozenset("a")
+            rig.service.resources.loop._heavy = frozenset("a")
             rig.service._turn.cancel()
             (connection,) = rig.server.connections
             connection.data_received(request("a"))
--- a/tests/hosted/test_rest.py
+++ b/tests/hosted/test_rest.py
@@ -31,7 +31,7 @@
         async with Hosted("a", "b") as rig:
             assert await rig.status(request("a")) == 200
             assert list(rig.service._awake) == ["a"]
-            assert not rig.service.slot("b").asked()
+            assert rig.service.slot("b")._stats is None
 
     on_loop(scenario)
 
--- a/yewstage/hosted/core.py
+++ b/yewstage/hosted/core.py
@@ -166,10 +166,6 @@
         self.tenant = tenant
         self._apply(listing, "full")
 
-    def list_hosts(self, listing: Listing) -> None:
-        """The whole list of hosts, anew."""
-        self._apply(listing, "full")
-
     def leave(self) -> None:
         """Take nothing new; close once the last request has its answer and its attempts are over."""
         self._leaving = True
--- a/yewstage/hosted/front.py
+++ b/yewstage/hosted/front.py
@@ -160,7 +160,7 @@
         super().connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
-        if self._behind or (self.owner != UNHEARD and self._service.resources.heavy(self.owner)):
+        if self._behind or (self.owner != UNHEARD and self._service.resources.loop.heavy(self.owner)):
             if not self._behind and not self._paused:
                 self.transport.pause_reading()  # guards the memory: one chunk of a connection waits, not more
             self._behind += 1
@@ -350,14 +350,13 @@
         slot.stats.requests += 1
         if tenant.state == model.DRAINING:
             self._turn_away(slot, DRAINING)
-        elif service.resources.crowded(tenant.id):
+        elif service.resources.loop.crowded(tenant.id):
             self._turn_away(slot, CROWDED)
         else:
             self._hand_over(slot, order)
 
     def _hand_over(self, slot: Slot, order: Order) -> None:
         core = self._service.core(slot.tenant.id)
-        core.draining = self._service.draining
         self._core = cast(Any, core)
         rid = core.take(self, order, self._service.make_room)
         if rid is not None:
--- a/yewstage/hosted/resources.py
+++ b/yewstage/hosted/resources.py
@@ -5,12 +5,11 @@
 import time
 
 from yewstage.net.core import Clock
+from yewstage.tenants.looptime import LoopTime
 from yewstage.tenants.model import Limits, Tenant
 from yewstage.tenants.shares import Shares
 
 CLIENT_SHARE, HOST_SHARE = 0.5, 0.36  # of the descriptors, as on the platform
-SLACK = 0.1  # of the loop's share, by which a tenant may be beyond its part: chance alone is no flood
-HEAVY = 1.5  # times a tenant's part of the time that is taken, beyond which others' requests go first
 TURN_S = 0.1  # how often the loop's time is dealt out anew
 UNHEARD = "(unheard)"  # holds the connections that have not asked for anything yet
 CROWDED, SHARE, DRAINING = "gateway_time", "gateway_share", "draining"  # causes of the service's own refusals
@@ -27,13 +26,11 @@
         self.hosts = Shares(max(int(HOST_SHARE * limits.sockets), 1))
         self.dials = Shares(limits.dials)
         self.lines = Shares(limits.log_lines)  # by the second
-        self.loop = Shares(limits.loop_share * TURN_S)  # seconds, by the turn
+        self.loop = LoopTime(limits.loop_share * TURN_S)  # seconds, by the turn
         self._all = (self.open, self.buffer, self.clients, self.hosts, self.dials, self.lines, self.loop)
         self.clients.know(UNHEARD, 1.0)
         self.buffer.know(UNHEARD, 1.0)
         self._second = 0
-        self._heavy: frozenset[str] = frozenset()  # those that took much in the last turn
-        self._was_shared = False  # the last turn was of more than one tenant
         self.lines_left_out = 0
 
     def know(self, tenant: Tenant) -> None:
@@ -52,35 +49,6 @@
             shares.forget(tenant_id)
         return True
 
-    def crowded(self, tenant_id: str) -> bool:
-        """Whether a tenant has had its part of the loop's time in this turn, and there is none left to lend.
-
-        One that is alone is never crowded, and of many that are busy alike none is, by the slack.
-
-        Guards the others' time: what is refused here costs a fifth of what the module and a host would.
-        """
-        loop = self.loop
-        if loop.held < loop.whole or not (self._was_shared or loop.holders() > 1):
-            return False
-        return loop.holds(tenant_id) > loop.entitled(tenant_id) + SLACK * loop.whole
-
-    def heavy(self, tenant_id: str) -> bool:
-        """Whether a tenant takes much more of the loop's time than its part of what all take, in this turn or
-        the last: what it sends goes one by one, after what others have ready."""
-        return tenant_id in self._heavy or self._takes_much(tenant_id)
-
-    def _takes_much(self, tenant_id: str) -> bool:
-        loop = self.loop
-        if loop.holders() < 2:
-            return False
-        return loop.holds(tenant_id) > HEAVY * loop.entitled(tenant_id) / loop.whole * loop.held
-
-    def turn(self) -> None:
-        """Deal the loop's time out anew."""
-        self._heavy = frozenset(name for name in self.loop.names() if self._takes_much(name))
-        self._was_shared = self.loop.holders() > 1
-        self.loop.turn()
-
     def may_log(self, tenant_id: str) -> bool:
         """Whether a tenant may have one more line in the log in this second."""
         second = int(time.monotonic())
--- a/yewstage/hosted/service.py
+++ b/yewstage/hosted/service.py
@@ -74,10 +74,6 @@
             self._terms = Terms(self.tenant.settings)
         return self._terms
 
-    def asked(self) -> bool:
-        """Whether it has ever been asked for anything."""
-        return self._stats is not None
-
     def rest(self) -> None:
         """Keep only what cannot be made anew."""
         self._plans = self._terms = None
@@ -287,7 +283,7 @@
     def _hosts_changed(self, tenant_id: str) -> None:
         slot = self._slots.get(tenant_id)
         if slot is not None and slot.core is not None:
-            slot.core.list_hosts(self._listing(slot.tenant))
+            slot.core.update(slot.tenant, self._listing(slot.tenant))
 
     # --- For the front ------------------------------------------------------------------------------------
 
@@ -394,7 +390,7 @@
 
     def _next_turn(self) -> None:
         self._turn = self._loop.call_later(TURN_S, self._next_turn)
-        self.resources.turn()
+        self.resources.loop.turn()
 
     def leftovers(self, tenant_id: str) -> list[str]:
         """What is still held of a tenant that was removed; none once all is given back."""
