A counter's reply goes to the module that made the call

Need: a tenant's new module took replies to its old one's calls for its own, as both have the same names, while a shared counter was asked.

Change: replies go in order to who called under the name; a closed tenant's are dropped. Bounded by the calls that are out.

--- a/tests/hosted/test_changes.py
+++ b/tests/hosted/test_changes.py
@@ -91,7 +91,7 @@
             rig.apply("b")
             assert status(await client.read()) == 200  # decided by the estimate, once the call is given up
             await gone(rig)
-            assert rig.service._shared is not None and rig.service._shared._scopes == {}
+            assert rig.service._shared is not None and rig.service._shared.waiting == {}
         counter.stop()
 
     on_loop(scenario)
--- a/yewstage/hosted/counts.py
+++ b/yewstage/hosted/counts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 
 from yewstage import interface as api
@@ -12,11 +13,11 @@
 
 
 class SharedCounter:
-    """One client for all; each reply goes to the tenant whose scope stands before the name."""
+    """One client for all; each reply goes to who made the call."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], wait_ms: float) -> None:
         self._client = Counter(loop, address, wait_ms, self._replied)
-        self._scopes: dict[str, Replied] = {}
+        self.waiting: dict[str, deque[Replied]] = {}  # by full name, the call made first first
 
     def start(self) -> None:
         """Open the connections."""
@@ -26,24 +27,21 @@
         """Close them."""
         self._client.stop()
 
-    def scope(self, scope: str, replied: Replied) -> None:
-        """Whom the replies to a scope's calls go to from now on."""
-        self._scopes[scope] = replied
+    def call(self, act: api.Count, replied: Replied) -> None:
+        """Make one call under its full name; its reply goes to whoever made it.
 
-    def unscope(self, scope: str, replied: Replied) -> None:
-        """A tenant that hears of no reply any more, unless another core has its scope by now."""
-        if self._scopes.get(scope) == replied:
-            del self._scopes[scope]
-
-    def call(self, act: api.Count) -> None:
-        """Make one call under its full name."""
+        Guards a tenant's new module against replies to the old one's calls, which have the same names.
+        """
+        self.waiting.setdefault(act.name, deque()).append(replied)
         self._client.call(act)
 
     def _replied(self, reply: api.CountReply) -> None:
-        scope, _, name = reply.name.partition(".")
-        replied = self._scopes.get(scope)
-        if replied is not None:
-            replied(api.CountReply(name, reply.result, reply.total, reply.took_ms))
+        waiting = self.waiting[reply.name]
+        replied = waiting.popleft()
+        if not waiting:
+            del self.waiting[reply.name]
+        name = reply.name.partition(".")[2]
+        replied(api.CountReply(name, reply.result, reply.total, reply.took_ms))
 
 
 class ScopedCounter:
@@ -51,12 +49,16 @@
 
     def __init__(self, shared: SharedCounter, scope: str, replied: Replied) -> None:
         self._shared, self._scope, self._replied = shared, scope, replied
-        shared.scope(scope, replied)
+        self._closed = False
 
     def call(self, act: api.Count) -> None:
         """Make one call."""
-        self._shared.call(api.Count(f"{self._scope}.{act.name}", act.amount, act.keep_ms))
+        self._shared.call(api.Count(f"{self._scope}.{act.name}", act.amount, act.keep_ms), self._hear)
+
+    def _hear(self, reply: api.CountReply) -> None:
+        if not self._closed:
+            self._replied(reply)
 
     def close(self) -> None:
         """Hear of no reply any more."""
-        self._shared.unscope(self._scope, self._replied)
+        self._closed = True
