Servers are chosen by an index whose cost does not grow with the fleet

Change: yewstage/fleet.py holds what is known of the servers, in groups (ready, cold, failing) and the ready ones in ranks by load, moved as requests begin and end; sums and a histogram of pace are kept up. A choice draws a few hosts of the lowest ranks and scores them in full. Zones and cells have groups of their own for keyed repeats.

--- /dev/null
+++ b/benchmarks/module_worker.py
@@ -0,0 +1,167 @@
+"""One process of benchmarks/module.py: plays the decision module of the tree on its path; says what it took.
+
+Reads a case for each line of standard input, as JSON, and answers each with a line:
+hosts, customers (numbers), share_bad (part of the hosts that fail), requests; optional `plant`, a part of
+the cost of a request that is wasted on purpose, to see whether a comparison finds it.
+Answer: `us`, CPU in us a request with its outcome and its part of counter calls and sweeps; `sent`, the part
+of the requests that was sent on; `events` and `actions` a request; `kb`, memory gained in KB a customer.
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import random
+import sys
+import time
+from collections import deque
+
+from yewstage import interface as api
+from yewstage.policy import Gateway
+
+CLASSES = (
+    api.RequestClass("read", aim_ms=1000, deadline_ms=2000),
+    api.RequestClass("book", aim_ms=1500, deadline_ms=3000, effect="keyed", key_scope="zone", window_ms=2000),
+    api.RequestClass("pay", aim_ms=2000, deadline_ms=4000, effect="unsafe"),
+)
+GAP_MS = 0.5  # between two requests: 2,000 a second
+OUT = 40  # requests that are out at once
+
+
+def settings(customers: int) -> api.Settings:
+    plans = (
+        api.Plan("basic", rate=50, burst=100, ceiling_rate=100, ceiling_burst=200),
+        api.Plan("wide", rate=500, burst=1000, over_worth=0.5, over_cost=0.2),
+        api.Plan("open"),
+    )
+    more = {"most_customers": customers} if "most_customers" in api.Settings.__dataclass_fields__ else {}
+    return api.Settings(
+        classes=CLASSES,
+        plans=plans,
+        fleet_size=3,
+        zone="z0",
+        try_limit=3,
+        cancel=True,
+        max_retry_after_ms=2000,
+        may_count=True,
+        tick_ms=2,
+        drain_grace_ms=500,
+        cold_from=0.2,
+        cold_ms=10_000,
+        fall_multiple=3,
+        tip_after_ms=2000,
+        **more,
+    )
+
+
+class Play:
+    """A gateway at work, with its hosts and its counter."""
+
+    def __init__(self, hosts: int, customers: int, share_bad: float = 0.0) -> None:
+        self.rng = random.Random(7)
+        self.gateway = Gateway(settings(customers), 1)
+        self.now = 1e6
+        self.hosts, self.customers = hosts, [f"customer-{i:06}" for i in range(customers)]
+        self.bad = {f"host-{i}" for i in range(int(hosts * share_bad))}
+        servers = tuple(api.Server(f"host-{i}", zone=f"z{i % 3}") for i in range(hosts))
+        self.timers: list[tuple[float, str]] = []
+        self.out: deque[tuple[str, int, str, float]] = deque()
+        self.counts: dict[str, float] = {}
+        self.serial = self.sent = self.events = self.actions = 0
+        self.tries: dict[str, int] = {}
+        self.give(api.ServerList("full", servers))
+
+    def give(self, event: api.Event) -> None:
+        actions = self.gateway.handle(self.now, event)
+        self.events += 1
+        self.actions += len(actions)
+        for act in actions:
+            kind = type(act)
+            if kind is api.Send:
+                number = self.tries.get(act.request, -1) + 1
+                self.tries[act.request] = number
+                self.sent += number == 0
+                self.out.append((act.request, number, act.server, self.now))
+            elif kind is api.Count:
+                total = self.counts[act.name] = self.counts.get(act.name, 0.0) + act.amount
+                if len(self.counts) > 400_000:
+                    self.counts.pop(next(iter(self.counts)))
+                self.give(api.CountReply(act.name, api.OK, total, 1.0))
+            elif kind is api.Timer:
+                self.timers.append((self.now + act.in_ms, act.name))
+
+    def end(self) -> None:
+        request, number, host, sent = self.out.popleft()
+        bad = host in self.bad
+        result, took = (api.CONNECT_FAILED, 1.0) if bad else (api.OK, self.now - sent)
+        self.give(api.Outcome(request, number, host, result, took, not bad))
+        if self.tries[request] == number:  # not sent once more
+            del self.tries[request]
+
+    def requests(self, count: int, everyone: bool = False) -> list[api.Request]:
+        plans, kinds = ("basic", "basic", "wide", "open"), ("read", "read", "read", "book", "pay")
+        names, made = self.customers, []
+        for _ in range(count):
+            self.serial += 1
+            who = self.serial % len(names) if everyone else int(self.rng.random() * len(names))
+            cls = kinds[self.serial % 5]
+            aim = 2000.0 if cls == "read" else 4000.0
+            made.append(api.Request(f"r{self.serial}", cls, plans[who % 4], names[who], aim, 1.0, 3))
+        return made
+
+    def run(self, requests: list[api.Request]) -> None:
+        for request in requests:
+            self.now += GAP_MS
+            while self.timers and self.timers[0][0] <= self.now:
+                self.give(api.TimerDue(self.timers.pop(0)[1]))
+            while len(self.out) >= OUT:
+                self.end()
+            self.give(request)
+
+
+def memory_kb() -> float:
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * 4.0
+
+
+def main() -> None:
+    plays: dict[str, Play] = {}
+    for line in sys.stdin:
+        case = json.loads(line)
+        key = json.dumps([case["hosts"], case["customers"], case.get("share_bad", 0.0)])
+        kb = 0.0
+        play = plays.get(key)
+        if play is None:
+            plays.clear()
+            play = plays[key] = Play(case["hosts"], case["customers"], case.get("share_bad", 0.0))
+            gc.collect()
+            before = memory_kb()
+            for _ in range(0, max(case["customers"], 3000), 1000):
+                play.run(play.requests(1000, everyone=True))
+            gc.collect()
+            kb = (memory_kb() - before) / case["customers"]
+        count, plant = case["requests"], case.get("plant", 0.0)
+        play.sent = play.events = play.actions = 0
+        requests = play.requests(count)
+        gc.disable()  # a collection falls into one run and not into its pair
+        began = time.process_time()
+        play.run(requests)
+        took = time.process_time() - began
+        if plant:
+            began = time.process_time()
+            while time.process_time() - began < plant * took:
+                pass
+            took += time.process_time() - began
+        gc.enable()
+        answer = {
+            "us": 1e6 * took / count,
+            "sent": play.sent / count,
+            "events": play.events / count,
+            "actions": play.actions / count,
+            "kb": kb,
+        }
+        print(json.dumps(answer), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/trees.py
@@ -0,0 +1,126 @@
+"""Two states of the project side by side: trees of their own, and workers that play one of them each."""
+
+from __future__ import annotations
+
+import io
+import json
+import math
+import os
+import subprocess
+import sys
+import tarfile
+import tempfile
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parents[1]
+
+
+class Tree:
+    """The package at a revision, in a folder that goes with it; `None` is the work tree."""
+
+    def __init__(self, revision: str | None) -> None:
+        self.name = revision or "work tree"
+        self.path = ROOT
+        self._folder: tempfile.TemporaryDirectory[str] | None = None
+        if revision is not None:
+            whole = subprocess.run(
+                ["git", "archive", revision, "yewstage"], cwd=ROOT, check=True, capture_output=True
+            ).stdout
+            self._folder = tempfile.TemporaryDirectory(prefix="hillmux-tree-")
+            self.path = Path(self._folder.name)
+            with tarfile.open(fileobj=io.BytesIO(whole)) as archive:
+                archive.extractall(self.path, filter="data")
+
+    def close(self) -> None:
+        if self._folder is not None:
+            self._folder.cleanup()
+
+
+class Worker:
+    """A process that plays one tree: a case in, an answer out, one line of JSON each."""
+
+    def __init__(self, tree: Tree, script: str, core: int | None = None) -> None:
+        command = [sys.executable, str(ROOT / "benchmarks" / script)]
+        env = {**os.environ, "PYTHONPATH": str(tree.path), "PYTHONHASHSEED": "0"}
+        self._process = subprocess.Popen(
+            command, env=env, text=True, stdin=subprocess.PIPE, stdout=subprocess.PIPE
+        )
+        if core is not None:
+            os.sched_setaffinity(self._process.pid, {core})
+
+    def begin(self, **case: Any) -> None:
+        assert self._process.stdin is not None
+        self._process.stdin.write(json.dumps(case) + "\n")
+        self._process.stdin.flush()
+
+    def result(self) -> dict[str, float]:
+        assert self._process.stdout is not None
+        line = self._process.stdout.readline()
+        if not line:
+            raise RuntimeError(f"worker ended with {self._process.wait()}")
+        answer: dict[str, float] = json.loads(line)
+        return answer
+
+    def play(self, **case: Any) -> dict[str, float]:
+        self.begin(**case)
+        return self.result()
+
+    def close(self) -> None:
+        assert self._process.stdin is not None
+        self._process.stdin.close()
+        self._process.wait(30)
+
+
+T_95 = (
+    12.71,
+    4.303,
+    3.182,
+    2.776,
+    2.571,
+    2.447,
+    2.365,
+    2.306,
+    2.262,
+    2.228,
+    2.201,
+    2.179,
+    2.160,
+    2.145,
+    2.131,
+    2.120,
+    2.110,
+    2.101,
+    2.093,
+    2.086,
+    2.080,
+    2.074,
+    2.069,
+    2.064,
+    2.060,
+    2.056,
+    2.052,
+    2.048,
+    2.045,
+    2.042,
+)
+
+
+def ratio(pairs: Sequence[tuple[float, float]]) -> tuple[float, float, float]:
+    """The ratio of each pair's second to its first: geometric mean, and its 95% interval (Student's t).
+
+    The tenth part of the pairs at either end is cut to the bounds of the rest (winsorised): a
+    neighbour on the machine hits single ones.
+    """
+    logs = sorted(math.log(new / old) for old, new in pairs)
+    count = len(logs)
+    if count < 3:
+        raise ValueError(f"pairs: found {count}, expected 3 or more")
+    cut = count // 10
+    logs = [min(max(x, logs[cut]), logs[count - 1 - cut]) for x in logs]
+    mean = sum(logs) / count
+    spread = math.sqrt(sum((x - mean) ** 2 for x in logs) / (count - 1))
+    degrees = max(count - 2 * cut - 1, 1)
+    reach = T_95[min(degrees, len(T_95)) - 1] * spread * (count - 1) / degrees / math.sqrt(count)
+    return math.exp(mean), math.exp(mean - reach), math.exp(mean + reach)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -6,16 +6,26 @@
 import dataclasses
 import random
 import sys
+import tomllib
 from pathlib import Path
+from types import ModuleType
 
 import pytest
 from conftest import CAPPED, PLAN, Driver, of, server, settings
 
+from yewstage import fleet, policy
 from yewstage import interface as api
-from yewstage import policy
 from yewstage.policy import Gateway, ramp
 
-SOURCE = Path(policy.__file__)
+ROOT = Path(policy.__file__).parents[1]
+
+
+def slow_down(d: Driver, name: str, pace: float) -> None:
+    """Make a host answer at `pace` times the usual latency, as the module sees it."""
+    host = d.gateway.hosts[name]
+    host.slow = pace
+    host.weigh()
+    d.gateway.fleet.place(host)
 
 
 # --- The ordinary path ---
@@ -101,7 +111,7 @@
 
 def test_one_bad_host_does_not_cut_f() -> None:
     d = Driver(servers=6)
-    d.gateway.hosts["h0"].slow = 10.0
+    slow_down(d, "h0", 10.0)
     held_on_bad = None
     for _ in range(200):
         rid, out = d.ask(after=5)
@@ -120,7 +130,8 @@
     for mid, samples in ((1.0, 0), (10.0, 1)):
         d = Driver(servers=1)
         rid, _ = d.ask()
-        d.gateway.hosts["h0"].slow, d.gateway.mid, d.gateway.ok_q = 10.0, mid, 0.5
+        slow_down(d, "h0", 10.0)
+        d.gateway.fleet.mid, d.gateway.ok_q = mid, 0.5
         d.end(rid, api.TIMED_OUT, took=90)
         assert d.gateway.q_n == samples
 
@@ -498,17 +509,17 @@
         d.end(rid, took=10 if of(out, api.Send)[0].server == "h9" else 100)
         if i % 10 == 9:
             d.give(api.TimerDue("sweep"))
-    assert to_cold <= policy.COLD_MARGIN * 3 * 0.4 * to_all / 4 + 1
+    assert to_cold <= fleet.COLD_MARGIN * 3 * 0.4 * to_all / 4 + 1
 
 
 def test_cold_budget_by_hand() -> None:
     d = Driver(servers=1)
     gw = d.gateway
-    gw.warm_rate = 0.1  # work sent to a warm host each ms
+    gw.fleet.warm_rate = 0.1  # work sent to a warm host each ms
     d.give(api.ServerList("full", (server(9, up_since_ms=d.now - 5000),)))
     cold = gw.hosts["h9"]
     saved = 0.2 * 0.1 * 2000 / 2  # at most half a span's worth is saved up
-    assert gw._cold_room(cold, 0.2, saved - 0.1)
+    assert gw.fleet.cold_room(cold, 0.2, saved - 0.1)
     gw.latency["read"] = saved / 4.5
     outs = [d.ask()[1] for _ in range(20)]
     assert 4 <= sum(len(of(out, api.Send)) for out in outs) <= 5  # other hosts gone: the budget still holds
@@ -519,7 +530,7 @@
     sent = 0
     for i in range(300):
         d = Driver(servers=1, seed=i, fleet_size=300)
-        d.gateway.warm_rate, work = 0.1, 0.36 * 0.1 * 1000 / part  # 2 of 10 s: at least 0.36 warm
+        d.gateway.fleet.warm_rate, work = 0.1, 0.36 * 0.1 * 1000 / part  # 2 of 10 s: at least 0.36 warm
         d.give(api.ServerList("full", (server(9, up_since_ms=d.now - 2000),)))
         d.gateway.latency["read"] = work
         sent += any(of(d.ask()[1], api.Send) for _ in range(10))
@@ -540,13 +551,15 @@
     d.give(api.Request("k", "put", "open", "c", 4000.0))
     held = d.gateway.held["k"]
     first = held.attempts[0].host
-    same = [h for h in d.gateway.hosts.values() if h.zone == first.zone and h is not first][0]
     other = [h for h in d.gateway.hosts.values() if h.zone != first.zone][0]
-    assert not d.gateway._may_send(held, same)  # the first one is still out
+    assert d.gateway._pick(held) is None  # the first one is still out
     held.attempts[0].open = False
-    assert d.gateway._may_send(held, same) and not d.gateway._may_send(held, other)
+    for _ in range(5):  # the other zone's hosts are free, this one's are loaded, one was tried
+        d.gateway.fleet.began(first, 0.0)
+    picked = {d.gateway._pick(held) for _ in range(30)}
+    assert other not in picked and {h.zone for h in picked} == {first.zone}
     d.gateway.now += 3000
-    assert not d.gateway._may_send(held, same)
+    assert d.gateway._pick(held) is None
 
 
 def test_host_back_from_connect_failures_counts_as_cold() -> None:
@@ -557,7 +570,7 @@
     assert of(out, api.Send)
     d.end(rid)
     host = d.gateway.hosts["h0"]
-    assert d.gateway._warmth(host) < 0.3
+    assert d.gateway.fleet.warmth(host) < 0.3
 
 
 @pytest.mark.parametrize(("result", "times", "rests"), [
@@ -586,10 +599,11 @@
     d = Driver(servers=4)
     d.sweep()
     host = d.gateway.hosts["h0"]
-    d.gateway._down(host)
+    d.gateway.fleet.down(host)
+    d.gateway.fleet.place(host)
     seen = {of(d.ask(after=1)[1], api.Send)[0].server for _ in range(20)}
     assert "h0" not in seen
-    assert of(d.ask(after=policy.BACKOFF_MS)[1], api.Send)[0].server == "h0"
+    assert of(d.ask(after=fleet.BACKOFF_MS)[1], api.Send)[0].server == "h0"
 
 
 def test_retries_are_budgeted() -> None:
@@ -699,14 +713,21 @@
 # --- The module itself ---
 
 
-def test_module_keeps_its_form() -> None:
-    lines = SOURCE.read_text().splitlines()
-    assert sum(1 for line in lines if line.strip()) < 1200
-    assert max(map(len, lines)) <= 110
-    for node in ast.walk(ast.parse(SOURCE.read_text())):
+@pytest.mark.parametrize("source", [policy, fleet], ids=["policy", "fleet"])
+def test_module_keeps_its_form(source: ModuleType) -> None:
+    text = Path(source.__file__ or "").read_text()
+    assert max(map(len, text.splitlines())) <= 110
+    for node in ast.walk(ast.parse(text)):
         names = [a.name for a in node.names] if isinstance(node, ast.Import) else []
-        names += [node.module] if isinstance(node, ast.ImportFrom) else []
+        names += [node.module or ""] if isinstance(node, ast.ImportFrom) else []
         for name in names:
-            assert name == "yewstage" or name.split(".")[0] in sys.stdlib_module_names
+            assert name.split(".")[0] in {"yewstage"} | sys.stdlib_module_names
+            assert name in ("yewstage", "yewstage.fleet") or not name.startswith("yewstage")
         if isinstance(node, ast.ImportFrom) and node.module == "yewstage":
             assert [a.name for a in node.names] == ["interface"]
+
+
+def test_files_of_the_module_are_named_for_the_platform_and_keep_its_bound() -> None:
+    named = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["policy"]
+    assert {Path(m.__file__ or "") for m in (policy, fleet)} == {ROOT / name for name in named}
+    assert sum(1 for name in named for text in (ROOT / name).read_text().splitlines() if text.strip()) <= 1200
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -11,6 +11,7 @@
 from itertools import islice
 
 from yewstage import interface as api
+from yewstage.fleet import Fleet, Host, draw
 
 # --- Constants -------------------------------------------------------------------------------------------
 SWEEP_MS = 100.0  # spacing of the housekeeping timer and of the q updates: a tenth of the quickest trouble
@@ -20,11 +21,9 @@
 Q_MIN, Q_MAX, F_MIN = 0.2, 0.45, 0.05  # idle service takes 0.1 to 0.15 of an aim; its tail is longer
 STALL = 2.0  # a sweep this many spacings late is a stall of ours, not of the back end
 RATE_MEMORY_MS = 1000.0  # memory of observed rates (completions, work sent to warm hosts)
-GAIN = 0.2  # weight of one outcome in a host's or class's running mean
-BACKOFF_MS, BACKOFF_MAX_MS = 500.0, 4000.0  # a failing host's rest before one trial, doubled to the second
+GAIN = 0.2  # weight of one outcome in a class's running latency
+RESUBSCRIBE_MS = 500.0  # spacing of askings for a list that failed to come
 STRIKES = 3  # slow or failed answers or resets in a row that count as a host's failure
-BAD = 2.5  # a host this many times slower than the fleet is unwell: no q samples, no patience
-COLD_MARGIN = 0.5  # part of the cold budget that we use: capacity is only guessed and others may run ahead
 RETRY_SHARE, RETRY_BANK = 0.2, 10.0  # further attempts per admitted request, and how many may be saved up
 PATIENCE, LOST = 2.5, 0.06  # usual latencies before an answer is missed; share missed that shows a loss
 TRIES = 64  # last tries of a class that tell its usual time left
@@ -50,37 +49,10 @@
     return max(F_MIN, min((Q_MAX - q) / (Q_MAX - Q_MIN), 1.0))
 
 
-class _Host:
-    """What this gateway knows of one server."""
-
-    __slots__ = ("name", "zone", "cell", "nominal", "up", "born", "cold_from_ms", "open", "slow", "pool",
-                 "strikes", "fails", "down_until", "died", "credit", "credit_at")
-
-    def __init__(self, server: api.Server) -> None:
-        self.name = server.name
-        self.open = 0
-        self.slow = 1.0  # running latency over its class's usual one
-        self.strikes = self.fails = 0
-        self.down_until = 0.0
-        self.died = False  # connections failed: what answers next may have just started
-        self.born = self.cold_from_ms = 0.0
-        self.credit = self.credit_at = 0.0  # work that we may send it while cold, as of when
-        self.update(server)
-
-    def update(self, server: api.Server) -> None:
-        self.zone, self.cell, self.nominal = server.zone, server.cell, max(server.nominal, 1e-6)
-        self.pool = server.pool
-        self.up = server.status == "up"
-        if server.up_since_ms > self.born:
-            self.born = self.cold_from_ms = server.up_since_ms
-            self.strikes = self.fails = 0
-            self.down_until, self.died, self.slow = 0.0, False, 1.0
-
-
 class _Attempt:
     __slots__ = ("host", "sent", "open", "ran")
 
-    def __init__(self, host: _Host, sent: float) -> None:
+    def __init__(self, host: Host, sent: float) -> None:
         self.host, self.sent = host, sent
         self.open = self.ran = True  # may be running until an outcome proves that it never did
 
@@ -169,7 +141,8 @@
         self.classes = {c.name: c for c in settings.classes}
         self.plans = {p.name: p for p in settings.plans}
         self.out: list[api.Action] = []
-        self.hosts: dict[str, _Host] = {}
+        self.fleet = Fleet(settings, self.rng)
+        self.hosts = self.fleet.hosts
         self.held: dict[str, _Held] = {}
         # A window's number tells plans apart but for those with windows of one length. Names stay:
         # gateways of two versions must count together while a new one is rolled out.
@@ -190,9 +163,7 @@
         self.q, self.f = 0.0, 1.0
         self.q_sum, self.q_n, self.q_seen = 0.0, 0, 0
         self.ok_q = self.lost = 0.0  # part of the aim that good answers take; share of answers that are lost
-        self.mid, self.many_fail = 1.0, False  # the hosts' median slowness; whether over half of them fail
         self.done = self.done_rate = 0.0  # good completions since the last sweep, and per ms
-        self.warm_work = self.warm_rate = 0.0  # work sent to warm hosts, and per ms and host
         self.bank = RETRY_BANK
         self.heard, self.call_at = 1.0, 0.0  # part of our counter calls answered; the last one's time
         self.cuts = 0  # calls cut off since the last answer
@@ -202,7 +173,7 @@
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         """The actions that answer one event at `now_ms`; times never run backwards."""
-        self.now = max(self.now, now_ms)
+        self.now = self.fleet.now = max(self.now, now_ms)
         self.out = []
         if self.born is None:
             self.born, self.sweep_due = self.now, self.now + SWEEP_MS
@@ -245,7 +216,8 @@
         event, handled at the time of birth, gives ceilings back all that they have earned since.
         """
         return (self.idle() and not self.uses
-                and all(not h.fails and not h.died and self._warmth(h) >= 1 for h in self.hosts.values()))
+                and all(not h.fails and not h.died and self.fleet.warmth(h) >= 1
+                        for h in self.hosts.values()))
 
     def idle(self) -> bool:
         """Whether the housekeeping timer may come seldom: nothing is held or asked, and no pressure is left
@@ -254,18 +226,9 @@
 
     def _server_list(self, event: api.ServerList) -> None:
         if event.kind == "failed":
-            self.out.append(api.Timer("subscribe", BACKOFF_MS * (1 + self.rng.random())))
+            self.out.append(api.Timer("subscribe", RESUBSCRIBE_MS * (1 + self.rng.random())))
             return
-        if event.kind != "changes":
-            named = {s.name for s in event.servers}
-            self.hosts = {n: h for n, h in self.hosts.items() if n in named}
-        for server in event.servers:
-            if server.status == "removed":
-                self.hosts.pop(server.name, None)
-            elif server.name in self.hosts:
-                self.hosts[server.name].update(server)
-            else:
-                self.hosts[server.name] = _Host(server)
+        self.fleet.update(event)
 
     # --- Admission (SiRED) ------------------------------------------------------------------------------
 
@@ -360,14 +323,14 @@
         """One outcome's occupancy: the part of the aim that it used up, or that a new one would."""
         if attempt.sent < self.stalled_at or event.result in NO_SAMPLE:
             return
-        if self._unwell(attempt.host):
+        if self.fleet.unwell(attempt.host):
             return  # danger: a few bad hosts cut f for all; they are the business of health
         q = 1.0
         if event.result in (api.OK, api.ERROR):
             self.ok_q += (min(event.took_ms / held.cls.aim_ms, 1.0) - self.ok_q) / FEW
             self.lost -= self.lost / (4 * FEW)
             # Danger: foretold from two or three completions it is noise that cuts f for nothing.
-            foretold = sum(h.open for h in self.hosts.values() if not h.fails) / max(self.done_rate, 1e-9)
+            foretold = self.fleet.open_well / max(self.done_rate, 1e-9)
             trust = 0.5 * min(self.done_rate * (self.now - self.born) / (3 * FEW), 1.0)
             q = min((event.took_ms + trust * (foretold - event.took_ms)) / held.cls.aim_ms, 1.0)
         elif event.result == api.TIMED_OUT and self.ok_q < Q_MIN:
@@ -511,7 +474,7 @@
             return True  # one request costs nearly nothing, and its count call tells us more
         self._left(use)
         if use.base is None or self.heard < 0.5:
-            use.left = self._draw(use.left, units)  # hurts: small parts serve by luck
+            use.left = draw(self.rng, use.left, units)  # hurts: small parts serve by luck
         return use.left >= units - 1e-9
 
     def _ceiling_has(self, use: _Use, units: float) -> bool:
@@ -600,81 +563,14 @@
         use.base, use.base_own, use.base_use = total, use.added, use.own
         use.base_left, use.base_at = use.most, self.now
 
-    # --- Server choice and health ------------------------------------------------------------------------
+    # --- Health of servers ----------------------------------------------------------------------------------
 
-    def _warmth(self, host: _Host) -> float:
-        """The least part of its capacity that a host may have after its start."""
-        age = self.now - host.cold_from_ms
-        if not host.cold_from_ms or age >= self.s.cold_ms or self.s.cold_ms <= 0:
-            return 1.0
-        return self.s.cold_from + (1 - self.s.cold_from) * max(age, 0.0) / self.s.cold_ms
-
-    def _cold_room(self, host: _Host, warmth: float, work: float) -> bool:
-        """Whether our part of a cold host's budget holds `work`; a part of it is drawn for.
-
-        The yardstick is what this gateway itself sends to a warm host, so the parts of all gateways add up to
-        what the fleet sends to one, times warmth. Danger: parts under one request; one for each gateway would
-        tip the host, none leave it idle. Hurts: those with no yardstick yet send lone requests only.
-        """
-        if self.warm_rate <= 0:
-            return host.open == 0 and self.rng.random() * self.s.fleet_size < 1
-        rate = min(COLD_MARGIN * self.s.fall_multiple, 1.0) * warmth * self.warm_rate
-        span = self.now - max(host.credit_at, host.cold_from_ms)
-        host.credit = min(host.credit + rate * span, rate * self.s.tip_after_ms / 2)
-        host.credit_at = self.now
-        host.credit = self._draw(host.credit, work)
-        return host.credit >= work
-
-    def _draw(self, part: float, whole: float) -> float:
-        """A part of one unit serves nobody: a fair draw for the whole keeps the sum of all gateways right."""
-        if part >= whole or part <= 0:
-            return part
-        return whole if self.rng.random() * whole < part else 0.0
-
-    def _pick(self, held: _Held) -> _Host | None:
-        """A cold host while our part lasts, else the least loaded; a failing one gets lone trials."""
-        best, best_score, resting = None, 0.0, []
-        tried = [a.host for a in held.attempts]
-        for host in self.hosts.values():
-            if not self._may_send(held, host):
-                continue
-            warmth = self._warmth(host)
-            if warmth < 1 and not self._cold_room(host, warmth, held.work):
-                continue
-            if host.fails:
-                if host in tried:
-                    continue
-                if host.open or self.now < host.down_until:
-                    resting.append(host)
-                    continue
-                if held.cls.effect != "safe":
-                    continue
-                return host  # its rest is over: one safe request tries it
-            if warmth < 1:
-                return host
-            # Danger: speed is noise of what others send; weighing it in full herds us onto one server.
-            # No zone is preferred: where traffic leans to one for good, its servers alone would bear it.
-            score = (host.open + 1) * host.slow ** 0.5 / host.nominal
-            score *= 1 + 0.2 * self.rng.random()
-            if host in tried:
-                score *= 4
-            if best is None or score < best_score:
-                best, best_score = host, score
-        return best if best is not None else min(resting, key=lambda h: h.down_until, default=None)
-
-    def _unwell(self, host: _Host) -> bool:
-        """Worse than its fellows. When all are slow or failing none is: then it is f that must act."""
-        return host.slow > BAD * self.mid or (host.fails > 0 and not self.many_fail)
-
-    def _judge(self, held: _Held, host: _Host, event: api.Outcome) -> None:
+    def _judge(self, held: _Held, host: Host, event: api.Outcome) -> None:
         """What an outcome says of its host."""
         usual = self._usual(held)
         if event.result == api.OK:
-            if host.died:
-                # Danger: a host back from the dead is cold long before the list says so.
-                host.cold_from_ms, host.died = max(host.cold_from_ms, self.now), False
-            host.strikes = host.fails = 0
-            host.slow += GAIN * (min(event.took_ms / usual, 20.0) - host.slow)
+            self.fleet.recovered(host)
+            self.fleet.paced(host, event.took_ms / usual)
             units = max(event.true_units or held.req.units, 1e-6)
             self.latency[held.cls.name] += GAIN / 4 * (event.took_ms / units - self.latency[held.cls.name])
             self.done += 1
@@ -688,41 +584,42 @@
             if host.fails or host.strikes >= STRIKES:
                 self._down(host)
         elif event.result in (api.ERROR, api.TIMED_OUT, api.FULL):
-            host.slow += GAIN * (min(max(held.cls.aim_ms / usual, 2.0), 20.0) - host.slow)
-            late = event.result == api.TIMED_OUT and self._unwell(host)
+            self.fleet.paced(host, max(held.cls.aim_ms / usual, 2.0))
+            late = event.result == api.TIMED_OUT and self.fleet.unwell(host)
             host.strikes += late or event.result == api.ERROR
             if host.fails or host.strikes >= STRIKES:
                 self._down(host)
 
-    def _down(self, host: _Host) -> None:
-        if host.fails and self.now < host.down_until:
-            return
-        host.down_until = self.now + min(BACKOFF_MS * 2 ** host.fails, BACKOFF_MAX_MS)
-        host.fails = min(host.fails + 1, 10)
-        self._say("host", f"{host.name} fails: resting it")
+    def _down(self, host: Host) -> None:
+        if self.fleet.down(host):
+            self._say("host", f"{host.name} fails: resting it")
 
     # --- Attempts and final answers -----------------------------------------------------------------------
 
-    def _may_send(self, held: _Held, host: _Host) -> bool:
-        """The rules on pools, drains and repeats, for every send."""
-        if not host.up or host.pool != held.req.pool:
-            return False
+    def _pick(self, held: _Held) -> Host | None:
+        """The best server for a further attempt, under the rules on drains, pools and repeats."""
+        region: tuple[str | int, ...] = ()
         if len(held.attempts) >= self.s.try_limit or held.answered or held.stream:
-            return False
-        if not self.s.second_copies and any(a.open for a in held.attempts):
-            return False
-        risky = [a for a in held.attempts if a.ran]
-        if not risky or held.cls.effect == "safe":
-            return True
-        if held.cls.effect == "unsafe":
-            return False
-        if self.now - risky[0].sent > held.cls.window_ms - 2 * self.s.tick_ms:
-            return False
-        scope = held.cls.key_scope
-        return scope == "all" or all(
-            a.host.zone == host.zone and (scope == "zone" or a.host.cell == host.cell) for a in risky)
+            return None
+        if held.attempts:
+            if not self.s.second_copies and any(a.open for a in held.attempts):
+                return None
+            risky = [a for a in held.attempts if a.ran]
+            if risky and held.cls.effect != "safe":
+                if held.cls.effect == "unsafe":
+                    return None
+                if self.now - risky[0].sent > held.cls.window_ms - 2 * self.s.tick_ms:
+                    return None
+                if held.cls.key_scope != "all":
+                    cell = held.cls.key_scope == "cell"
+                    places = {(a.host.zone, a.host.cell) if cell else (a.host.zone,) for a in risky}
+                    if len(places) > 1:
+                        return None
+                    region = places.pop()
+        tried = [a.host for a in held.attempts]
+        return self.fleet.pick(held.req.pool, held.work, held.cls.effect == "safe", tried, region)
 
-    def _send(self, held: _Held, host: _Host) -> None:
+    def _send(self, held: _Held, host: Host) -> None:
         """One attempt, given up when it can no longer be in time, or when it is better asked for again.
 
         Danger: an answer that never comes costs its whole aim, whoever lost it: a path, a stuck or a slow
@@ -734,11 +631,7 @@
                 and len(held.attempts) + 1 < self.s.try_limit and early + self._usual(held) < timeout):
             timeout = early
         held.attempts.append(_Attempt(host, self.now))
-        host.open += 1
-        if self._warmth(host) < 1:
-            host.credit -= held.work
-        else:
-            self.warm_work += held.work
+        self.fleet.began(host, held.work)
         self.out.append(api.Send(held.req.id, host.name, timeout))
 
     def _answer(self, held: _Held) -> None:
@@ -774,11 +667,12 @@
         if not attempt.open:
             return
         attempt.open = False
-        attempt.host.open -= 1
+        self.fleet.ended(attempt.host)
         attempt.ran = event.result not in api.NEVER_RAN
         if event.result != api.MOOT:
             self._sample(held, attempt, event)
             self._judge(held, attempt.host, event)
+        self.fleet.place(attempt.host)
         if event.result == api.OK and event.true_units > 0 and held.use.plan.rate > 0:
             self._spend(held.use, event.true_units - held.req.units)
             self._sync(held.use)
@@ -817,13 +711,8 @@
         memory = min(memory, self.now - self.born)
         keep = memory / (memory + span)
         self.done_rate = keep * self.done_rate + (1 - keep) * self.done / span
-        slow = sorted(h.slow for h in self.hosts.values() if h.up)
-        self.mid = max(slow[len(slow) // 2], 1.0) if slow else 1.0
-        self.many_fail = 2 * sum(1 for h in self.hosts.values() if h.up and h.fails) > len(slow)
-        warm = sum(1 for h in self.hosts.values() if h.up and not h.fails and self._warmth(h) >= 1)
-        if warm:
-            self.warm_rate = keep * self.warm_rate + (1 - keep) * self.warm_work / span / warm
-        self.done = self.warm_work = 0.0
+        self.fleet.sweep(span, keep)
+        self.done = 0.0
         for cell in self.cells.values():
             cell.work *= keep
         self._update_f()
