--- a/yewstage/fleet.py
+++ b/yewstage/fleet.py
@@ -16,7 +16,7 @@
 import random
 from collections.abc import Iterable
 from heapq import heappop, heappush
-from math import log2
+from math import log2, sqrt
 
 from yewstage import interface as api
 
@@ -32,7 +32,7 @@
 STEPS, RANKS, ZERO = 6, 512, 256  # ranks in a doubling of load, ranks in all, the rank of load 1
 PACE_STEPS, PACES, PACE_ZERO = 16, 176, 96  # the same for the histogram of pace
 LOWEST = [0.0, *(2.0 ** ((r - ZERO) / STEPS) for r in range(1, RANKS))]  # least load of each rank
-LOG_OPEN = [log2(n + 1) for n in range(1024)]
+RANKS_OPEN = [STEPS * log2(n + 1) for n in range(1024)]  # ranks that n open requests add
 OUT, READY, COLD, FAILING = range(4)
 
 
@@ -72,6 +72,7 @@
         "pace",
         "load",
         "log_load",
+        "log_nominal",
     )
 
     def __init__(self, server: api.Server) -> None:
@@ -94,6 +95,7 @@
         """Take over a line of the list; a newer start makes a new, cold server of it."""
         self.server = server
         self.zone, self.cell, self.nominal = server.zone, server.cell, max(server.nominal, 1e-6)
+        self.log_nominal = log2(self.nominal)
         self.pool = server.pool
         self.up = server.status == "up"
         if server.up_since_ms > self.born:
@@ -108,9 +110,10 @@
         Speed is noise of what others send; weighing it in full herds us onto one server. No zone is
         preferred: where traffic leans to one for good, its servers alone would bear it.
         """
-        self.load = self.slow**0.5 / self.nominal
-        self.log_load = ZERO + STEPS * log2(self.load)
-        self.pace = min(max(int(PACE_STEPS * log2(self.slow) + PACE_ZERO), 0), PACES - 1)
+        log_slow = log2(self.slow)
+        self.load = sqrt(self.slow) / self.nominal
+        self.log_load = ZERO + STEPS * (log_slow / 2 - self.log_nominal)
+        self.pace = int(PACE_ZERO + PACE_STEPS * log_slow)
 
 
 class Bag:
@@ -205,29 +208,34 @@
 
     def place(self, host: Host) -> None:
         """Put a host where its state belongs; called after each change of it."""
-        if not host.listed or not host.up:
-            group = OUT
-        elif host.fails:
-            group = FAILING
-        elif host.cold_from_ms and self.warmth(host) < 1:
-            group = COLD
-        else:
-            group, host.cold_from_ms = READY, 0.0
-        if group != host.group:
-            self._move(host, group)
+        if host.group != READY or host.fails or host.cold_from_ms:
+            if not host.listed or not host.up:
+                group = OUT
+            elif host.fails:
+                group = FAILING
+            elif host.cold_from_ms and self.warmth(host) < 1:
+                group = COLD
+            else:
+                group, host.cold_from_ms = READY, 0.0
+            if group != host.group:
+                self._move(host, group)
+            if group != READY:
+                return
+        count = host.open
+        rank = int(host.log_load + (RANKS_OPEN[count] if count < 1024 else STEPS * log2(count + 1)))
+        if rank == host.rank:
+            return
+        rank = min(max(rank, 0), RANKS - 1)
         home = host.home
-        if group == READY and home is not None:
-            logged = LOG_OPEN[host.open] if host.open < 1024 else log2(host.open + 1)
-            rank = min(max(int(host.log_load + STEPS * logged), 0), RANKS - 1)
-            if rank != host.rank:
-                if host.rank >= 0:
-                    self._leave(home, host)
-                held = home.ranks.get(rank)
-                if held is None:
-                    held = home.ranks[rank] = []
-                host.rank, host.at = rank, len(held)
-                held.append(host)
-                home.mask |= 1 << rank
+        assert home is not None
+        if host.rank >= 0:
+            self._leave(home, host)
+        held = home.ranks.get(rank)
+        if held is None:
+            held = home.ranks[rank] = []
+        host.rank, host.at = rank, len(held)
+        held.append(host)
+        home.mask |= 1 << rank
 
     @staticmethod
     def _leave(home: _Pool, host: Host) -> None:
@@ -314,7 +322,8 @@
 
     def paced(self, host: Host, pace: float) -> None:
         """An outcome at `pace` times the usual latency."""
-        host.slow = max(host.slow + GAIN * (min(pace, SLOWEST) - host.slow), FASTEST)
+        slow = host.slow + GAIN * ((pace if pace < SLOWEST else SLOWEST) - host.slow)
+        host.slow = slow if slow > FASTEST else FASTEST
         old = host.pace
         host.weigh()
         if host.group != OUT and host.pace != old:
--- a/yewstage/hosted/config.py
+++ b/yewstage/hosted/config.py
@@ -354,6 +354,7 @@
             max_retry_after_ms=module.max_retry_after_ms,
             may_count=True,
             most_units=module.most_units,
+            most_customers=module.most_customers,
             count_wait_ms=COUNT_PATIENCE * self._head.counter.wait_ms,
             trued_up=True,
             drain_grace_ms=module.drain_grace_ms,
--- a/yewstage/hosted/shape.py
+++ b/yewstage/hosted/shape.py
@@ -147,6 +147,7 @@
     try_limit: Annotated[int, Field(ge=1, le=16)] = 3
     max_retry_after_ms: NotNegative = 10_000.0
     most_units: Positive = 1000.0
+    most_customers: Annotated[int, Field(ge=16, le=1_000_000)] = 8192
     drain_grace_ms: NotNegative = 1000.0
     cold_from: Annotated[float, Field(gt=0, le=1)] = 1.0
     cold_ms: NotNegative = 0.0
--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -73,6 +73,7 @@
     must_ask: bool = False  # the list of servers comes only on request
     may_count: bool = False
     most_units: float = math.inf  # the largest request
+    most_customers: int = 8192  # known at once: a flood of new names must not fill the memory
     count_wait_ms: float = 50.0
     trued_up: bool = False
     use_period_ms: float = 0.0
@@ -90,6 +91,8 @@
             raise ValueError("classes: at least one is needed")
         if self.fleet_size < 1:
             raise ValueError("fleet_size: must be 1 or more")
+        if self.most_customers < 1:
+            raise ValueError("most_customers: must be 1 or more")
         if not 0 <= self.me < self.fleet_size:
             raise ValueError("me: must lie in 0 .. fleet_size - 1")
         for c in self.classes:
@@ -121,10 +124,10 @@
     pool: str = ""  # it serves the requests that name this pool, and no others
 
 
-# Events
+# Events. Nobody changes one, nor an action; but to have it checked (frozen) triples the cost of making one.
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class ServerList:
     """News of the servers: 'full' and 'kept' bring all of them, 'changes' some, 'failed' none."""
 
@@ -132,7 +135,7 @@
     servers: tuple[Server, ...] = ()
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Request:
     """A client's request, which is owed exactly one final answer."""
 
@@ -148,7 +151,7 @@
     pool: str = ""  # the hosts that may serve it
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Outcome:
     """How one attempt ended; `final` is set once the request is finished."""
 
@@ -163,7 +166,7 @@
     report: dict[str, float] = field(default_factory=dict)
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class StreamStarted:
     """A streamed answer has begun: the client owns this attempt now."""
 
@@ -171,21 +174,21 @@
     attempt: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class ClientLeft:
     """The client is gone; nothing more is owed."""
 
     request: str
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class TimerDue:
     """A timer that the module asked for."""
 
     name: str
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class CountReply:
     """What one Count call came to: result ok, full, connect_failed or timed_out; spoilt: it was answered, so
     added, but with no total; cut: its connection broke while it was out."""
@@ -196,7 +199,7 @@
     took_ms: float = 0.0
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class ProbeReply:
     """What one Probe found."""
 
@@ -206,7 +209,7 @@
     report: dict[str, float] = field(default_factory=dict)
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class PeerMessage:
     """A message from another gateway."""
 
@@ -217,7 +220,7 @@
 # Actions
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Send:
     """Start an attempt; attempts of a request are numbered 0, 1, 2... in the order of Sends."""
 
@@ -226,7 +229,7 @@
     timeout_ms: float
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Refuse:
     """Final answer: not served, and trying again does no harm."""
 
@@ -235,14 +238,14 @@
     cause: str = ""  # one of the causes above
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Fail:
     """Final answer: failed, nothing promised."""
 
     request: str
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Cancel:
     """Stop waiting for one attempt."""
 
@@ -250,7 +253,7 @@
     attempt: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Timer:
     """Ask for a TimerDue."""
 
@@ -258,7 +261,7 @@
     in_ms: float
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Count:
     """Add an amount to a shared count and learn its total."""
 
@@ -267,12 +270,12 @@
     keep_ms: float
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Subscribe:
     """Ask to be told of changes to the list of servers."""
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Log:
     """A line for the people on call."""
 
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -7,8 +7,10 @@
 
 import hashlib
 import random
+from array import array
+from bisect import bisect_left, bisect_right
 from collections import deque
-from itertools import islice
+from collections.abc import Sequence
 
 from yewstage import interface as api
 from yewstage.fleet import Fleet, Host, draw
@@ -34,13 +36,16 @@
 HEED, CROWD = 0.35, 4  # weight of one counter reply in a mean of them; the power of the mean that thins calls
 CUTS = 4  # counter calls cut off with no answer between them: more than one connection's end breaks
 CALL_REST_MS = 1000.0  # one call in this time is made however few are answered: it finds the counter's return
-FORGET_WINDOWS = 3.0  # windows without a request after which a customer is forgotten
+FORGET_WINDOWS = 3.0  # windows without a request after which what was read of a customer's use is no guide
+KEEP_MS = 120000.0  # a customer is forgotten that long after its last request, to make it anew costs more
 FADED = 0.01  # smoothed occupancy of a back end that has nothing to do
-MOST_USES = 8192  # customers known at once: a flood of new names must not fill the memory
-LOOKS = 64  # customers looked at in one sweep, the longest unseen first
+LOOKS, SWEEPS = 64, 1200  # customers looked at in one sweep, and sweeps in which all are, where that is more
+CHOICES = 8  # customers weighed against each other when one must go early
+SLOTS = 65536  # of what is kept of ceilings whose customers went early
 ROUNDING = 1e-9  # what a sum of shares may lack of a whole: taken for less than 1, it refused some work
 KEEP_MAX_MS = 60000.0  # longest life of a count
 BROKEN = frozenset((api.CONNECT_FAILED, api.RESET, api.STALE, api.UNSENT))  # the connection, not the work
+NOBODY: list[Host] = []
 NO_SAMPLE = BROKEN | {api.CANCELLED, api.SPOILT, api.NO_ROOM}  # results that tell nothing of occupancy
 
 
@@ -60,20 +65,21 @@
 class _Held:
     """A request that is owed an answer, or whose attempts are still out."""
 
-    __slots__ = ("req", "cls", "use", "aim_at", "end_at", "attempts", "answered", "stream", "work")
+    __slots__ = ("req", "cls", "use", "aim_at", "end_at", "attempts", "out", "answered", "stream", "work")
 
     def __init__(self, req: api.Request, cls: api.RequestClass, use: _Use, aim_at: float, end_at: float,
                  work: float) -> None:
         self.req, self.cls, self.use, self.work = req, cls, use, work
         self.aim_at, self.end_at = aim_at, end_at
         self.attempts: list[_Attempt] = []
+        self.out = 0  # attempts that are open
         self.answered = self.stream = False
 
 
 class _Use:
     """One customer's use: the count of this window, and this gateway's part of the ceiling."""
 
-    __slots__ = ("key", "plan", "width", "widest", "phase", "digest", "window", "name", "own", "added",
+    __slots__ = ("key", "plan", "width", "widest", "digest", "window", "name", "own", "added",
                  "base", "base_own", "base_at", "base_use", "base_left", "most", "left", "left_at", "others",
                  "calling", "in_call", "call_at", "asking", "open", "seen", "ceiling", "ceiling_at", "luck")
 
@@ -81,8 +87,7 @@
         self.key, self.plan, self.seen = key, plan, now
         self.width = self.widest = width  # of its set, as named in this window or the last; in this one
         # Windows start at a phase of the customer's own: no herd of calls at their edges.
-        digest = hashlib.blake2s(key[0].encode(), digest_size=8)
-        self.digest, self.phase = digest.hexdigest(), int.from_bytes(digest.digest()[:2], "big") / 65536
+        self.digest = hashlib.blake2s(key[0].encode(), digest_size=8).digest()
         self.window, self.name = -1, ""
         self.own = self.added = self.in_call = 0.0  # our use in the window; told; in a call
         self.calling, self.call_at = False, 0.0
@@ -92,12 +97,37 @@
         self.others = plan.rate / 1000 * (1 - 1 / width)  # estimate of the others' use, units per ms
         # Danger: a gateway back from the dead has spent what it no longer knows. It earns its split anew.
         self.left, self.left_at = min(plan.burst, plan.rate * age / 1000) / width, now
-        self.asking: list[tuple[api.Request, float, float]] = []  # wait for a total: request, aim, end
+        # Wait for a total: request, aim, end. A list while there are any: most customers never have one.
+        self.asking: Sequence[tuple[api.Request, float, float]] = ()
         self.open = 0
         self.ceiling = self.ceiling_at = 0.0
         self.luck = 1.0  # part of our asking that found something left
 
 
+class _Shadow:
+    """What is kept of ceilings whose customers were forgotten early: a count-min sketch of times (Cormode and
+    Muthukrishnan, 2005), from which on a store was filling from empty.
+
+    Invariant: it never tells of an earlier time than the true one, so no ceiling is larger for having been
+    forgotten. Hurts: who shares both slots with others has the later time, for burst / rate at most.
+    """
+
+    def __init__(self) -> None:
+        self.times: array[float] | None = None
+
+    def put(self, digest: bytes, since: float) -> None:
+        times = self.times = self.times or array("d", bytes(8 * SLOTS))
+        for i in (int.from_bytes(digest[:4], "big") % SLOTS, int.from_bytes(digest[4:], "big") % SLOTS):
+            times[i] = max(times[i], since)
+
+    def since(self, digest: bytes) -> float:
+        times = self.times
+        if times is None:
+            return 0.0
+        return min(times[int.from_bytes(digest[:4], "big") % SLOTS],
+                   times[int.from_bytes(digest[4:], "big") % SLOTS])
+
+
 class _Cell:
     """Requests of one class and plan: their worth per work, share of the work, fraction let in."""
 
@@ -124,8 +154,9 @@
         self.stale += 1
         if self.stale >= TRIES // 8:  # to sort for each request would be the dearest part of it
             self.stale = 0
-            usual = sorted(self.lefts)[len(self.lefts) * 7 // 10]
-            agree = sum(1 for left in self.lefts if abs(left - usual) <= 0.01 * usual)
+            lefts = sorted(self.lefts)
+            usual = lefts[len(lefts) * 7 // 10]
+            agree = bisect_right(lefts, 1.01 * usual) - bisect_left(lefts, 0.99 * usual)
             shows = len(self.lefts) >= TRIES // 2 and 3 * agree >= len(self.lefts)
             self.least = 0.99 * usual if shows else 0.0
         return self.least
@@ -146,11 +177,14 @@
         self.held: dict[str, _Held] = {}
         # A window's number tells plans apart but for those with windows of one length. Names stay:
         # gateways of two versions must count together while a new one is rolled out.
-        lengths = [self._window_ms(p) if p.rate > 0 else 0.0 for p in settings.plans]
+        self.windows = {p.name: self._window_ms(p) if p.rate > 0 else 0.0 for p in settings.plans}
+        lengths = list(self.windows.values())
         self.tags = {p.name: f".{i}" if lengths.count(lengths[i]) > 1 else ""
                      for i, p in enumerate(settings.plans)}
-        self.uses: dict[tuple[str, str], _Use] = {}  # by customer and plan, the longest unseen first
-        self.calls: dict[str, _Use] = {}  # by the name of its count
+        self.uses: dict[tuple[str, str], _Use] = {}  # by customer and plan
+        self.ring: deque[_Use] = deque()  # the same, in the order in which they are looked at for forgetting
+        self.shadow = _Shadow()
+        self.calls: dict[str, _Use] = {}  # by the name of its count, while a call is out
         self.asking: dict[str, _Use] = {}  # by the request that waits for a total
         self.askers: dict[_Use, None] = {}  # those with a request that waits, or has left while it waited
         self.cells: dict[tuple[str, str], _Cell] = {}
@@ -173,7 +207,8 @@
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         """The actions that answer one event at `now_ms`; times never run backwards."""
-        self.now = self.fleet.now = max(self.now, now_ms)
+        if now_ms > self.now:
+            self.now = self.fleet.now = now_ms
         self.out = []
         if self.born is None:
             self.born, self.sweep_due = self.now, self.now + SWEEP_MS
@@ -184,17 +219,23 @@
             # Danger: our own stall looks like a slow back end. What was out during it is no q sample.
             # Holds also for a paused machine or a jammed network card. Hurts: a real jam is seen later.
             self.stalled_at = self.now
+        kind = type(event)
+        if kind is api.Request:
+            self._request(event)
+        elif kind is api.Outcome:
+            self._outcome(event)
+        else:
+            self._seldom(event)
+        return self.out
+
+    def _seldom(self, event: api.Event) -> None:
         match event:
-            case api.Request():
-                self._request(event)
-            case api.Outcome():
-                self._outcome(event)
+            case api.CountReply():
+                self._count_reply(event)
             case api.TimerDue(name="sweep"):
                 self._sweep()
             case api.TimerDue(name="subscribe"):
                 self.out.append(api.Subscribe())
-            case api.CountReply():
-                self._count_reply(event)
             case api.ServerList():
                 self._server_list(event)
             case api.StreamStarted():
@@ -206,16 +247,15 @@
                 pass
             case _:
                 raise TypeError(f"not an event of yewstage.interface: {event!r}")
-        return self.out
 
     def settled(self) -> bool:
         """Whether nothing is left that a fresh module of the same birth would not know from its list of
-        hosts: no request, no customer's use, no cold, failing or dead host, no pressure.
+        hosts: no request, no customer's use that still counts, no cold, failing or dead host, no pressure.
 
         Such a module may be put away, and made anew from its settings when the next request comes: its first
         event, handled at the time of birth, gives ceilings back all that they have earned since.
         """
-        return (self.idle() and not self.uses
+        return (self.idle() and all(map(self._stale, self.uses.values()))
                 and all(not h.fails and not h.died and self.fleet.warmth(h) >= 1
                         for h in self.hosts.values()))
 
@@ -257,7 +297,7 @@
             # Exception to refusing at once: the total that settles it is a few ms away.
             self.asking[req.id] = use
             self.askers[use] = None
-            use.asking.append((req, aim_at, end_at))
+            use.asking = [*use.asking, (req, aim_at, end_at)]
             self._sync(use, req.units)
         else:
             self._decide(req, cls, use, aim_at, end_at, False)
@@ -302,9 +342,12 @@
 
     def _admit(self, cls: api.RequestClass, plan: api.Plan, units: float) -> bool:
         """The accumulator: r += f; at 1 or more, subtract 1 and let in."""
-        cell = self.cells.setdefault((cls.name, plan.name), _Cell())
-        cell.value = cls.worth * plan.worth / max(self.latency[cls.name], 1e-6)
-        cell.work += self.latency[cls.name] * max(units, 0.0)
+        cell = self.cells.get((cls.name, plan.name))
+        if cell is None:
+            cell = self.cells[cls.name, plan.name] = _Cell()
+        latency = self.latency[cls.name]
+        cell.value = cls.worth * plan.worth / max(latency, 1e-6)
+        cell.work += latency * max(units, 0.0)
         cell.r += cell.f
         if cell.r < 1.0 - ROUNDING:
             return False
@@ -379,32 +422,51 @@
         """
         width = max(1, min(req.width, self.s.fleet_size))
         key = (req.customer, plan.name)
-        use = self.uses.pop(key, None)
+        use = self.uses.get(key)
         if use is None:
-            if len(self.uses) >= MOST_USES and not self._forget_one():
+            if len(self.uses) >= self.s.most_customers and not self._forget_one():
                 return None
-            use = _Use(key, plan, width, self.now, self.now - (self.born or 0.0))
-            use.ceiling_at = self.born or 0.0
-        self.uses[key] = use
-        use.seen = self.now
+            use = self.uses[key] = _Use(key, plan, width, self.now, self.now - (self.born or 0.0))
+            use.ceiling_at = max(self.born or 0.0, self.shadow.since(use.digest))
+            self.ring.append(use)
+        unseen, use.seen = self.now - use.seen, self.now
         if plan.rate > 0:
-            length = self._window_ms(plan)
-            clock = self.now / length + use.phase
+            length = self.windows[plan.name]
+            clock = self.now / length + (use.digest[0] << 8 | use.digest[1]) / 65536
             if int(clock) != use.window:
                 self._roll(use, int(clock), self.now - clock % 1 * length)
-        use.widest = max(use.widest, width)
-        use.width = max(use.width, width)
+                if unseen >= FORGET_WINDOWS * length:
+                    # Danger: what was read long ago is no guide, and to ask anew for each of 100,000 seldom
+                    # seen customers crowds the counter. Our split of the burst goes untold at most.
+                    use.left = min(use.left, plan.burst / use.width)
+        if width > use.widest:
+            use.widest = width
+            use.width = max(use.width, width)
         return use
 
     def _forget_one(self) -> bool:
-        """Make room for a customer by forgetting the one unseen for the longest that may go early."""
-        for use in islice(self.uses.values(), LOOKS):
-            if self._may_forget(use):
-                self._forget(use)
-                return True
-        return False
+        """Make room for a customer by forgetting one early, of a few the one unseen for the longest.
+
+        What it has of its ceiling is noted. Of its quota the counter knows all but the last few requests.
+        """
+        best, at, ring = None, 0, self.ring
+        looks = min(CHOICES, len(ring))
+        for i in range(looks):
+            use = ring[0]
+            ring.rotate(-1)
+            if not use.open and not use.asking and (best is None or use.seen < best.seen):
+                best, at = use, i
+        if best is None:
+            return False
+        del ring[len(ring) - looks + at]
+        rate = best.plan.ceiling_rate / 1000 / best.width
+        if rate > 0:
+            self.shadow.put(best.digest, best.ceiling_at - best.ceiling / rate)
+        self._forget(best)
+        return True
 
     def _forget(self, use: _Use) -> None:
+        """Off the ring already."""
         del self.uses[use.key]
         self.calls.pop(use.name, None)
 
@@ -420,7 +482,7 @@
         """
         self.calls.pop(use.name, None)
         self._settle(use)
-        use.window, use.name = window, f"{use.digest}{self.tags[use.plan.name]}.{window}"
+        use.window, use.name = window, ""
         use.width, use.widest = use.widest, 1
         self._left(use, start)
         known = use.most if use.base is None else max(use.left, 0.0)
@@ -432,7 +494,9 @@
 
     def _left(self, use: _Use, at: float | None = None) -> float:
         """What is left of the quota: carried + rate x time - our use - the others' as read or estimated."""
-        span = max((self.now if at is None else at) - use.left_at, 0.0)
+        span = (self.now if at is None else at) - use.left_at
+        if span <= 0:
+            return use.left
         burst, rate = use.plan.burst, use.plan.rate / 1000
         part = min(1.0, (SPLIT if self.f >= 1 else 1.0) / use.width)
         use.most = min(burst, use.most + rate * span)
@@ -503,16 +567,17 @@
         use.calling, use.call_at, self.call_at = True, self.now, self.now
         use.added += newer
         use.in_call = newer
+        use.name = f"{use.digest.hex()}{self.tags[use.plan.name]}.{use.window}"
         self.calls[use.name] = use
-        self.out.append(api.Count(use.name, newer, min(2 * self._window_ms(use.plan), KEEP_MAX_MS)))
+        self.out.append(api.Count(use.name, newer, min(2 * self.windows[use.plan.name], KEEP_MAX_MS)))
 
     def _count_reply(self, reply: api.CountReply) -> None:
         ok = reply.result == api.OK
         self._hear(reply.result)
-        use = self.calls.get(reply.name)
+        use = self.calls.pop(reply.name, None)
         if use is None or not use.calling:
             return
-        use.calling = False
+        use.calling, use.name = False, ""
         if ok:
             self._read(use, reply.total)
         elif reply.result not in (api.TIMED_OUT, api.CUT, api.SPOILT):
@@ -539,7 +604,7 @@
 
     def _settle(self, use: _Use) -> None:
         """Decide the requests that waited for a total."""
-        waiting, use.asking = use.asking, []
+        waiting, use.asking = use.asking, ()
         self.askers.pop(use, None)
         if waiting:  # danger: all gateways ask again and again for a customer who floods them
             found = use.left >= waiting[0][0].units
@@ -598,11 +663,13 @@
 
     def _pick(self, held: _Held) -> Host | None:
         """The best server for a further attempt, under the rules on drains, pools and repeats."""
-        region: tuple[str | int, ...] = ()
         if len(held.attempts) >= self.s.try_limit or held.answered or held.stream:
             return None
+        region: tuple[str | int, ...] = ()
+        tried = NOBODY
         if held.attempts:
-            if not self.s.second_copies and any(a.open for a in held.attempts):
+            tried = [a.host for a in held.attempts]
+            if held.out and not self.s.second_copies:
                 return None
             risky = [a for a in held.attempts if a.ran]
             if risky and held.cls.effect != "safe":
@@ -616,7 +683,6 @@
                     if len(places) > 1:
                         return None
                     region = places.pop()
-        tried = [a.host for a in held.attempts]
         return self.fleet.pick(held.req.pool, held.work, held.cls.effect == "safe", tried, region)
 
     def _send(self, held: _Held, host: Host) -> None:
@@ -626,11 +692,12 @@
         server. While answers get lost beside fast ones, what may be repeated ends early. Hurts: long jobs.
         """
         timeout = max(held.aim_at - self.now - self.s.tick_ms, min(1.0, held.end_at - self.now))
-        early = max(timeout / 2, PATIENCE * self._usual(held))
-        if (self.lost > LOST and held.cls.effect != "unsafe" and self.bank >= 1
-                and len(held.attempts) + 1 < self.s.try_limit and early + self._usual(held) < timeout):
-            timeout = early
+        if self.lost > LOST and held.cls.effect != "unsafe" and self.bank >= 1:
+            early = max(timeout / 2, PATIENCE * self._usual(held))
+            if len(held.attempts) + 1 < self.s.try_limit and early + self._usual(held) < timeout:
+                timeout = early
         held.attempts.append(_Attempt(host, self.now))
+        held.out += 1
         self.fleet.began(host, held.work)
         self.out.append(api.Send(held.req.id, host.name, timeout))
 
@@ -647,11 +714,10 @@
         """No more is sent; attempts still out are called off, and awaited."""
         if held is None:
             return
-        still = [i for i, a in enumerate(held.attempts) if a.open]
-        if self.s.cancel and not held.stream and not held.answered:
-            self.out.extend(api.Cancel(held.req.id, i) for i in still)
+        if held.out and self.s.cancel and not held.stream and not held.answered:
+            self.out.extend(api.Cancel(held.req.id, i) for i, a in enumerate(held.attempts) if a.open)
         held.answered = True
-        if not still and self.held.pop(held.req.id, None) is not None:
+        if not held.out and self.held.pop(held.req.id, None) is not None:
             held.use.open -= 1
 
     def _stream_started(self, event: api.StreamStarted) -> None:
@@ -667,6 +733,7 @@
         if not attempt.open:
             return
         attempt.open = False
+        held.out -= 1
         self.fleet.ended(attempt.host)
         attempt.ran = event.result not in api.NEVER_RAN
         if event.result != api.MOOT:
@@ -678,7 +745,7 @@
             self._sync(held.use)
         if event.final or event.result == api.OK or held.answered:
             self._finish(held)
-        elif not any(a.open for a in held.attempts):
+        elif not held.out:
             # Danger: another server does not mend a bound of our own; asking it again at once is a loop.
             if event.result == api.NO_ROOM or not self._again(held, event):
                 self._answer(held)
@@ -720,21 +787,22 @@
             if self.now - use.call_at > self.s.count_wait_ms + SWEEP_MS:  # danger: a reply that never comes
                 use.calling = False
                 self._settle(use)
-        for use in list(islice(self.uses.values(), LOOKS)):
-            if self._stale(use):
+        for _ in range(min(len(self.ring), max(LOOKS, len(self.ring) // SWEEPS))):
+            use = self.ring.popleft()
+            if self._stale(use, KEEP_MS):
                 self._forget(use)
+            else:
+                self.ring.append(use)
         self.sweep_due = self.now + SWEEP_MS
         self.out.append(api.Timer("sweep", SWEEP_MS))
 
-    def _stale(self, use: _Use) -> bool:
-        memory = self._window_ms(use.plan) if use.plan.rate > 0 else RATE_MEMORY_MS
-        return self.now - use.seen >= FORGET_WINDOWS * memory and self._may_forget(use)
-
-    def _may_forget(self, use: _Use) -> bool:
-        plan = use.plan
+    def _stale(self, use: _Use, least_ms: float = 0.0) -> bool:
+        """Unseen for some windows and `least_ms`, and forgetting it changes nothing."""
+        plan, unseen = use.plan, self.now - use.seen
+        memory = self.windows[plan.name] if plan.rate > 0 else RATE_MEMORY_MS
         # A forgotten ceiling part starts anew from our start: only one that would be full again may go.
-        full = (self.now - use.seen) * plan.ceiling_rate >= 1000 * plan.ceiling_burst
-        return not use.open and not use.asking and full
+        return (unseen >= max(FORGET_WINDOWS * memory, least_ms) and not use.open and not use.asking
+                and unseen * plan.ceiling_rate >= 1000 * plan.ceiling_burst)
 
     def _say(self, cause: str, text: str) -> None:
         if self.now - self.said.get(cause, -1e9) >= 5000:
