--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 SET_UP = .venv/set-up
 
-.PHONY: demo test lint bench-tenants
+.PHONY: demo test lint bench bench-path bench-tenants
 
 demo: $(SET_UP)
 	.venv/bin/hillmux demo
@@ -15,6 +15,17 @@
 	.venv/bin/mypy
 	.venv/bin/lint-imports --no-cache
 
+# This tree against the revision before: BASE=origin/main, say. Exit 1 where a request costs over 5% more.
+BASE ?= HEAD
+bench: $(SET_UP)
+	.venv/bin/python benchmarks/module.py --base $(BASE)
+	.venv/bin/python benchmarks/path.py --base $(BASE) --blocks 100
+
+bench-path: $(SET_UP)
+	.venv/bin/pip -q install -r requirements-bench.txt
+	.venv/bin/python benchmarks/module.py --svg docs/cost.svg
+	.venv/bin/python benchmarks/path.py --system-calls --flame bench-flame.svg --open-rate 2000
+
 bench-tenants: $(SET_UP)
 	.venv/bin/python benchmarks/tenants.py
 
--- a/benchmarks/module.py
+++ b/benchmarks/module.py
@@ -2,6 +2,7 @@
 
     python benchmarks/module.py                     # the work tree alone, figures of docs/cost.md
     python benchmarks/module.py --base REVISION     # both in turn, ratios with their 95% interval
+    python benchmarks/module.py --base REVISION --plant 0.05    # a twentieth wasted on purpose
     python benchmarks/module.py --svg docs/cost.svg # and the picture
 
 Time within the module, in processes that share one core; small and large, or old and new, in turn within one
@@ -17,7 +18,7 @@
 import statistics
 from pathlib import Path
 
-from trees import Tree, Worker, ratio
+from trees import WORSE, Tree, Worker, ratio, worse
 
 HOSTS = [(n, 200) for n in (10, 100, 1000, 5000)]
 CUSTOMERS = [(10, n) for n in (200, 20_000, 200_000)]
@@ -84,14 +85,15 @@
     parser.add_argument("--base", help="a revision to compare with")
     parser.add_argument("--blocks", type=int, default=60)
     parser.add_argument("--requests", type=int, default=500, help="for each block")
+    parser.add_argument("--plant", type=float, default=0.0, help="part of the cost to waste in the work tree")
     parser.add_argument("--svg", type=Path)
     args = parser.parse_args()
     if args.base:
-        trees = [Tree(args.base), Tree(None)]
+        trees, missed = [Tree(args.base), Tree(None)], False
         for hosts, customers in (HOSTS[0], HOSTS[2], CUSTOMERS[2]):
             workers = [Worker(tree, "module_worker.py", CORE) for tree in trees]
             case = {"hosts": hosts, "customers": customers, "requests": args.requests}
-            old, new = blocks(workers, [case, case], args.blocks)
+            old, new = blocks(workers, [case, case | {"plant": args.plant}], args.blocks)
             mean, least, most = ratio([(a["us"], b["us"]) for a, b in zip(old[1:], new[1:], strict=True)])
             print(
                 f"{hosts:5} hosts {customers:7} customers: {quick(old):7.1f} -> "
@@ -99,11 +101,13 @@
                 f"({least:.3f} to {most:.3f})",
                 flush=True,
             )
+            missed |= worse(mean, least)
             for worker in workers:
                 worker.close()
         for tree in trees:
             tree.close()
-        return 0
+        print(f"wanted: at most {WORSE} of before, or within the noise: {'missed' if missed else 'met'}")
+        return missed
     tree, missed, curves = Tree(None), False, {}
     for name, sizes in (("hosts", HOSTS), ("customers", CUSTOMERS)):
         workers = [Worker(tree, "module_worker.py", CORE) for _ in sizes]
--- a/benchmarks/module_worker.py
+++ b/benchmarks/module_worker.py
@@ -70,12 +70,15 @@
         self.counts: dict[str, float] = {}
         self.serial = self.sent = self.events = self.actions = 0
         self.spent = 0.0  # s in the module
+        self.wasted = 0  # turns of an empty loop for each event
         self.tries: dict[str, int] = {}
         self.give(api.ServerList("full", servers))
 
     def give(self, event: api.Event) -> None:
         began = time.perf_counter()
         actions = self.gateway.handle(self.now, event)
+        for _ in range(self.wasted):
+            pass
         self.spent += time.perf_counter() - began
         self.events += 1
         self.actions += len(actions)
@@ -150,7 +153,13 @@
         requests = play.requests(count)
         gc.disable()  # a collection falls into one run and not into its pair
         play.run(requests)
-        took = play.spent * (1 + case.get("plant", 0.0))
+        took = play.spent
+        if case.get("plant") and not play.wasted:  # from the next block on
+            began = time.perf_counter()
+            for _ in range(100_000):
+                pass
+            turn = (time.perf_counter() - began) / 100_000
+            play.wasted = round(case["plant"] * took / play.events / turn)
         gc.enable()
         answer = {
             "us": 1e6 * took / count,
--- /dev/null
+++ b/benchmarks/standins.py
@@ -0,0 +1,330 @@
+"""The processes around the gateway in benchmarks/path.py: hosts, counter, registry, load, and other proxies.
+
+    python benchmarks/standins.py ROLE      # its arguments come as a line of JSON
+
+Each prints a line of JSON once it is ready (its ports), and ends with its standard input. The load takes a
+case for each further line, and answers each with a line.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import sys
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import httptools
+import uvloop
+
+LOOP = "127.0.0.1"
+BODY = b'{"slots":[' + b"1" * 50 + b"]}"
+GOOD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b" % (
+    len(BODY),
+    BODY,
+)
+FULL = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+MOST_WAITING = 10_000  # requests of an open loop that wait for a connection
+
+
+class Answering(asyncio.Protocol):
+    """A server: `answer` makes bytes of a target, or keeps the connection for later with None."""
+
+    def __init__(self, answer: Callable[[bytes, asyncio.Transport], bytes | None]) -> None:
+        self._answer = answer
+        self._parser = httptools.HttpRequestParser(self)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport: Any = transport
+
+    def data_received(self, data: bytes) -> None:
+        self._parser.feed_data(data)
+
+    def on_message_begin(self) -> None:
+        self._url = b""
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_message_complete(self) -> None:
+        answer = self._answer(self._url, self.transport)
+        if answer is not None:
+            self.transport.write(answer)
+
+
+async def listen(answer: Callable[[bytes, asyncio.Transport], bytes | None], count: int = 1) -> list[int]:
+    loop = asyncio.get_running_loop()
+    ports = []
+    for _ in range(count):
+        server = await loop.create_server(lambda: Answering(answer), LOOP, 0, backlog=512)
+        ports.append(server.sockets[0].getsockname()[1])
+    return ports
+
+
+async def hosts(ports: int = 8, full_every: int = 0) -> dict[str, Any]:
+    """Hosts that answer at once; one in `full_every` requests is turned away unrun, and so sent anew."""
+    asked = 0
+
+    def answer(url: bytes, transport: asyncio.Transport) -> bytes:
+        nonlocal asked
+        asked += 1
+        return FULL if full_every and asked % full_every == 0 else GOOD
+
+    return {"ports": await listen(answer, ports)}
+
+
+async def counter() -> dict[str, Any]:
+    totals: dict[str, float] = {}
+
+    def answer(url: bytes, transport: asyncio.Transport) -> bytes:
+        name, _, query = url.decode().removeprefix("/v1/count/").partition("?")
+        total = totals.pop(name, 0.0) + float(query.split("&")[0].removeprefix("add="))
+        totals[name] = total
+        if len(totals) > 400_000:
+            del totals[next(iter(totals))]
+        body = f"{total:g}".encode()
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+    return {"ports": await listen(answer)}
+
+
+async def registry(instances: list[dict[str, Any]]) -> dict[str, Any]:
+    """The whole list at once; a watch is never answered."""
+    body = json.dumps({"generation": 1, "reset": True, "instances": instances}).encode()
+
+    def answer(url: bytes, transport: asyncio.Transport) -> bytes | None:
+        if b"after=" in url:
+            return None
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+    return {"ports": await listen(answer)}
+
+
+# --- Load ---
+
+
+class Asking(asyncio.Protocol):
+    """One connection of the load: a request at a time."""
+
+    def __init__(self, load: Load) -> None:
+        self._load = load
+        self.asked = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport: Any = transport
+        self._parser = httptools.HttpResponseParser(self)
+
+    def ask(self, data: bytes, due: float) -> None:
+        self._due, self.asked = due, True
+        self.transport.write(data)
+
+    def data_received(self, data: bytes) -> None:
+        self._parser.feed_data(data)
+
+    def on_message_complete(self) -> None:
+        self.asked = False
+        self._load.answered(self, self._parser.get_status_code(), self._due)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._load.lost(self)
+
+
+class Load:
+    """Requests of many customers and three classes, closed or open loop; latency from the intended time."""
+
+    def __init__(self, port: int, customers: int, connections: int) -> None:
+        self._port, self._customers, self._count = port, customers, connections
+        self._random = random.Random(11)
+        self._serial = 0
+        self._free: deque[Asking] = deque()
+
+    async def connect(self) -> None:
+        """Dial anew what the other side has closed since: a gateway keeps an idle connection for seconds."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(0.01)  # what is closed is known by now
+        self._free = deque(c for c in self._free if not c.transport.is_closing())
+        while len(self._free) < self._count:
+            _, connection = await loop.create_connection(lambda: Asking(self), LOOP, self._port)
+            self._free.append(connection)
+
+    def _request(self) -> bytes:
+        self._serial += 1
+        customer = int(self._random.random() * self._customers) * 7919
+        draw, rid = self._serial % 10, f"{self._serial:016x}"
+        cls, method = ("read", "GET") if draw < 7 else ("put", "POST") if draw < 9 else ("pay", "POST")
+        more = "" if method == "GET" else f"Content-Length: 2\r\nIdempotency-Key: {rid}\r\n"
+        plan = "wide" if customer % 4 else "team"
+        return (
+            f"{method} /api/{customer:016x} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: {rid}\r\n"
+            f"X-Class: {cls}\r\nPlan: {plan}\r\nX-Deadline: 5000m\r\n"
+            f"Quota-Info: units=1,spread=1,first=0\r\n{more}\r\n{'{}' if more else ''}"
+        ).encode()
+
+    def lost(self, connection: Asking) -> None:
+        if connection.asked and not self._done.done():
+            self._done.set_exception(ConnectionError("a request was cut off"))
+
+    def answered(self, connection: Asking, status: int, due: float) -> None:
+        self._statuses[status] = self._statuses.get(status, 0) + 1
+        self._times.append(self._loop.time() - due)
+        if self._waiting:
+            connection.ask(*self._waiting.popleft())
+        elif self._rate == 0 and self._left:
+            self._left -= 1
+            connection.ask(self._made.pop(), self._loop.time())
+        else:
+            self._free.append(connection)
+        if len(self._times) == self._wanted and not self._done.done():
+            self._done.set_result(None)
+
+    async def play(self, requests: int, rate: float = 0.0) -> dict[str, Any]:
+        """So many requests: as fast as answers come, or at a rate whatever comes."""
+        await self.connect()
+        self._loop = asyncio.get_running_loop()
+        self._statuses: dict[int, int] = {}
+        self._times: list[float] = []
+        self._waiting: deque[tuple[bytes, float]] = deque()
+        self._made = [self._request() for _ in range(requests)]
+        self._done: asyncio.Future[None] = self._loop.create_future()
+        self._rate, self._wanted, self._left = rate, requests, requests
+        began = self._loop.time()
+        if rate == 0:
+            while self._free and self._left:
+                self._left -= 1
+                self._free.popleft().ask(self._made.pop(), self._loop.time())
+        else:
+            for i, data in enumerate(self._made):
+                due = began + i / rate
+                while (wait := due - self._loop.time()) > 0:
+                    await asyncio.sleep(max(wait, 0.001))
+                if self._free:
+                    self._free.popleft().ask(data, due)
+                elif len(self._waiting) < MOST_WAITING:
+                    self._waiting.append((data, due))
+                else:
+                    raise RuntimeError("the gateway is far behind the rate")
+        await asyncio.wait_for(self._done, 120)
+        took = sorted(self._times)
+        return {
+            "statuses": self._statuses,
+            "s": self._loop.time() - began,
+            "p50_ms": 1000 * took[len(took) // 2],
+            "p99_ms": 1000 * took[len(took) * 99 // 100],
+        }
+
+
+async def load(port: int, customers: int, connections: int) -> dict[str, Any]:
+    return {"ports": [], "play": Load(port, customers, connections).play}
+
+
+# --- Proxies beside the gateway ---
+
+
+class Upstream(asyncio.Protocol):
+    """A kept connection of the bare proxy to a host."""
+
+    def __init__(self, free: list[Upstream]) -> None:
+        self._free = free
+        self.client: Any = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport: Any = transport
+        self._parser = httptools.HttpResponseParser(self)
+
+    def data_received(self, data: bytes) -> None:
+        client = self.client
+        self._parser.feed_data(data)
+        client.write(data)
+
+    def on_message_complete(self) -> None:
+        self._free.append(self)
+
+
+class Bare(asyncio.Protocol):
+    """What the two libraries cost at least: requests are parsed and passed on as they came, hosts in turn."""
+
+    def __init__(self, free: list[list[Upstream]], ports: list[int], turn: list[int]) -> None:
+        self._free, self._ports, self._turn = free, ports, turn
+        self._parser = httptools.HttpRequestParser(self)
+        self._data: list[bytes] = []
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self._data.append(data)
+        self._parser.feed_data(data)
+
+    def on_message_complete(self) -> None:
+        self._turn[0] = i = (self._turn[0] + 1) % len(self._ports)
+        data, self._data = b"".join(self._data), []
+        if self._free[i]:
+            upstream = self._free[i].pop()
+            upstream.client = self.transport
+            upstream.transport.write(data)
+        else:
+            asyncio.get_running_loop().create_task(self._dial(i, data))
+
+    async def _dial(self, i: int, data: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        _, upstream = await loop.create_connection(lambda: Upstream(self._free[i]), LOOP, self._ports[i])
+        upstream.client = self.transport
+        upstream.transport.write(data)
+
+
+async def bare(ports: list[int]) -> dict[str, Any]:
+    free: list[list[Upstream]] = [[] for _ in ports]
+    turn = [0]
+    server = await asyncio.get_running_loop().create_server(lambda: Bare(free, ports, turn), LOOP, 0)
+    return {"ports": [server.sockets[0].getsockname()[1]]}
+
+
+async def aiohttp_proxy(ports: list[int]) -> dict[str, Any]:
+    """What one would write with aiohttp."""
+    from aiohttp import ClientSession, TCPConnector, web
+
+    session = ClientSession(connector=TCPConnector(limit=0), auto_decompress=False)
+    turn = 0
+
+    async def passed_on(request: web.Request) -> web.Response:
+        nonlocal turn
+        turn = (turn + 1) % len(ports)
+        url = f"http://{LOOP}:{ports[turn]}{request.raw_path}"
+        async with session.request(
+            request.method, url, headers=request.headers, data=await request.read()
+        ) as got:
+            return web.Response(status=got.status, body=await got.read(), content_type=got.content_type)
+
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", passed_on)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    site = web.TCPSite(runner, LOOP, 0)
+    await site.start()
+    return {"ports": [site._server.sockets[0].getsockname()[1]]}  # type: ignore[union-attr]
+
+
+ROLES = {
+    "hosts": hosts,
+    "counter": counter,
+    "registry": registry,
+    "load": load,
+    "bare": bare,
+    "aiohttp": aiohttp_proxy,
+}
+
+
+async def main() -> None:
+    ready = await ROLES[sys.argv[1]](**json.loads(sys.stdin.readline()))
+    play = ready.pop("play", None)
+    print(json.dumps(ready), flush=True)
+    loop = asyncio.get_running_loop()
+    while line := await loop.run_in_executor(None, sys.stdin.readline):
+        if play is not None:
+            print(json.dumps(await play(**json.loads(line))), flush=True)
+
+
+if __name__ == "__main__":
+    uvloop.run(main())
--- a/benchmarks/trees.py
+++ b/benchmarks/trees.py
@@ -107,6 +107,14 @@
 )
 
 
+WORSE, SURE = 1.03, 1.01  # a change is worse where the mean ratio and its interval's lower end exceed these
+
+
+def worse(mean: float, least: float) -> bool:
+    """Whether a ratio tells of a change for the worse: a twentieth more is found, no change passes."""
+    return mean > WORSE and least > SURE
+
+
 def ratio(pairs: Sequence[tuple[float, float]]) -> tuple[float, float, float]:
     """The ratio of each pair's second to its first: geometric mean, and its 95% interval (Student's t).
 
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -38,10 +38,11 @@
            429: b"Too Many Requests", 500: b"Internal Server Error", 502: b"Bad Gateway",
            503: b"Service Unavailable", 504: b"Gateway Timeout"}
 LINES = {status: b"HTTP/1.1 %d %b\r\n" % (status, reason) for status, reason in REASONS.items()}
+PLAIN = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nContent-Type: %b\r\n\r\n%b"  # the answer that most get
 WANTED = frozenset((b"x-request-id", b"x-class", b"plan", b"x-deadline", b"quota-info", b"x-retry",
                     b"idempotency-key", b"content-length", b"content-type", b"transfer-encoding", b"expect"))
 WORD = re.compile(rb"[!-~]{1,128}")
-CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
+CUSTOMER = re.compile(rb"0{7}[01][0-9a-fA-F]{8}")  # 33 bits
 DEADLINE = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
 UNITS = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 WHOLE = re.compile(r"[0-9]{1,6}")
@@ -100,7 +101,7 @@
     headers = message.headers
     path, _, _ = message.url.partition(b"?")
     customer = path.rpartition(b"/")[2]
-    if not CUSTOMER.fullmatch(customer) or int(customer, 16) >= 2 ** 33:
+    if not CUSTOMER.fullmatch(customer):
         raise BadRequestError("customer")
     cls = terms.classes.get(headers.get(b"x-class", b""))
     plan = terms.plans.get(headers.get(b"plan", b""))
@@ -206,10 +207,11 @@
             if self._taken > LINGER_BYTES:
                 self.transport.abort()
             return
-        if self._message is None and not self._busy and self.answered:
-            self._server.waits(self)
+        idle = self._message is None and not self._busy and self.answered
         try:
             self._parser.feed_data(data)
+            if idle and self._message is not None:  # not whole yet: its time runs from here
+                self._server.waits(self)
             in_head = self._message is not None and self._message.method == b""
             if self._taken > (LONGEST_HEAD if in_head else LONGEST_HEAD + LONGEST_FRAME):
                 self._reject(400)  # guards the memory: a head without an end
@@ -249,13 +251,15 @@
         self._message.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        name = name.lower()
-        self._message.head += len(name) + len(value)
-        if self._message.head > LONGEST_HEAD:
+        message = self._message
+        message.head += len(name) + len(value)
+        if message.head > LONGEST_HEAD:
             raise BadRequestError("head")
+        name = name.lower()
         if name in self.wanted:
-            headers = self._message.headers
-            self._message.twice |= name in headers
+            headers = message.headers
+            if name in headers:
+                message.twice = True
             headers[name] = value
 
     def on_headers_complete(self) -> None:
@@ -295,7 +299,7 @@
 
     def _pump(self) -> None:
         """Take what waits, one request at a time; read on only while nothing waits."""
-        if self._pumping or self.transport is None:
+        if self._pumping or self.transport is None or not (self._queue or self._paused):
             return
         self._pumping = True
         try:
@@ -342,6 +346,10 @@
             return
         self._server.waits(self)
         keep = self._keep_alive and not self._core.draining
+        if keep and status == 200 and content_type and not retry_after_ms and not self.more:
+            self.transport.write(PLAIN % (len(body), content_type, body))
+            self._pump()
+            return
         parts = [LINES.get(status) or b"HTTP/1.1 %d \r\n" % status]
         if status not in NO_BODY:
             parts.append(b"Content-Length: %d\r\n" % len(body))
@@ -465,9 +473,11 @@
     def waits(self, connection: Connection) -> None:
         """From now on a connection is owed nothing."""
         connection.since = self.loop.time()
-        self.owes(connection)
+        self._unheard.pop(connection, None)
+        self._kept.pop(connection, None)  # to the end of the line
         (self._kept if connection.answered else self._unheard)[connection] = None
-        self._resume()
+        if not self._accepting:
+            self._resume()
 
     def owes(self, connection: Connection) -> None:
         """A connection is owed an answer."""
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -267,11 +267,12 @@
 
     def _post(self, event: api.Event) -> None:
         """Hand events to the module in their order, also those that its own actions give rise to."""
-        self._events.append(event)
         if self._handling:
+            self._events.append(event)
             return
         self._handling = True
         try:
+            self._handle(event)
             while self._events:
                 self._handle(self._events.popleft())
         finally:
@@ -287,7 +288,10 @@
             return
         for act in actions:
             try:
-                self._act(act)
+                if type(act) is api.Send:
+                    self._send(act)
+                else:
+                    self._act(act)
             except Exception:
                 self._note(logging.ERROR, f"an action failed: {type(act).__name__}", True)
 
@@ -300,8 +304,6 @@
 
     def _act(self, act: api.Action) -> None:
         match act:
-            case api.Send():
-                self._send(act)
             case api.Refuse():
                 self._refuse(act)
             case api.Fail():
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -509,11 +509,14 @@
 
     def _unsure(self, use: _Use, units: float) -> bool:
         """Nothing was read, or the estimate says no or maybe and the last total does not."""
-        if not self.s.may_count or use.plan.rate <= 0 or not self._may_call():
+        if not self.s.may_count or use.plan.rate <= 0:
             return False
+        if use.base is None:
+            return self._may_call()
         doubt = (max(use.others, 0.0) * (self.now - use.base_at)) ** 0.5  # the others' use may vary so much
-        maybe = self._left(use) - doubt < units <= use.most
-        return use.base is None or (maybe and self.rng.random() < max(use.luck, self.heard ** CROWD))
+        if self._left(use) - doubt >= units or units > use.most or not self._may_call():
+            return False
+        return self.rng.random() < max(use.luck, self.heard ** CROWD)
 
     def _may_call(self) -> bool:
         """Danger: the crowd at the counter is us. Unanswered calls thin out ours; what was not told waits.
