--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -150,8 +150,10 @@
     return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
 
 
-def memory_kb(pid: int) -> float:
-    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * 4.0
+def copied(pid: int) -> int:
+    """Bytes that went through its reads and writes."""
+    lines = Path(f"/proc/{pid}/io").read_text().splitlines()
+    return sum(int(line.split()[1]) for line in lines if line.startswith(("rchar", "wchar")))
 
 
 def wakeups(pid: int) -> int:
@@ -169,16 +171,18 @@
     def forget(self) -> None:
         """Begin a series of blocks."""
         self.us: list[float] = []
+        self.bytes: list[float] = []
         self.p50: list[float] = []
         self.p99: list[float] = []
         self.woken: list[float] = []
         self.statuses: dict[str, int] = {}
 
     def block(self, requests: int, count: bool = True, rate: float = 0.0) -> dict[str, Any]:
-        cpu, woken = cpu_s(self.pid), wakeups(self.pid)
+        cpu, woken, moved = cpu_s(self.pid), wakeups(self.pid), copied(self.pid)
         got = self.load.play(requests=requests, rate=rate)
         if count:
             self.us.append((cpu_s(self.pid) - cpu) / requests * 1e6)
+            self.bytes.append((copied(self.pid) - moved) / requests)
             self.p50.append(got["p50_ms"])
             self.p99.append(got["p99_ms"])
             self.woken.append((wakeups(self.pid) - woken) / requests)
@@ -225,7 +229,8 @@
             f"{subject.name:28} {quick:6.1f} us a request, {mean:.2f} ({least:.2f} to {most:.2f}) of "
             f"{first.name}; p50 {statistics.median(subject.p50):.2f}, "
             f"p99 {statistics.median(subject.p99):.2f} ms; "
-            f"{statistics.mean(subject.woken):.2f} wake-ups; {subject.statuses}",
+            f"{statistics.mean(subject.woken):.2f} wake-ups, "
+            f"{statistics.mean(subject.bytes):.0f} bytes copied; {subject.statuses}",
             flush=True,
         )
         missed |= guard and worse(mean, least)
--- a/benchmarks/standins.py
+++ b/benchmarks/standins.py
@@ -26,6 +26,7 @@
     BODY,
 )
 FULL = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+FRESH_S = 1.5  # a connection unused for longer may be closed by the other side just as we write to it
 MOST_WAITING = 10_000  # requests of an open loop that wait for a connection
 
 
@@ -111,6 +112,7 @@
     def __init__(self, load: Load) -> None:
         self._load = load
         self.asked = False
+        self.used = asyncio.get_running_loop().time()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport: Any = transport
@@ -124,7 +126,7 @@
         self._parser.feed_data(data)
 
     def on_message_complete(self) -> None:
-        self.asked = False
+        self.asked, self.used = False, asyncio.get_running_loop().time()
         self._load.answered(self, self._parser.get_status_code(), self._due)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -143,8 +145,12 @@
     async def connect(self) -> None:
         """Dial anew what the other side has closed since: a gateway keeps an idle connection for seconds."""
         loop = asyncio.get_running_loop()
-        await asyncio.sleep(0.01)  # what is closed is known by now
-        self._free = deque(c for c in self._free if not c.transport.is_closing())
+        fresh = deque(
+            c for c in self._free if loop.time() - c.used < FRESH_S and not c.transport.is_closing()
+        )
+        for connection in set(self._free) - set(fresh):
+            connection.transport.close()
+        self._free = fresh
         while len(self._free) < self._count:
             _, connection = await loop.create_connection(lambda: Asking(self), LOOP, self._port)
             self._free.append(connection)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -270,6 +270,26 @@
     assert 100 < trials <= fl.TRIAL_BANK + 1000 * fl.TRIAL_SHARE + 1
 
 
+def test_a_keyed_repeat_stays_in_its_zone_and_cell_though_others_are_idle() -> None:
+    """Three hosts of a thousand may take it: they are loaded, one was tried, all others idle."""
+    fleet = make(classes=KEYED)
+    listed = [line(i, zone="rare" if i < 3 else "z", cell=i % 2) for i in range(1000)]
+    fleet.update(api.ServerList("full", tuple(listed)))
+    tried, other, third = (fleet.hosts[f"h{i}"] for i in range(3))
+    for host in (tried, other, third):
+        for _ in range(50):
+            fleet.began(host, 0.0)
+    zone = {fleet.pick("", 1.0, False, [tried], ("rare",)).name for _ in range(50)}
+    cell = {fleet.pick("", 1.0, False, [tried], ("rare", 0)).name for _ in range(50)}
+    assert zone == {"h1", "h2"} and cell == {"h2"}
+    assert int(fleet.pick("", 1.0, False, [tried]).name[1:]) >= 3
+    for host in (other, third):
+        fleet.down(host)
+        fleet.place(host)
+    assert fleet.pick("", 1.0, False, [tried], ("rare",)) is tried  # better than what rests
+    assert fleet.pick("", 1.0, False, [], ("gone",)) is None
+
+
 def test_all_fail_at_once_and_come_back() -> None:
     fleet = make(200)
     for host in fleet.hosts.values():
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -444,6 +444,39 @@
         assert count >= 0.9 * min(full + rate * (d.now - start), 120) - 1
 
 
+def test_a_hundred_thousand_new_customers_in_ten_seconds_leave_ceilings_as_they_are() -> None:
+    """As many as the default lets be known, and a dozen times more; known ones try all the time."""
+    gateway = Gateway(settings(may_count=False), 1)
+    now = 1e6
+    gateway.handle(now, api.ServerList("full", tuple(server(i) for i in range(20))))
+    full, rate = CAPPED.ceiling_burst / 3, CAPPED.ceiling_rate / 1000 / 3
+    now += full / rate
+    start, let_in, refused = now, collections.Counter[str](), 0
+
+    def ask(rid: str, customer: str) -> bool:
+        nonlocal refused
+        request = api.Request(rid, "read", "capped", customer, 4000, 1.0, 3, 0)
+        sent = of(gateway.handle(now, request), api.Send)
+        if sent:
+            gateway.handle(now, api.Outcome(rid, 0, sent[0].server, api.OK, 50, True))
+        return bool(sent)
+
+    for i in range(100_000):
+        now += 0.1
+        refused += not ask(f"n{i}", f"new{i}")
+        if i % 1000 == 0:
+            gateway.handle(now, api.TimerDue("sweep"))
+        if i % 50 == 0:
+            known = f"known{i // 50 % 10}"
+            let_in[known] += ask(f"k{i}", known)
+    assert len(gateway.uses) == len(gateway.ring) == 8192 and not gateway.held
+    assert refused <= 100_000 * 0.01
+    allowed = full + rate * (now - start)
+    assert len(let_in) == 10
+    for known, count in let_in.items():
+        assert 0.9 * allowed - 1 <= count <= allowed + 1e-6, known
+
+
 def test_another_plan_or_set_in_a_customers_name_leaves_its_quota_as_it_is() -> None:
     d = Driver()
     assert drive(d, 10, plan="basic", width=1) == 6  # its burst
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -56,6 +56,7 @@
         self._dial_s, self._idle_s = dial_ms / 1000, IDLE_SHARE * idle_ms / 1000
         self._hosts: dict[str, _Host] = {}
         self._connections: set[_Connection] = set()
+        self._idle: dict[_Connection, None] = {}  # of all hosts, the longest idle first
         self._dials = 0
         self._timeouts = Deadlines(loop, self._overdue)
         self._stopped = False
@@ -107,6 +108,7 @@
             connection = host.idle[i]
             if connection.idle_since <= before and connection.quiet():
                 del host.idle[i]
+                del self._idle[connection]
                 return connection
         return None
 
@@ -136,10 +138,15 @@
 
     def drop_idle(self) -> bool:
         """End the connection that has stood idle longest; whether there was one."""
-        idle = [host for host in self._hosts.values() if host.idle]
-        if idle:
-            min(idle, key=lambda host: host.idle[0].idle_since).idle.pop(0).drop()
-        return bool(idle)
+        oldest = next(iter(self._idle), None)
+        if oldest is not None:
+            self._end_idle(oldest)
+        return oldest is not None
+
+    def _end_idle(self, connection: _Connection) -> None:
+        del self._idle[connection]
+        connection.host.idle.remove(connection)
+        connection.drop()
 
     def _dialled(self, attempt: Attempt, task: asyncio.Task) -> None:
         self._dial_over()
@@ -218,7 +225,8 @@
     def closed(self, connection: _Connection) -> None:
         """A connection is gone: an attempt on it never ran unless its last byte was written."""
         self._connections.discard(connection)
-        if connection in connection.host.idle:
+        if connection in self._idle:
+            del self._idle[connection]
             connection.host.idle.remove(connection)
         attempt, connection.attempt = connection.attempt, None
         if attempt is None:
@@ -238,6 +246,7 @@
         if reusable and not connection.unsent and self._hosts.get(host.name) is host:
             connection.idle_since = self._loop.time()
             host.idle.append(connection)
+            self._idle[connection] = None
         else:
             connection.drop()
         self._end(attempt, self.judge(reply), reply)
@@ -259,6 +268,7 @@
     def _close_idle(self, host: _Host) -> None:
         idle, host.idle = host.idle, []
         for connection in idle:
+            del self._idle[connection]
             connection.drop()
 
     def _sweep(self) -> None:
@@ -272,9 +282,8 @@
     def retire(self) -> None:
         """End the connections that have stood idle for too long."""
         before = self._loop.time() - self._idle_s
-        for host in self._hosts.values():
-            while host.idle and host.idle[0].idle_since < before:
-                host.idle.pop(0).drop()
+        while (oldest := next(iter(self._idle), None)) is not None and oldest.idle_since < before:
+            self._end_idle(oldest)
 
 
 class _Connection(ReplyProtocol):
