Mended: a module that forgot a customer early could rest and give its ceiling back

Cause: settled() asked only for the customers still known. One that had gone early at most_customers left its ceiling's note in the module, which was put away with it; made anew it gave that ceiling in full. The test fails on the code before.

Change: the last request under each plan is noted, and a module rests once that is long enough ago for every ceiling to be full again, in constant time where a scan of all customers stood. Pools and zones that no host serves are forgotten as the last host leaves; before, zones of a pool that stays were kept for ever. Stale times in the heap of warming hosts are bounded. Requests that wait for a total are a list again: copying it for each grew with the queue. When a host is warm is reckoned in one way.

--- a/tests/hosted/test_rest.py
+++ b/tests/hosted/test_rest.py
@@ -95,6 +95,29 @@
     assert not cold.settled()
 
 
+def test_a_module_that_forgot_a_customer_early_rests_only_when_that_ceiling_is_full_again() -> None:
+    """A module made anew would give the ceiling back in full, whoever had spent it."""
+    slow = api.Plan("slow", ceiling_rate=0.5, ceiling_burst=10)  # full after 20 s
+    plans = (slow, api.Plan("open"))
+    gateway = Gateway(api.Settings(classes=(SAFE,), plans=plans, most_customers=1), 1)
+    gateway.handle(1e6, api.ServerList("full", (server(0),)))
+
+    def ask(at: float, rid: str, plan: str) -> bool:
+        out = gateway.handle(at, api.Request(rid, "read", plan, rid, 4000.0))
+        sent = [act for act in out if isinstance(act, api.Send)]
+        for act in sent:
+            gateway.handle(at, api.Outcome(rid, 0, act.server, api.OK, 50, True))
+        return bool(sent)
+
+    assert ask(1e6 + 30_000, "spends", "slow")
+    assert ask(1e6 + 30_001, "other", "open") and ("spends", "slow") not in gateway.uses
+    for s in range(31, 50):
+        gateway.handle(1e6 + 1000 * s, api.TimerDue("sweep"))
+        assert not gateway.settled()
+    gateway.handle(1e6 + 50_001, api.TimerDue("sweep"))
+    assert gateway.settled()
+
+
 def test_a_request_that_is_out_keeps_its_tenant_awake_for_as_long_as_it_lasts() -> None:
     async def scenario() -> None:
         def silent(seen: Seen) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -70,10 +70,12 @@
                 load = (host.open + 1) * host.slow**0.5 / host.nominal
                 assert fl.LOWEST[rank] <= load * 1.000001
                 assert rank == fl.RANKS - 1 or load <= fl.LOWEST[rank + 1] * 1.000001
-            for region, (well, failing) in home.regions.items():
-                there = [h for h in mine if (h.zone, h.cell)[: len(region)] == region]
-                assert set(well.hosts) == {h for h in there if groups[h] != fl.FAILING}
-                assert set(failing.hosts) == {h for h in there if groups[h] == fl.FAILING}
+            assert set(home.regions) == {(h.zone,) for h in mine} | {(h.zone, h.cell) for h in mine}
+            for key, region in home.regions.items():
+                there = [h for h in mine if (h.zone, h.cell)[: len(key)] == key]
+                assert set(region.well.hosts) == {h for h in there if groups[h] != fl.FAILING}
+                assert set(region.failing.hosts) == {h for h in there if groups[h] == fl.FAILING}
+        assert set(fleet._pools) == {h.pool for h in up}
 
     def check_median(self) -> None:
         paces = sorted(h.slow for h in self.fleet.hosts.values() if h.up)
@@ -335,9 +337,25 @@
     assert len(set(sent)) > 40 and all(int(name[1:]) >= 100 for name in sent)
 
 
-def test_pools_that_no_host_serves_any_longer_are_forgotten() -> None:
-    fleet = make()
-    for i in range(200):
-        fleet.update(api.ServerList("full", (line(0, pool=f"p{i}", zone=f"z{i}"),)))
+def test_what_no_host_serves_any_longer_is_forgotten() -> None:
+    fleet = make(classes=KEYED)
+    fleet.update(api.ServerList("full", tuple(line(i) for i in range(10))))
+    for i in range(500):  # pools and zones are renamed, hosts come cold and go again
+        fleet.update(
+            api.ServerList(
+                "changes",
+                (
+                    line(0, pool=f"p{i}"),
+                    line(1, zone=f"z{i}", up_since_ms=fleet.now),
+                    line(100 + i, up_since_ms=fleet.now),
+                ),
+            )
+        )
+        fleet.update(api.ServerList("changes", (line(100 + i, status="removed"),)))
+        fleet.now += 1.0
         fleet.sweep(100.0, 0.9)
-    assert len(fleet._pools) <= 4
+        assert len(fleet._pools) == 2 and len(fleet._pools[""].regions) <= 12
+        assert len(fleet._warming) <= 2 * fleet.cold + fl.FAR_LOOKS
+    fleet.now += 10_000.0
+    fleet.sweep(100.0, 0.9)
+    assert not fleet.cold and not fleet._warming
--- a/yewstage/fleet.py
+++ b/yewstage/fleet.py
@@ -15,7 +15,7 @@
 
 import random
 from collections.abc import Iterable
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from math import log2, sqrt
 
 from yewstage import interface as api
@@ -46,34 +46,9 @@
 class Host:
     """What this gateway knows of one server."""
 
-    __slots__ = (
-        "name",
-        "zone",
-        "cell",
-        "nominal",
-        "up",
-        "born",
-        "cold_from_ms",
-        "open",
-        "slow",
-        "pool",
-        "strikes",
-        "fails",
-        "down_until",
-        "died",
-        "credit",
-        "credit_at",
-        "server",
-        "listed",
-        "group",
-        "home",
-        "rank",
-        "at",
-        "pace",
-        "load",
-        "log_load",
-        "log_nominal",
-    )
+    __slots__ = ("name", "zone", "cell", "nominal", "up", "born", "cold_from_ms", "open", "slow", "pool",
+                 "strikes", "fails", "down_until", "died", "credit", "credit_at", "server", "listed", "group",
+                 "home", "regions", "rank", "at", "pace", "load", "log_load", "log_nominal")
 
     def __init__(self, server: api.Server) -> None:
         self.name = server.name
@@ -86,7 +61,8 @@
         self.credit = self.credit_at = 0.0  # work that we may send it while cold, as of when
         self.listed = False
         self.group = OUT
-        self.home: _Pool | None = None
+        self.home: _Pool | None = None  # while it is up
+        self.regions: list[_Region] = []
         self.rank, self.at = -1, 0  # its rank among the ready, and its place in that
         self.pace = PACE_ZERO  # its bin in the histogram
         self.update(server)
@@ -143,17 +119,26 @@
         return self.hosts[start : start + most] + self.hosts[: max(start + most - count, 0)]
 
 
+class _Region:
+    """The hosts of one zone, or of one cell, for what may go nowhere else."""
+
+    __slots__ = ("well", "failing")
+
+    def __init__(self) -> None:
+        self.well, self.failing = Bag(), Bag()
+
+
 class _Pool:
     """The hosts that serve one pool, by group."""
 
-    __slots__ = ("ranks", "mask", "cold", "failing", "regions", "trials")
+    __slots__ = ("count", "ranks", "mask", "cold", "failing", "regions", "trials")
 
     def __init__(self) -> None:
+        self.count = 0
         self.ranks: dict[int, list[Host]] = {}
         self.mask = 0  # bit r: rank r holds somebody
         self.cold, self.failing = Bag(), Bag()
-        # For what may go to one zone or cell only: those that are well there, and those that fail.
-        self.regions: dict[tuple[str | int, ...], tuple[Bag, Bag]] = {}
+        self.regions: dict[tuple[str | int, ...], _Region] = {}
         self.trials = TRIAL_BANK
 
 
@@ -253,28 +238,18 @@
         old, host.group = host.group, group
         if old == group:
             return
-        home = host.home
-        if home is not None:
-            if old == READY:
-                self._leave(home, host)
-            elif old == COLD:
-                home.cold.drop(host)
-                self.cold -= 1
-            elif old == FAILING:
-                home.failing.drop(host)
-                self.failing -= 1
-            for well, failing in self._regions(home, host):
-                (failing if old == FAILING else well).drop(host)
         if old == OUT:
-            self.up += 1
-            self._paces[host.pace] += 1
-        elif group == OUT:
-            self.up -= 1
-            self._paces[host.pace] -= 1
-        if group == OUT:
-            host.home = None
-            return
-        home = host.home = self._pools.get(host.pool) or self._pools.setdefault(host.pool, _Pool())
+            self._enter(host)
+        home = host.home
+        assert home is not None
+        if old == READY:
+            self._leave(home, host)
+        elif old == COLD:
+            home.cold.drop(host)
+            self.cold -= 1
+        elif old == FAILING:
+            home.failing.drop(host)
+            self.failing -= 1
         if group == COLD:
             home.cold.add(host)
             self.cold += 1
@@ -283,23 +258,42 @@
         elif group == FAILING:
             home.failing.add(host)
             self.failing += 1
-        for well, failing in self._regions(home, host):
-            (failing if group == FAILING else well).add(host)
-
-    def _regions(self, home: _Pool, host: Host) -> list[tuple[Bag, Bag]]:
-        keys: list[tuple[str | int, ...]] = []
-        if "zone" in self.scopes:
-            keys.append((host.zone,))
-        if "cell" in self.scopes:
-            keys.append((host.zone, host.cell))
-        return [home.regions.get(k) or home.regions.setdefault(k, (Bag(), Bag())) for k in keys]
-
-    def tidy(self) -> None:
-        """Forget pools and regions that no listed host serves: renaming them must not fill the memory."""
-        served = {h.home for h in self.hosts.values()}
-        self._pools = {name: pool for name, pool in self._pools.items() if pool in served}
-        for pool in self._pools.values():
-            pool.regions = {k: bags for k, bags in pool.regions.items() if bags[0].hosts or bags[1].hosts}
+        for region in host.regions:
+            if old != OUT:
+                (region.failing if old == FAILING else region.well).drop(host)
+            if group != OUT:
+                (region.failing if group == FAILING else region.well).add(host)
+        if group == OUT:
+            self._exit(host, home)
+
+    def _enter(self, host: Host) -> None:
+        """It is up: into its pool, and the regions that requests may be bound to."""
+        self.up += 1
+        self._paces[host.pace] += 1
+        home = host.home = self._pools.get(host.pool)
+        if home is None:
+            home = host.home = self._pools[host.pool] = _Pool()
+        home.count += 1
+        for scope, key in (("zone", (host.zone,)), ("cell", (host.zone, host.cell))):
+            if scope in self.scopes:
+                region = home.regions.get(key)
+                if region is None:
+                    region = home.regions[key] = _Region()
+                host.regions.append(region)
+
+    def _exit(self, host: Host, home: _Pool) -> None:
+        """It is up no longer. What it leaves empty goes: renamed pools and zones must not fill the memory."""
+        self.up -= 1
+        self._paces[host.pace] -= 1
+        for key in ((host.zone,), (host.zone, host.cell)):
+            region = home.regions.get(key)
+            if region is not None and not region.well.hosts and not region.failing.hosts:
+                del home.regions[key]
+        home.count -= 1
+        if not home.count:
+            del self._pools[host.pool]
+        host.home = None
+        host.regions = []
 
     # --- Requests ---
 
@@ -359,9 +353,9 @@
         """The least part of its capacity that a host may have after its start."""
         if not host.cold_from_ms or self.s.cold_ms <= 0:
             return 1.0
-        age = self.now - host.cold_from_ms
-        if age >= self.s.cold_ms:
+        if self.now >= host.cold_from_ms + self.s.cold_ms:  # as `warm_up` reckons: the two must agree
             return 1.0
+        age = self.now - host.cold_from_ms
         return self.s.cold_from + (1 - self.s.cold_from) * max(age, 0.0) / self.s.cold_ms
 
     def warm_up(self) -> None:
@@ -387,8 +381,11 @@
         if warm:
             self.warm_rate = keep * self.warm_rate + (1 - keep) * self.warm_work / span / warm
         self.warm_work = 0.0
-        if len(self._pools) > 2 * len(self.hosts) + 1:
-            self.tidy()
+        if len(self._warming) > 2 * self.cold + FAR_LOOKS:  # of hosts that left, or died and came back
+            cold = [h for pool in self._pools.values() for h in pool.cold.hosts]
+            self._warming = [(h.cold_from_ms + self.s.cold_ms, i, h) for i, h in enumerate(cold)]
+            heapify(self._warming)
+            self._turn = len(cold)
 
     # --- Choice ---
 
@@ -421,11 +418,11 @@
         if self._warming:
             self.warm_up()
         if region:
-            bags = home.regions.get(region)
-            if bags is None:
+            there = home.regions.get(region)
+            if there is None:
                 return None
-            best = self._least(bags[0].look(FAR_LOOKS, self.rng), work, tried)
-            return best if best is not None else self._rested(bags[1], work, tried)
+            best = self._least(there.well.look(FAR_LOOKS, self.rng), work, tried)
+            return best if best is not None else self._rested(there.failing, work, tried)
         if home.failing.hosts:
             home.trials = min(home.trials + TRIAL_SHARE, TRIAL_BANK)
             # Danger: where most of a large fleet fails, trials would take all requests from the hosts left.
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -10,7 +10,6 @@
 from array import array
 from bisect import bisect_left, bisect_right
 from collections import deque
-from collections.abc import Sequence
 
 from yewstage import interface as api
 from yewstage.fleet import Fleet, Host, draw
@@ -97,8 +96,8 @@
         self.others = plan.rate / 1000 * (1 - 1 / width)  # estimate of the others' use, units per ms
         # Danger: a gateway back from the dead has spent what it no longer knows. It earns its split anew.
         self.left, self.left_at = min(plan.burst, plan.rate * age / 1000) / width, now
-        # Wait for a total: request, aim, end. A list while there are any: most customers never have one.
-        self.asking: Sequence[tuple[api.Request, float, float]] = ()
+        # Wait for a total: request, aim, end. None while there are none: most customers never have one.
+        self.asking: list[tuple[api.Request, float, float]] | None = None
         self.open = 0
         self.ceiling = self.ceiling_at = 0.0
         self.luck = 1.0  # part of our asking that found something left
@@ -178,6 +177,11 @@
         # A window's number tells plans apart but for those with windows of one length. Names stay:
         # gateways of two versions must count together while a new one is rolled out.
         self.windows = {p.name: self._window_ms(p) if p.rate > 0 else 0.0 for p in settings.plans}
+        # Unseen for so long, a customer's use is no guide any longer, and its ceiling is full again.
+        self.rests = {p.name: max(FORGET_WINDOWS * (self.windows[p.name] or RATE_MEMORY_MS),
+                                  1000 * p.ceiling_burst / p.ceiling_rate if p.ceiling_rate > 0 else 0.0)
+                      for p in settings.plans}
+        self.asked_at: dict[str, float] = {}  # the last request under each plan
         lengths = list(self.windows.values())
         self.tags = {p.name: f".{i}" if lengths.count(lengths[i]) > 1 else ""
                      for i, p in enumerate(settings.plans)}
@@ -254,7 +258,7 @@
         Such a module may be put away, and made anew from its settings when the next request comes: its first
         event, handled at the time of birth, gives ceilings back all that they have earned since.
         """
-        return (self.idle() and all(map(self._stale, self.uses.values()))
+        return (self.idle() and all(self.now - at >= self.rests[plan] for plan, at in self.asked_at.items())
                 and all(not h.fails and not h.died and self.fleet.warmth(h) >= 1
                         for h in self.hosts.values()))
 
@@ -296,7 +300,9 @@
             # Exception to refusing at once: the total that settles it is a few ms away.
             self.asking[req.id] = use
             self.askers[use] = None
-            use.asking = [*use.asking, (req, aim_at, end_at)]
+            if use.asking is None:
+                use.asking = []
+            use.asking.append((req, aim_at, end_at))
             self._sync(use, req.units)
         else:
             self._decide(req, cls, use, aim_at, end_at, False)
@@ -429,6 +435,7 @@
             use.ceiling_at = max(self.born or 0.0, self.shadow.since(use.digest))
             self.ring.append(use)
         unseen, use.seen = self.now - use.seen, self.now
+        self.asked_at[plan.name] = self.now
         if plan.rate > 0:
             length = self.windows[plan.name]
             clock = self.now / length + (use.digest[0] << 8 | use.digest[1]) / 65536
@@ -606,7 +613,7 @@
 
     def _settle(self, use: _Use) -> None:
         """Decide the requests that waited for a total."""
-        waiting, use.asking = use.asking, ()
+        waiting, use.asking = use.asking or [], None
         self.askers.pop(use, None)
         if waiting:  # danger: all gateways ask again and again for a customer who floods them
             found = use.left >= waiting[0][0].units
@@ -791,21 +798,15 @@
                 self._settle(use)
         for _ in range(min(len(self.ring), max(LOOKS, len(self.ring) // SWEEPS))):
             use = self.ring.popleft()
-            if self._stale(use, KEEP_MS):
+            # A forgotten ceiling part starts anew from our start: only one that would be full again may go.
+            if (self.now - use.seen >= max(self.rests[use.plan.name], KEEP_MS)
+                    and not use.open and not use.asking):
                 self._forget(use)
             else:
                 self.ring.append(use)
         self.sweep_due = self.now + SWEEP_MS
         self.out.append(api.Timer("sweep", SWEEP_MS))
 
-    def _stale(self, use: _Use, least_ms: float = 0.0) -> bool:
-        """Unseen for some windows and `least_ms`, and forgetting it changes nothing."""
-        plan, unseen = use.plan, self.now - use.seen
-        memory = self.windows[plan.name] if plan.rate > 0 else RATE_MEMORY_MS
-        # A forgotten ceiling part starts anew from our start: only one that would be full again may go.
-        return (unseen >= max(FORGET_WINDOWS * memory, least_ms) and not use.open and not use.asking
-                and unseen * plan.ceiling_rate >= 1000 * plan.ceiling_burst)
-
     def _say(self, cause: str, text: str) -> None:
         if self.now - self.said.get(cause, -1e9) >= 5000:
             self.said[cause] = self.now
