--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -38,7 +38,6 @@
            429: b"Too Many Requests", 500: b"Internal Server Error", 502: b"Bad Gateway",
            503: b"Service Unavailable", 504: b"Gateway Timeout"}
 LINES = {status: b"HTTP/1.1 %d %b\r\n" % (status, reason) for status, reason in REASONS.items()}
-PLAIN = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nContent-Type: %b\r\n\r\n%b"  # the answer that most get
 WANTED = frozenset((b"x-request-id", b"x-class", b"plan", b"x-deadline", b"quota-info", b"x-retry",
                     b"idempotency-key", b"content-length", b"content-type", b"transfer-encoding", b"expect"))
 WORD = re.compile(rb"[!-~]{1,128}")
@@ -207,11 +206,10 @@
             if self._taken > LINGER_BYTES:
                 self.transport.abort()
             return
-        idle = self._message is None and not self._busy and self.answered
+        if self._message is None and not self._busy and self.answered:
+            self._server.waits(self)
         try:
             self._parser.feed_data(data)
-            if idle and self._message is not None:  # not whole yet: its time runs from here
-                self._server.waits(self)
             in_head = self._message is not None and self._message.method == b""
             if self._taken > (LONGEST_HEAD if in_head else LONGEST_HEAD + LONGEST_FRAME):
                 self._reject(400)  # guards the memory: a head without an end
@@ -346,10 +344,6 @@
             return
         self._server.waits(self)
         keep = self._keep_alive and not self._core.draining
-        if keep and status == 200 and content_type and not retry_after_ms and not self.more:
-            self.transport.write(PLAIN % (len(body), content_type, body))
-            self._pump()
-            return
         parts = [LINES.get(status) or b"HTTP/1.1 %d \r\n" % status]
         if status not in NO_BODY:
             parts.append(b"Content-Length: %d\r\n" % len(body))
@@ -473,11 +467,9 @@
     def waits(self, connection: Connection) -> None:
         """From now on a connection is owed nothing."""
         connection.since = self.loop.time()
-        self._unheard.pop(connection, None)
-        self._kept.pop(connection, None)  # to the end of the line
+        self.owes(connection)
         (self._kept if connection.answered else self._unheard)[connection] = None
-        if not self._accepting:
-            self._resume()
+        self._resume()
 
     def owes(self, connection: Connection) -> None:
         """A connection is owed an answer."""
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -111,13 +111,7 @@
         # Guards against an answer that was not asked for: a second copy or noise behind a good one would be
         # read as the answer to what is written next. So answers are handed on only when all that came with
         # them has been looked at.
-        replies = self._whole
-        if sound and self._due == len(replies) == 1 and not self._begun:  # nearly always
-            reply = replies.pop()
-            self._due = 0
-            self.replied(reply, reply.keep_alive)
-            return
-        self._whole = []
+        replies, self._whole = self._whole, []
         asked = replies[:self._due]
         self._due -= len(asked)
         if len(replies) > len(asked) or (self._begun and not self._due):
