--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -35,7 +35,8 @@
     for file in [*files, ROOT / "requirements-build.txt", Path(__file__).resolve()]:
         digest.update(str(file.relative_to(ROOT)).encode() + b"\0" + file.read_bytes() + b"\0")
     # What was missing may be there by the next build.
-    tools = (importlib.util.find_spec("mypyc"), os.environ.get("CC"), shutil.which("cc"), shutil.which("gcc"))
+    spec = importlib.util.find_spec("mypyc")
+    tools = (spec and spec.origin, os.environ.get("CC"), shutil.which("cc"), shutil.which("gcc"))
     digest.update(repr(tools).encode())
     return digest.hexdigest()
 
