Operators' calls, figures, hosts out by hand, and settings that change at SIGHUP

Change: `yewstage/operate` (calls, figures, the file of hosts out by hand, the port) and `net/operated.py`, imported only where `operator` is configured. The module has two new events, HostOut and SettingsChanged: a host out by hand is in no group of the index until it is put back, and is cold then unless its new start was told; open requests keep their class and attempts. A file at SIGHUP that lost a field, which a default would have hidden, is turned down whole.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -222,8 +222,10 @@
 class Rig:
     """The real program between fake hosts, a fake counter and a fake discovery."""
 
-    def __init__(self, folder: Path, *behaves: Behave, **limits: int) -> None:
-        self.folder, self.limits = folder, limits
+    def __init__(self, folder: Path, *behaves: Behave, operated: bool = False, **limits: int) -> None:
+        self.folder, self.limits, self.operated = folder, limits, operated
+        self.change: Callable[[dict], None] = lambda config: None  # what a test has different in the file
+        self.operator_port = 0
         self.hosts = [Fake(b) for b in behaves]
         self.totals: dict[str, float] = {}
         self.counter = Fake(lambda seen: adding(seen, self.totals))
@@ -253,10 +255,36 @@
                 "bounds": {"try_limit": 3, "cancel": True, "retry_after": True, "max_retry_after_ms": 1000.0,
                            "dial_timeout_ms": 250.0, "conn_idle_ms": 30000.0},
                 "family_info": {"may_count": True, "count_wait_ms": 30.0, "trued_up": True, "most_units": 4}}}
+        if self.operated:
+            config["operator"] = f"{LOOP}:0"
+        config = json.loads(json.dumps(config))  # a test's changes are its own
+        self.change(config)
         path = self.folder / "config.json"
         path.write_text(json.dumps(config))
         return path
 
+    async def call(self, line: str) -> str:
+        """One operators' call on a connection of its own; its whole answer."""
+        reader, writer = await asyncio.open_connection(LOOP, self.operator_port)
+        writer.write(line.encode() + b"\n")
+        try:
+            return (await reader.read()).decode()
+        finally:
+            writer.close()
+
+    async def figures(self) -> dict:
+        """What the operators' call `vars` shows."""
+        first, end, rest = (await self.call("vars")).split("\n")
+        assert (end, rest) == ("--", "")
+        return json.loads(first)
+
+    async def hup(self, line: str) -> None:
+        """SIGHUP, and wait for one more line that tells what came of it."""
+        before = sum(line in said for said in self.log)
+        self.process.send_signal(signal.SIGHUP)
+        while sum(line in said for said in self.log) == before:
+            await asyncio.sleep(0.01)
+
     async def reload(self, instances: list[dict]) -> None:
         """SIGHUP, with a new discovery and a new counter in the file; the old ones answer no more."""
         self.directory, self.counter = Directory(instances), Fake(lambda seen: adding(seen, self.totals))
@@ -265,15 +293,20 @@
         self.write_config()
         self.process.send_signal(signal.SIGHUP)
 
-    async def launch(self) -> None:
-        """Start the program, again on the same port if it ran before, and wait until it is ready."""
-        path = self.write_config()
-        self.process = await asyncio.create_subprocess_exec(
+    async def run(self, path: Path) -> asyncio.subprocess.Process:
+        """Start the program with a configuration."""
+        return await asyncio.create_subprocess_exec(
             sys.executable, "-m", "yewstage", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "ROUTER_CONFIG": str(path),
+            env={**os.environ, "ROUTER_CONFIG": str(path), "TMPDIR": str(self.folder),
                  "ROUTER_DISCOVERY": f"{LOOP}:{self.directory.fake.port}"})
+
+    async def launch(self) -> None:
+        """Start the program, again on the same port if it ran before, and wait until it is ready."""
+        self.process = await self.run(self.write_config())
         while "listening on" not in (line := (await self.process.stderr.readline()).decode()):
             assert line, "the program ended at its start"
+            if "operators call at" in line:
+                self.operator_port = int(line.rsplit(":", 1)[1])
         self.port = int(line.rsplit(":", 1)[1])
         if "sockets" in self.limits:
             resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (self.limits["sockets"],) * 2)
--- /dev/null
+++ b/tests/operate/test_module.py
@@ -0,0 +1,163 @@
+"""The decision module: hosts out by hand, and settings that change in service."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+from conftest import KEYED, PLAN, SAFE, UNSAFE, Driver, of, server, settings
+
+from yewstage import interface as api
+
+
+def sends(d: Driver, rounds: int = 40) -> list[str]:
+    """The hosts that new requests go to; each is served."""
+    names = []
+    for _ in range(rounds):
+        rid, out = d.ask(after=1.0)
+        names += [a.server for a in of(out, api.Send)]
+        d.end(rid, after=1.0)
+    return names
+
+
+def test_a_host_out_by_hand_gets_nothing_whatever_the_list_says() -> None:
+    d = Driver(servers=3)
+    d.give(api.HostOut("h0", True))
+    assert "h0" not in sends(d)
+    d.give(api.ServerList("changes", (server(0, status="removed"),)))
+    d.give(api.ServerList("changes", (server(0),)))
+    d.give(api.ServerList("full", tuple(server(i, nominal=2.0) for i in range(3))))
+    d.give(api.ServerList("changes", (server(0, up_since_ms=d.now),)))
+    assert "h0" not in sends(d)
+    assert d.gateway.fleet.skipped() == 1
+    d.give(api.HostOut("h0", True))
+    d.give(api.HostOut("h0", False))  # one call back ends it, however often it was taken out
+    assert "h0" in sends(d, 200)
+    assert d.gateway.fleet.skipped() == 0
+
+
+def test_a_retry_does_not_go_to_a_host_that_went_out_meanwhile() -> None:
+    d = Driver(servers=2)
+    rid, out = d.ask()
+    (first,) = of(out, api.Send)
+    other = {"h0": "h1", "h1": "h0"}[first.server]
+    d.give(api.HostOut(other, True))
+    again = of(d.end(rid, api.ERROR), api.Send)
+    assert [a.server for a in again] == [first.server]
+
+
+def test_all_hosts_out_is_a_refusal() -> None:
+    d = Driver(servers=2)
+    for name in ("h0", "h1"):
+        d.give(api.HostOut(name, True))
+    _, out = d.ask()
+    (refused,) = of(out, api.Refuse)
+    assert refused.cause == api.NO_HOST
+
+
+def test_a_host_put_back_is_cold_unless_its_new_start_was_told() -> None:
+    d = Driver(servers=4)
+    sends(d)
+    d.give(api.HostOut("h0", True), after=100)
+    d.give(api.HostOut("h0", False), after=3000)  # restarted meanwhile: the list has not told yet
+    host = d.gateway.hosts["h0"]
+    assert d.gateway.fleet.warmth(host) == pytest.approx(0.2)
+    back = d.now
+    d.give(api.ServerList("changes", (server(0, up_since_ms=back - 1000),)), after=500)
+    assert host.cold_from_ms == back - 1000
+    d.give(api.HostOut("h1", True), after=100)
+    d.give(api.ServerList("changes", (server(1, up_since_ms=d.now),)), after=100)
+    born = d.now - 100
+    d.give(api.HostOut("h1", False), after=2000)
+    assert d.gateway.hosts["h1"].cold_from_ms == born
+
+
+def test_a_failing_host_that_is_put_back_is_not_left_to_rest() -> None:
+    d = Driver(servers=2)
+    fleet, host = d.gateway.fleet, d.gateway.hosts["h0"]
+    fleet.down(host)
+    fleet.place(host)
+    before = fleet.open_well
+    d.give(api.HostOut("h0", True))
+    d.give(api.HostOut("h0", False))
+    assert (host.fails, fleet.failing, fleet.open_well) == (0, 0, before)
+
+
+def test_a_host_that_is_out_and_was_never_listed_costs_one_name() -> None:
+    d = Driver(servers=2)
+    d.give(api.HostOut("h9", True))
+    d.give(api.ServerList("changes", (server(9),)))
+    assert "h9" not in sends(d)
+    d.give(api.HostOut("h9", False))
+    assert d.gateway.fleet.out == {}
+
+
+def changed(**changes: object) -> api.SettingsChanged:
+    return api.SettingsChanged(settings(**changes))
+
+
+def test_open_requests_keep_their_class_and_attempts() -> None:
+    d = Driver(servers=6)
+    rid, _ = d.ask("read")
+    d.give(changed(classes=(dataclasses.replace(SAFE, effect="unsafe"), KEYED), try_limit=1))
+    for _ in range(3):  # four attempts, as when it came
+        assert of(d.end(rid, api.ERROR), api.Send)
+    assert of(d.end(rid, api.ERROR), api.Fail)
+    rid, _ = d.ask("read")  # under the new rules
+    assert of(d.end(rid, api.ERROR), api.Fail)
+
+
+def test_an_open_request_of_a_dropped_class_goes_on_and_new_ones_are_refused() -> None:
+    d = Driver(servers=3)
+    rid, _ = d.ask("read")
+    d.give(changed(classes=(KEYED, UNSAFE)))
+    _, out = d.ask("read")
+    assert of(out, api.Refuse)[0].cause == api.UNKNOWN
+    assert of(d.end(rid, api.ERROR), api.Send)
+    assert d.end(rid) == []
+    assert not d.gateway.held
+
+
+def test_a_request_that_waits_for_a_total_keeps_its_class() -> None:
+    d = Driver(servers=3)
+    rid, out = d.ask("read", "basic", customer="c", units=1)
+    for _ in range(8):  # until one has to wait for the counter
+        if not of(out, api.Send):
+            break
+        d.end(rid)
+        rid, out = d.ask("read", "basic", customer="c", units=1)
+    assert rid in d.gateway.asking
+    d.give(changed(classes=(KEYED, UNSAFE)))
+    (use,) = d.gateway.uses.values()
+    d.give(api.CountReply(use.name, api.OK, 0.0), after=5)
+    answers = [a for _, a in d.log if isinstance(a, api.Send | api.Refuse) and a.request == rid]
+    assert len(answers) == 1
+
+
+def test_ever_new_classes_do_not_fill_the_memory() -> None:
+    d = Driver(servers=3)
+    for i in range(50):
+        name = f"read{i}"
+        d.give(changed(classes=(dataclasses.replace(SAFE, name=name),)))
+        d.end(d.ask(name)[0])
+    gateway = d.gateway
+    assert set(gateway.latency) == set(gateway.patience) == {"read49"}
+    assert len(gateway.cells) == 1
+
+
+def test_a_new_scope_of_repeats_finds_its_hosts() -> None:
+    d = Driver(servers=4, classes=(SAFE,))
+    keyed = dataclasses.replace(KEYED, key_scope="zone")
+    d.give(changed(classes=(keyed,)))
+    rid, out = d.ask("put")
+    (first,) = of(out, api.Send)
+    (again,) = of(d.end(rid, api.ERROR), api.Send)
+    zones = {s: d.gateway.hosts[s].zone for s in (first.server, again.server)}
+    assert len(set(zones.values())) == 1
+
+
+def test_plans_do_not_change_and_then_nothing_does() -> None:
+    d = Driver(servers=2)
+    with pytest.raises(ValueError, match="plans"):
+        d.give(changed(plans=(PLAN,), classes=(KEYED,)))
+    assert set(d.gateway.classes) == {"read", "put", "pay"}
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -16,6 +16,7 @@
 from yewstage import fleet, policy
 from yewstage import interface as api
 from yewstage.policy import Gateway, ramp
+from yewstage.sketch import LatestTimes
 
 ROOT = Path(__file__).parents[1]
 MODULE = ("yewstage/policy.py", "yewstage/fleet.py")
@@ -448,12 +449,12 @@
 
 
 def test_who_shares_one_slot_with_a_forgotten_ceiling_keeps_its_own() -> None:
-    shadow = policy._Shadow()
+    shadow = LatestTimes()
     shadow.put(bytes([0, 0, 0, 1, 0, 0, 0, 2]), 50.0)
     shadow.put(bytes([0, 0, 0, 1, 0, 0, 0, 3]), 40.0)
-    assert shadow.since(bytes([0, 0, 0, 1, 0, 0, 0, 2])) == 50.0
-    assert shadow.since(bytes([0, 0, 0, 1, 0, 0, 0, 3])) == 40.0  # not that of the slot that both have
-    assert shadow.since(bytes([0, 0, 0, 1, 0, 0, 0, 4])) == 0.0
+    assert shadow.at(bytes([0, 0, 0, 1, 0, 0, 0, 2])) == 50.0
+    assert shadow.at(bytes([0, 0, 0, 1, 0, 0, 0, 3])) == 40.0  # not that of the slot that both have
+    assert shadow.at(bytes([0, 0, 0, 1, 0, 0, 0, 4])) == 0.0
 
 
 def test_known_customers_are_bounded_and_those_in_use_are_kept() -> None:
@@ -858,7 +859,8 @@
         names += [node.module or ""] if isinstance(node, ast.ImportFrom) else []
         for name in names:
             assert name.split(".")[0] in {"yewstage"} | sys.stdlib_module_names
-            assert name in ("yewstage", "yewstage.fleet") or not name.startswith("yewstage")
+            ours = ("yewstage", "yewstage.fleet", "yewstage.sketch")
+            assert name in ours or not name.startswith("yewstage")
         if isinstance(node, ast.ImportFrom) and node.module == "yewstage":
             assert [a.name for a in node.names] == ["interface"]
 
--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+from typing import Any
 
 import uvloop
 
@@ -20,27 +21,40 @@
 GC_ALLOCATIONS = 20_000
 
 
-def _reload(core: Node) -> None:
+def _node(config: Config, loop: asyncio.AbstractEventLoop) -> Node:
+    """The node that a configuration asks for; operators' calls cost nothing where nobody makes them."""
+    if config.operator is None:
+        return Node(config, loop)
+    from yewstage.net.operated import OperatedNode
+
+    return OperatedNode(config, loop)
+
+
+def _reload(core: Node, server: Server[Any], started: Config) -> None:
     """SIGHUP: a file that is no good changes nothing."""
     try:
-        config = load(os.environ, again=True)
+        config = load(os.environ, before=started)
     except ConfigError as error:
         logging.error("reload: the configuration is kept: %s", error)
+        core.not_reloaded()
         return
     core.reload(config)
-    logging.info("reloaded: discovery %s:%d", *config.discovery)
+    server.read_terms()
+    logging.info("reloaded: discovery %s:%d, %d classes, %d attempts", *config.discovery,
+                 len(config.settings.classes), config.settings.try_limit)
 
 
 async def serve(config: Config) -> None:
     """Run until SIGTERM or SIGINT has been served."""
     loop = asyncio.get_running_loop()
-    core = Node(config, loop)
+    core = _node(config, loop)
     server = Server(core, loop, config.sockets)
     shutdown = Shutdown(core, server, loop)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, shutdown.begin)
-    loop.add_signal_handler(signal.SIGHUP, _reload, core)
+    loop.add_signal_handler(signal.SIGHUP, _reload, core, server, config)
     core.start()
+    await core.listen(config.operator)
     ((host, port),) = server.start(config.listen)
     compiled = not str(policy.__file__).endswith(".py")
     logging.info("the decision module runs %s", "compiled" if compiled else "as Python source")
--- a/yewstage/fleet.py
+++ b/yewstage/fleet.py
@@ -48,7 +48,7 @@
 
     __slots__ = ("name", "zone", "cell", "nominal", "up", "born", "cold_from_ms", "open", "slow", "pool",
                  "strikes", "fails", "down_until", "died", "credit", "credit_at", "server", "listed", "group",
-                 "home", "regions", "rank", "at", "pace", "load", "log_load", "log_nominal")
+                 "home", "regions", "rank", "at", "pace", "load", "log_load", "log_nominal", "out")
 
     def __init__(self, server: api.Server) -> None:
         self.name = server.name
@@ -59,7 +59,7 @@
         self.died = False  # connections failed: what answers next may have just started
         self.born = self.cold_from_ms = 0.0
         self.credit = self.credit_at = 0.0  # work that we may send it while cold, as of when
-        self.listed = False
+        self.listed = self.out = False  # out: by hand
         self.group = OUT
         self.home: _Pool | None = None  # while it is up
         self.regions: list[_Region] = []
@@ -142,13 +142,19 @@
         self.trials = TRIAL_BANK
 
 
+def _scopes(settings: api.Settings) -> set[str]:
+    """Where repeats of keyed requests are bound to: they need regions."""
+    return {c.key_scope for c in settings.classes if c.effect == "keyed"}
+
+
 class Fleet:
     """All listed servers, and the choice among them."""
 
     def __init__(self, settings: api.Settings, rng: random.Random) -> None:
         self.s, self.rng = settings, rng
-        self.scopes = {c.key_scope for c in settings.classes if c.effect == "keyed"}
+        self.scopes = _scopes(settings)
         self.hosts: dict[str, Host] = {}
+        self.out: dict[str, float] = {}  # hosts out by hand, listed or not, and since when
         self.now = 0.0
         self.open_well = 0  # requests open on listed hosts that do not fail
         self.up = self.cold = self.failing = 0  # listed hosts that are up, and what of them is cold or fails
@@ -174,7 +180,7 @@
                     self._unlist(server.name)
             elif host is None:
                 host = self.hosts[server.name] = Host(server)
-                host.listed = True
+                host.listed, host.out = True, server.name in self.out
                 self.place(host)
             elif host.server != server:  # a list replaced whole mostly says what we know
                 self._move(host, OUT)
@@ -189,12 +195,37 @@
         self.open_well -= 0 if host.fails else host.open
         host.listed = False
 
+    def by_hand(self, name: str, out: bool) -> None:
+        """Take a host out, or put it back. Attempts that are out on it go on."""
+        since = self.out.get(name) if out else self.out.pop(name, None)
+        if out:
+            self.out.setdefault(name, self.now)
+        host = self.hosts.get(name)
+        if host is None or host.out == out:
+            return
+        self._move(host, OUT)
+        host.out = out
+        if not out and since is not None:
+            # Danger: it was most likely restarted meanwhile, and the list tells of that late. It is cold from
+            # now on unless a start was told since. Hurts: one that was left running gets little at first.
+            host.died = host.born < since
+            self.recovered(host)
+        self.place(host)
+
+    def change(self, settings: api.Settings) -> None:
+        """New settings: cold times and scopes may differ."""
+        for host in self.hosts.values():
+            self._move(host, OUT)
+        self.s, self.scopes = settings, _scopes(settings)
+        for host in self.hosts.values():
+            self.place(host)
+
     # --- Groups and ranks ---
 
     def place(self, host: Host) -> None:
         """Put a host where its state belongs; called after each change of it."""
         if host.group != READY or host.fails or host.cold_from_ms:
-            if not host.listed or not host.up:
+            if not host.listed or not host.up or host.out:
                 group = OUT
             elif host.fails:
                 group = FAILING
@@ -347,6 +378,10 @@
         """Worse than its fellows. When all are slow or failing none is: then it is f that must act."""
         return host.slow > BAD * self.mid or (host.fails > 0 and not self.many_fail)
 
+    def skipped(self) -> int:
+        """Listed hosts that get no request now: they drain, are out by hand, or rest."""
+        return sum(h.group == OUT or (h.fails > 0 and self.now < h.down_until) for h in self.hosts.values())
+
     # --- Time ---
 
     def warmth(self, host: Host) -> float:
--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -93,6 +93,10 @@
             raise ValueError("fleet_size: must be 1 or more")
         if self.most_customers < 1:
             raise ValueError("most_customers: must be 1 or more")
+        if len({c.name for c in self.classes}) < len(self.classes):
+            raise ValueError("classes: a name stands there twice")
+        if len({p.name for p in self.plans}) < len(self.plans):
+            raise ValueError("plans: a name stands there twice")
         if not 0 <= self.me < self.fleet_size:
             raise ValueError("me: must lie in 0 .. fleet_size - 1")
         for c in self.classes:
@@ -209,6 +213,22 @@
     report: dict[str, float] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class HostOut:
+    """People on call take a host out (`out`), or put it back. While it is out it counts as draining, whatever
+    the list of servers says of it."""
+
+    server: str
+    out: bool
+
+
+@dataclass(slots=True)
+class SettingsChanged:
+    """New settings. Open requests keep the class, and the number of attempts, that they began with."""
+
+    settings: Settings
+
+
 @dataclass(slots=True)
 class PeerMessage:
     """A message from another gateway."""
@@ -283,5 +303,5 @@
 
 
 Event = (ServerList | Request | Outcome | StreamStarted | ClientLeft | TimerDue | CountReply | ProbeReply
-         | PeerMessage)
+         | PeerMessage | HostOut | SettingsChanged)
 Action = Send | Refuse | Fail | Cancel | Timer | Count | Subscribe | Log
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -406,7 +406,7 @@
 
     def __init__(self, core: Taker, loop: asyncio.AbstractEventLoop, sockets: int) -> None:
         self.core, self.loop = core, loop
-        self.terms = self._read_terms()
+        self.terms = self._read_terms()  # of the requests that come
         self.connections: set[Connection] = set()
         # Owed nothing, the longest first: those that have had an answer, and those still to be heard.
         self._kept: dict[Connection, None] = {}
@@ -420,6 +420,10 @@
     def _read_terms(self) -> Terms | None:
         return Terms(self.core.settings)
 
+    def read_terms(self) -> None:
+        """Go by the core's settings as they are now."""
+        self.terms = self._read_terms()
+
     def start(self, *addresses: tuple[str, int]) -> list[tuple[str, int]]:
         """Listen; returns the addresses, with the ports that the system chose for 0.
 
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -35,33 +35,46 @@
     known: Listing
     dial_ms: float
     idle_ms: float
+    operator: Address | None = None  # where operators call, if they do
+    folder: str | None = None  # kept while one process follows another, and theirs alone
+    shape: frozenset[str] = frozenset()  # the fields that the file has
 
 
-def load(environ: Mapping[str, str], again: bool = False) -> Config:
+def load(environ: Mapping[str, str], before: Config | None = None) -> Config:
     """The configuration that `ROUTER_CONFIG` names; the single variables go before the file.
 
-    When it is read again the file has the news: the environment tells where discovery was at the start.
+    When it is read again, after `before`, the file has the news: the environment tells where discovery was at
+    the start. A field that was there must be there still, in each class and plan, too: a default in place
+    of one that was lost would be taken for a change.
     """
     path = environ.get("ROUTER_CONFIG")
     if not path:
         raise ConfigError("ROUTER_CONFIG: is not set")
     try:
-        with open(path, encoding="utf-8") as file:  # pathlib would cost each gateway half a megabyte
+        with open(path, encoding="utf-8") as file:
             raw = json.load(file)
     except (OSError, ValueError) as error:
         raise ConfigError(f"ROUTER_CONFIG: cannot be read: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError("ROUTER_CONFIG: must hold a JSON object")
+    shape = frozenset(_shape("", raw))
+    missing = sorted(before.shape - shape) if before is not None else ()
+    if missing:
+        raise ConfigError(f"{missing[0]}: is missing, and was there before")
     for field, variable in (("name", "ROUTER_NAME"), ("listen", "ROUTER_LISTEN"),
-                            ("discovery", "ROUTER_DISCOVERY")):
-        if environ.get(variable) and not (again and field == "discovery"):
+                            ("discovery", "ROUTER_DISCOVERY"), ("operator", "ROUTER_OPERATOR")):
+        if environ.get(variable) and not (before is not None and field == "discovery"):
             raw[field] = environ[variable]
-    return parse(raw)
+    config = parse(raw)
+    if before is not None and config.settings.plans != before.settings.plans:
+        raise ConfigError("settings: packages: plans cannot change in service")
+    return replace(config, shape=shape, folder=environ.get("TMPDIR") or None)
 
 
 def parse(raw: dict[str, object]) -> Config:
     """The object of the file as a `Config`."""
     pairs = dict(_flatten("", _object(raw, "settings")))
+    _positive(pairs, "bounds.try_limit", 1.0)
     settings = _settings(pairs)
     # The counter answers however late, and what it says is true then, too: given up at the bound, one call in
     # seven of a busy counter taught nothing, and the module took it for silent.
@@ -77,7 +90,8 @@
         name=str(raw.get("name", "")), listen=address(raw, "listen"), discovery=address(raw, "discovery"),
         counter=address(raw, "counter") if counter else None, seed=_seed(raw), sockets=_sockets(raw),
         settings=settings, known=known, dial_ms=_positive(pairs, "bounds.dial_timeout_ms", 250.0),
-        idle_ms=_positive(pairs, "bounds.conn_idle_ms", 15000.0))
+        idle_ms=_positive(pairs, "bounds.conn_idle_ms", 15000.0),
+        operator=address(raw, "operator") if raw.get("operator") else None)
 
 
 def address(raw: Mapping[str, object], field: str) -> Address:
@@ -95,6 +109,17 @@
     return value
 
 
+def _shape(path: str, value: object) -> set[str]:
+    """The fields of an object; of a list of objects those that each of them has."""
+    found = {path} if path else set()
+    if isinstance(value, dict) and path != "known":
+        for key, item in value.items():
+            found |= _shape(f"{path}.{key}" if path else str(key), item)
+    elif isinstance(value, list) and value and all(isinstance(item, dict) for item in value):
+        found |= set.intersection(*(_shape(f"{path}[]", item) for item in value))
+    return found
+
+
 def _flatten(path: str, value: object) -> Iterator[tuple[str, str]]:
     """Nested settings as the path=value pairs of the simulator's wire."""
     if isinstance(value, dict):
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -66,10 +66,11 @@
 class _Open:
     """A request until it is answered and its last attempt is over."""
 
-    __slots__ = ("id", "client", "order", "end_at", "guard", "attempts", "out")
+    __slots__ = ("id", "client", "order", "end_at", "guard", "attempts", "out", "tries")
 
-    def __init__(self, rid: str, client: Client, order: Order, end_at: float) -> None:
+    def __init__(self, rid: str, client: Client, order: Order, end_at: float, tries: int) -> None:
         self.id, self.order, self.end_at = rid, order, end_at
+        self.tries = tries  # attempts at most, by the settings that it came under
         self.client: Client | None = client  # None: answered, or gone
         self.guard = 0  # the slot of its deadline
         self.attempts: list[Attempt | None] = []  # None: never sent
@@ -149,6 +150,11 @@
         for request in list(self._requests.values()):
             self._give_up(request)
 
+    def change(self, settings: api.Settings) -> None:
+        """Go over to new settings, which have been checked; what is open keeps those that it came under."""
+        self.settings = settings
+        self._post(api.SettingsChanged(settings))
+
     # --- Clients ------------------------------------------------------------------------------------------
 
     def request(self, client: Client, order: Order) -> str | None:
@@ -163,7 +169,7 @@
         now = time.monotonic()
         queued_ms = (now - order.read_at) * 1000
         left_ms = order.time_left_ms - TRANSIT_MS - self._pulse.behind_ms(now) - queued_ms
-        request = _Open(rid, client, order, now + (left_ms - GUARD_MS) / 1000)
+        request = _Open(rid, client, order, now + (left_ms - GUARD_MS) / 1000, self.settings.try_limit)
         self._requests[rid] = request
         request.guard = self._guards.add(request, max((left_ms - GUARD_MS) / 1000 - TICK_S, 0.0))
         self._post(api.Request(rid, order.class_name, order.plan_name, order.customer, left_ms - MODULE_MS,
@@ -227,7 +233,7 @@
         request = self._requests.get(act.request)
         number = len(request.attempts) if request is not None else 0
         left_s = request.end_at - time.monotonic() if request is not None else 0.0
-        if request is None or request.client is None or left_s <= 0 or number >= self.settings.try_limit:
+        if request is None or request.client is None or left_s <= 0 or number >= request.tries:
             if request is not None:
                 request.attempts.append(None)
             self._post(api.Outcome(act.request, number, act.server, api.MOOT, 0.0,
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -84,6 +84,12 @@
                     self._close_idle(host)
                 self._hosts[name] = _Host(name, address)
 
+    def rest(self, name: str) -> None:
+        """Close a host's idle connections: it is out by hand, and may be restarted."""
+        host = self._hosts.get(name)
+        if host is not None:
+            self._close_idle(host)
+
     def names(self) -> set[str]:
         """The hosts that can be dialled."""
         return set(self._hosts)
--- a/yewstage/net/node.py
+++ b/yewstage/net/node.py
@@ -18,10 +18,12 @@
 class Node(Core):
     """A core whose hosts come from discovery and whose counts go to the platform's counter."""
 
+    hosts: type[Hosts] = Hosts  # what sends its attempts
+
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(config.settings, config.seed, loop, Pulse(loop))
-        self._hosts = Hosts(loop, int(UPSTREAM_SHARE * config.sockets), config.dial_ms, config.idle_ms,
-                            self._ended)
+        self._hosts = self.hosts(loop, int(UPSTREAM_SHARE * config.sockets), config.dial_ms, config.idle_ms,
+                                 self._ended)
         self._discovery = Discovery(loop, config.discovery, self._listed)
         self._client = (Counter(loop, config.counter, config.settings.count_wait_ms, self._post)
                         if config.counter is not None else None)
@@ -49,10 +51,18 @@
             self._client.stop()
 
     def reload(self, config: Config) -> None:
-        """Go over to the discovery and the counter that a new configuration names; all else stays."""
+        """Go over to the discovery, the counter and the settings that a new configuration names."""
         self._discovery.move(config.discovery)
         if self._client is not None and config.counter is not None:
             self._client.move(config.counter)
+        if config.settings != self.settings:
+            self.change(config.settings)
+
+    def not_reloaded(self) -> None:
+        """A new configuration was turned down."""
+
+    async def listen(self, address: tuple[str, int] | None) -> None:
+        """Take operators' calls at an address, where there is one; OSError where that fails."""
 
     def ready(self) -> bool:
         """Whether requests can be served: hosts are known, by discovery's word if it speaks at all."""
--- /dev/null
+++ b/yewstage/net/operated.py
@@ -0,0 +1,133 @@
+"""The platform's gateway where operators call it: what it counts for them, and hosts that they take out."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from yewstage import interface as api
+from yewstage.net.config import Config
+from yewstage.net.core import _Open
+from yewstage.net.discovery import Listing
+from yewstage.net.hosts import Attempt, Hosts, _Connection
+from yewstage.net.http1 import Reply
+from yewstage.net.node import Node
+from yewstage.operate.byhand import HandError, HandFile, Listed, refused
+from yewstage.operate.figures import Figures
+from yewstage.operate.service import OperatorServer
+
+log = logging.getLogger(__name__)
+
+LOOK_S = 0.2  # spacing of the looks at the hosts out by hand: a call to another process binds within a second
+
+
+class _CountedConnection(_Connection):
+    """Tells its pool when an attempt's last byte has left."""
+
+    def begin(self, attempt: Attempt) -> None:
+        super().begin(attempt)
+        if not self.unsent:
+            self._pool.written(attempt)
+
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        if self.attempt is not None:
+            self._pool.written(self.attempt)
+
+
+class _CountedHosts(Hosts):
+    """Hosts whose attempts are counted."""
+
+    connection = _CountedConnection
+    node: OperatedNode
+
+    def written(self, attempt: Attempt) -> None:
+        """An attempt is whole on its connection."""
+        self.node.tried(attempt)
+
+
+class OperatedNode(Node):
+    """A node with figures, and with hosts out by hand."""
+
+    hosts = _CountedHosts
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(config, loop)
+        self._hosts.node = self
+        self.figures_kept = Figures()
+        self._listed = Listed()
+        self._hand_file = HandFile(config.folder)
+        self._held_out: set[str] = set()
+        self._operators = OperatorServer(self, loop)
+
+    def start(self) -> None:
+        super().start()
+        self._look()
+
+    async def listen(self, address: tuple[str, int] | None) -> None:
+        if address is not None:
+            log.info("operators call at %s:%d", *await self._operators.start(address))
+
+    def stop(self) -> None:
+        super().stop()
+        self._operators.stop()
+
+    def reload(self, config: Config) -> None:
+        super().reload(config)
+        self.figures_kept.loads += 1
+
+    def not_reloaded(self) -> None:
+        self.figures_kept.load_errors += 1
+
+    # Operators' calls
+
+    def figures(self) -> dict[str, object]:
+        """All figures, as JSON holds them."""
+        open_now = sum(request.client is not None for request in self._requests.values())
+        fleet = self._gateway.fleet
+        return self.figures_kept.shown([c.name for c in self.settings.classes], open_now, len(fleet.hosts),
+                                       fleet.skipped())
+
+    def hand(self, host: str, out: bool) -> str:
+        """Take a host out by hand, or put it back; "" once that holds, else why not."""
+        wrong = refused(host, out, self._listed, self._held_out)
+        if wrong:
+            return wrong
+        try:
+            self._hand_file.change(host, out)
+        except HandError as error:
+            return str(error)
+        self._hold_out(self._hand_file.out)
+        return ""
+
+    def _look(self) -> None:
+        """Take over what another process of this gateway was told."""
+        names = self._hand_file.refresh()
+        if names is not None:
+            self._hold_out(names)
+        self._loop.call_later(LOOK_S, self._look)
+
+    def _hold_out(self, names: set[str]) -> None:
+        for name in names ^ self._held_out:
+            self._post(api.HostOut(name, name in names))
+            if name in names:
+                self._hosts.rest(name)  # it may be restarted: what is kept would end as a reset
+        self._held_out = set(names)
+
+    # What is counted
+
+    def _apply(self, listing: Listing, kind: str) -> None:
+        self._listed.add(server.name for server in listing.servers)
+        super()._apply(listing, kind)
+
+    def _answer(self, request: _Open | None, status: int, reply: Reply | None = None,
+                retry_after_ms: float = 0.0) -> None:
+        if request is not None and request.client is not None:
+            self.figures_kept.answered(request.order.class_name, status)
+        super()._answer(request, status, reply, retry_after_ms)
+
+    def tried(self, attempt: Attempt) -> None:
+        """An attempt has left whole."""
+        request = self._requests.get(attempt.request)
+        if request is not None:
+            self.figures_kept.tried(request.order.class_name)
--- /dev/null
+++ b/yewstage/operate/service.py
@@ -0,0 +1,98 @@
+"""The operators' port: one line a connection, answered at once; no caller holds up another."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import cast
+
+from yewstage.operate.calls import LONGEST_LINE, Operated, answer
+
+MOST = 12  # connections at once, from the descriptors' reserve; beyond them the one silent for longest goes
+SILENT_S = 10.0  # a connection without a whole line is kept so long
+BACKLOG = 64
+
+
+class OperatorServer:
+    """Listens for operators' calls."""
+
+    def __init__(self, gateway: Operated, loop: asyncio.AbstractEventLoop) -> None:
+        self.gateway, self._loop = gateway, loop
+        self._server: asyncio.Server | None = None
+        self._callers: dict[_Caller, None] = {}  # the longest connected first
+
+    async def start(self, address: tuple[str, int]) -> tuple[str, int]:
+        """Listen; returns the address, with the port that the system chose for 0.
+
+        Raises:
+            OSError: the address cannot be listened on.
+        """
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self._server = await self._loop.create_server(
+            lambda: _Caller(self), *address, family=family, backlog=BACKLOG, reuse_address=True
+        )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return str(host), int(port)
+
+    def stop(self) -> None:
+        """Listen no more, and end what is open."""
+        if self._server is not None:
+            self._server.close()
+        for caller in list(self._callers):
+            caller.end()
+
+    def opened(self, caller: _Caller) -> None:
+        """A connection is up. Guards the descriptors against callers who connect and say nothing."""
+        self._callers[caller] = None
+        if len(self._callers) > MOST:
+            next(iter(self._callers)).end()
+
+    def closed(self, caller: _Caller) -> None:
+        """A connection is gone."""
+        self._callers.pop(caller, None)
+
+
+class _Caller(asyncio.Protocol):
+    """One connection."""
+
+    def __init__(self, server: OperatorServer) -> None:
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._line = b""
+        self._done = False
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._timer = asyncio.get_running_loop().call_later(SILENT_S, self.end)
+        self._server.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self._done:
+            return
+        self._line += data
+        line, end, _ = self._line.partition(b"\n")
+        if end or len(self._line) > LONGEST_LINE:
+            self._answer(line.rstrip(b"\r") if len(line) <= LONGEST_LINE else b"\0")
+
+    def eof_received(self) -> bool:
+        if not self._done and self._line:
+            self._answer(self._line.rstrip(b"\r"))  # a last line may lack its end
+        return self._done  # half closed: the answer still goes out
+
+    def _answer(self, line: bytes) -> None:
+        self._done = True
+        assert self._transport is not None
+        self._transport.write(answer(line, self._server.gateway))
+        self._transport.close()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._server.closed(self)
+
+    def end(self) -> None:
+        """Close at once."""
+        self._server.closed(self)
+        if self._transport is not None:
+            self._transport.abort()
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -7,12 +7,12 @@
 
 import hashlib
 import random
-from array import array
 from bisect import bisect_left, bisect_right
 from collections import deque
 
 from yewstage import interface as api
 from yewstage.fleet import Fleet, Host, draw
+from yewstage.sketch import LatestTimes
 
 # --- Constants -------------------------------------------------------------------------------------------
 SWEEP_MS = 100.0  # spacing of the housekeeping timer and of the q updates: a tenth of the quickest trouble
@@ -40,7 +40,6 @@
 FADED = 0.01  # smoothed occupancy of a back end that has nothing to do
 LOOKS, SWEEPS = 64, 1200  # customers looked at in one sweep, and sweeps in which all are, where that is more
 CHOICES = 8  # customers weighed against each other when one must go early
-SLOTS = 65536  # of what is kept of ceilings whose customers went early
 ROUNDING = 1e-9  # what a sum of shares may lack of a whole: taken for less than 1, it refused some work
 KEEP_MAX_MS = 60000.0  # longest life of a count
 BROKEN = frozenset((api.CONNECT_FAILED, api.RESET, api.STALE, api.UNSENT))  # the connection, not the work
@@ -64,11 +63,12 @@
 class _Held:
     """A request that is owed an answer, or whose attempts are still out."""
 
-    __slots__ = ("req", "cls", "use", "aim_at", "end_at", "attempts", "out", "answered", "stream", "work")
+    __slots__ = ("req", "cls", "use", "aim_at", "end_at", "attempts", "out", "answered", "stream", "work",
+                 "tries")
 
     def __init__(self, req: api.Request, cls: api.RequestClass, use: _Use, aim_at: float, end_at: float,
-                 work: float) -> None:
-        self.req, self.cls, self.use, self.work = req, cls, use, work
+                 work: float, tries: int) -> None:
+        self.req, self.cls, self.use, self.work, self.tries = req, cls, use, work, tries
         self.aim_at, self.end_at = aim_at, end_at
         self.attempts: list[_Attempt] = []
         self.out = 0  # attempts that are open
@@ -96,37 +96,13 @@
         self.others = plan.rate / 1000 * (1 - 1 / width)  # estimate of the others' use, units per ms
         # Danger: a gateway back from the dead has spent what it no longer knows. It earns its split anew.
         self.left, self.left_at = min(plan.burst, plan.rate * age / 1000) / width, now
-        # Wait for a total: request, aim, end. None while there are none: most customers never have one.
-        self.asking: list[tuple[api.Request, float, float]] | None = None
+        # Wait for a total: request, class, aim, end. None while there are none: most never have one.
+        self.asking: list[tuple[api.Request, api.RequestClass, float, float]] | None = None
         self.open = 0
         self.ceiling = self.ceiling_at = 0.0
         self.luck = 1.0  # part of our asking that found something left
 
 
-class _Shadow:
-    """What is kept of ceilings whose customers were forgotten early: a count-min sketch of times (Cormode and
-    Muthukrishnan, 2005), from which on a store was filling from empty.
-
-    Invariant: it never tells of an earlier time than the true one, so no ceiling is larger for having been
-    forgotten. Hurts: who shares both slots with others has the later time, for burst / rate at most.
-    """
-
-    def __init__(self) -> None:
-        self.times: array[float] | None = None
-
-    def put(self, digest: bytes, since: float) -> None:
-        times = self.times = self.times or array("d", bytes(8 * SLOTS))
-        for i in (int.from_bytes(digest[:4], "big") % SLOTS, int.from_bytes(digest[4:], "big") % SLOTS):
-            times[i] = max(times[i], since)
-
-    def since(self, digest: bytes) -> float:
-        times = self.times
-        if times is None:
-            return 0.0
-        return min(times[int.from_bytes(digest[:4], "big") % SLOTS],
-                   times[int.from_bytes(digest[4:], "big") % SLOTS])
-
-
 class _Cell:
     """Requests of one class and plan: their worth per work, share of the work, fraction let in."""
 
@@ -187,7 +163,7 @@
                      for i, p in enumerate(settings.plans)}
         self.uses: dict[tuple[str, str], _Use] = {}  # by customer and plan
         self.ring: deque[_Use] = deque()  # the same, in the order in which they are looked at for forgetting
-        self.shadow = _Shadow()
+        self.shadow = LatestTimes()  # since when ceilings fill whose customers went early
         self.calls: dict[str, _Use] = {}  # by the name of its count, while a call is out
         self.asking: dict[str, _Use] = {}  # by the request that waits for a total
         self.askers: dict[_Use, None] = {}  # those with a request that waits, or has left while it waited
@@ -246,11 +222,32 @@
             case api.ClientLeft():
                 self.asking.pop(event.request, None)
                 self._finish(self.held.get(event.request))
+            case api.HostOut():
+                self.fleet.by_hand(event.server, event.out)
+            case api.SettingsChanged():
+                self._change(event.settings)
             case api.TimerDue() | api.ProbeReply() | api.PeerMessage():
                 pass
             case _:
                 raise TypeError(f"not an event of yewstage.interface: {event!r}")
 
+    def _change(self, settings: api.Settings) -> None:
+        """Go over to new classes and bounds. What is open keeps what it began with; plans stay as they are:
+        what customers have of them was reckoned by their figures."""
+        settings.check()
+        if settings.plans != self.s.plans:
+            raise ValueError("plans: cannot change in service")
+        self.s, self.classes = settings, {c.name: c for c in settings.classes}
+        self.fleet.change(settings)
+        # Guards the memory against names that are ever new: what is kept of a dropped class goes once unused.
+        used = {h.cls.name for h in self.held.values()} | set(self.classes)
+        used |= {cls.name for use in self.askers for _, cls, _, _ in use.asking or ()}
+        self.latency = {n: v for n, v in self.latency.items() if n in used}
+        self.cells = {key: cell for key, cell in self.cells.items() if key[0] in used}
+        self.patience = {c.name: self.patience.get(c.name) or _Patience() for c in settings.classes}
+        for c in settings.classes:
+            self.latency.setdefault(c.name, c.aim_ms / 10)
+
     def settled(self) -> bool:
         """Whether nothing is left that a fresh module of the same birth would not know from its list of
         hosts: no request, no customer's use that still counts, no cold, failing or dead host, no pressure.
@@ -302,7 +299,7 @@
             self.askers[use] = None
             if use.asking is None:
                 use.asking = []
-            use.asking.append((req, aim_at, end_at))
+            use.asking.append((req, cls, aim_at, end_at))
             self._sync(use, req.units)
         else:
             self._decide(req, cls, use, aim_at, end_at, False)
@@ -331,7 +328,8 @@
             cause = api.CEILING if fits else api.QUOTA if over else api.PRESSURE
             self._refuse_new(req, use, cause, over)
             return
-        held = _Held(req, cls, use, aim_at, end_at, self.latency[cls.name] * max(req.units, 0.0))
+        held = _Held(req, cls, use, aim_at, end_at, self.latency[cls.name] * max(req.units, 0.0),
+                     self.s.try_limit)
         host = self._pick(held) if held.aim_at > self.now else None
         if host is None:
             self._refuse_new(req, use, api.NO_HOST if held.aim_at > self.now else api.LATE, over)
@@ -432,7 +430,7 @@
             if len(self.uses) >= self.s.most_customers and not self._forget_one():
                 return None
             use = self.uses[key] = _Use(key, plan, width, self.now, self.now - (self.born or 0.0))
-            use.ceiling_at = max(self.born or 0.0, self.shadow.since(use.digest))
+            use.ceiling_at = max(self.born or 0.0, self.shadow.at(use.digest))
             self.ring.append(use)
         unseen, use.seen = self.now - use.seen, self.now
         self.asked_at[plan.name] = self.now
@@ -618,9 +616,9 @@
         if waiting:  # danger: all gateways ask again and again for a customer who floods them
             found = use.left >= waiting[0][0].units
             use.luck = max(use.luck + HEED * (found - use.luck), 1 / use.width)
-        for req, aim_at, end_at in waiting:
+        for req, cls, aim_at, end_at in waiting:
             if self.asking.pop(req.id, None) is not None:
-                self._decide(req, self.classes[req.class_name], use, aim_at, end_at, True)
+                self._decide(req, cls, use, aim_at, end_at, True)
 
     def _read(self, use: _Use, total: float) -> None:
         """A total: what the others used since the last one comes off what is left."""
@@ -672,7 +670,7 @@
 
     def _pick(self, held: _Held) -> Host | None:
         """The best server for a further attempt, under the rules on drains, pools and repeats."""
-        if len(held.attempts) >= self.s.try_limit or held.answered or held.stream:
+        if len(held.attempts) >= held.tries or held.answered or held.stream:
             return None
         region: tuple[str | int, ...] = ()
         tried = NOBODY
@@ -703,7 +701,7 @@
         timeout = max(held.aim_at - self.now - self.s.tick_ms, min(1.0, held.end_at - self.now))
         if self.lost > LOST and held.cls.effect != "unsafe" and self.bank >= 1:
             early = max(timeout / 2, PATIENCE * self._usual(held))
-            if len(held.attempts) + 1 < self.s.try_limit and early + self._usual(held) < timeout:
+            if len(held.attempts) + 1 < held.tries and early + self._usual(held) < timeout:
                 timeout = early
         held.attempts.append(_Attempt(host, self.now))
         held.out += 1
