A second version takes over the listening socket, what the module knows, and clients' connections

Change: `yewstage/handover`. The new process, once it has hosts, asks the old one on a Unix socket in $TMPDIR. The old one stops accepting, sends its listening socket and its module's knowledge (ceilings, quotas, health, cold hosts, pressure, the sketch of forgotten ceilings), and then every client's connection that carries nothing; the rest follow after their answers. The module has one new event, Succeeded: from then on it spends nothing of a ceiling. If the new process ends before it serves, the old one goes on; if the old one does not answer, the new one listens beside it.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -226,6 +226,7 @@
         self.folder, self.limits, self.operated = folder, limits, operated
         self.change: Callable[[dict], None] = lambda config: None  # what a test has different in the file
         self.operator_port = 0
+        self.old: list[tuple[asyncio.subprocess.Process, asyncio.Task]] = []  # and what reads their logs
         self.hosts = [Fake(b) for b in behaves]
         self.totals: dict[str, float] = {}
         self.counter = Fake(lambda seen: adding(seen, self.totals))
@@ -305,6 +306,7 @@
         self.process = await self.run(self.write_config())
         while "listening on" not in (line := (await self.process.stderr.readline()).decode()):
             assert line, "the program ended at its start"
+            self.log.append(line)
             if "operators call at" in line:
                 self.operator_port = int(line.rsplit(":", 1)[1])
         self.port = int(line.rsplit(":", 1)[1])
@@ -314,8 +316,21 @@
         while (await self.ask(b"GET /ready HTTP/1.1\r\n\r\n")).line.split()[1] != "200":
             await asyncio.sleep(0.02)
 
+    async def upgrade(self, stop: bool = True) -> asyncio.subprocess.Process:
+        """Start the program once more, as the platform does for a new version, and end the old process once
+        the new one says yes; returns the old one."""
+        old, reading = self.process, self.reading
+        await self.launch()
+        while await self.call("check") != "ACK\n":
+            await asyncio.sleep(0.01)
+        if stop:
+            old.send_signal(signal.SIGTERM)
+        self.old.append((old, reading))
+        return old
+
     async def _read_log(self) -> None:
-        while line := (await self.process.stderr.readline()).decode():
+        errors = self.process.stderr
+        while line := (await errors.readline()).decode():
             self.log.append(line)
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -334,10 +349,11 @@
         return int((await self.ask(data)).line.split()[1])
 
     async def __aexit__(self, *exc: object) -> None:
-        if self.process.returncode is None:
-            self.process.kill()
-            await self.process.wait()
-        self.reading.cancel()
+        for process, reading in (*self.old, (self.process, self.reading)):
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            reading.cancel()
         for fake in (*self.hosts, self.counter, self.directory.fake):
             fake.stop()
 
--- /dev/null
+++ b/tests/handover/test_state.py
@@ -0,0 +1,168 @@
+"""What one decision module knows, another goes on from: the same decisions, and nothing half taken."""
+
+from __future__ import annotations
+
+import copy
+import json
+import math
+import random
+
+import pytest
+from conftest import CAPPED, Driver, of, server
+
+from yewstage import interface as api
+from yewstage.handover.state import AT_ONCE, MODULE, StateError, export, restore
+from yewstage.policy import CHOICES, Gateway
+from yewstage.sketch import SLOTS
+
+
+def busy(seed: int = 1, customers: int = 30, trouble: bool = True, **changes: object) -> Driver:
+    """A module in the middle of a day: customers of all plans; in trouble a slow host, and one that fails."""
+    d = Driver(servers=6, seed=seed, may_count=False, **changes)
+    r = random.Random(seed)
+    d.give(api.ServerList("changes", (server(5, up_since_ms=d.now),)), after=5000)
+    for i in range(40 * customers // 10):
+        cls, plan = r.choice(["read", "put"]), r.choice(["capped", "basic", "open"])
+        rid, out = d.ask(cls, plan, f"c{i % customers}", units=r.choice([1, 2, 4]),
+                         after=r.expovariate(1 / 30))
+        for act in of(out, api.Send):
+            bad, slow = trouble and act.server == "h1", trouble and act.server == "h2"
+            d.end(rid, api.RESET if bad else api.OK, took=400 if slow else 50, after=1.0)
+    d.sweep(3)
+    return d
+
+
+def heir(d: Driver) -> Driver:
+    """A module of the same settings and list that goes on from what the other tells, over the wire's JSON."""
+    new = Driver(servers=6, seed=99, now=d.now, may_count=False)
+    new.give(api.ServerList("changes", (d.gateway.hosts["h5"].server,)))
+    restore(new.gateway, json.loads(json.dumps(list(export(d.gateway)))))
+    return new
+
+
+def known(gateway: Gateway) -> list[dict]:
+    return json.loads(json.dumps(list(export(gateway))))
+
+
+def test_an_heir_knows_what_its_predecessor_knew() -> None:
+    d = busy()
+    assert known(heir(d).gateway) == known(d.gateway)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_an_heir_decides_as_its_predecessor_would_have(seed: int) -> None:
+    """The same requests at the same times, to the old module as if nothing had been and to its heir."""
+    d = busy(seed, trouble=False)
+    new = heir(d)
+    assert new.gateway.fleet.skipped() == d.gateway.fleet.skipped()
+    answers = []
+    for module in (d, new):
+        module.gateway.rng.seed(seed)
+        r, said = random.Random(seed), []
+        for i in range(200):
+            rid, out = module.ask("read", "capped", f"c{i % 7}", units=2, after=r.expovariate(1 / 20))
+            said.append([type(a).__name__ for a in out if isinstance(a, api.Send | api.Refuse)])
+            for _ in of(out, api.Send):
+                module.end(rid, after=1.0)
+        answers.append(said)
+    assert answers[0] == answers[1]
+
+
+def test_two_processes_of_a_gateway_spend_one_part_of_a_ceiling() -> None:
+    """The old one nothing, the new one what was left and what it earns; both together within the store."""
+    d = busy()
+    new = heir(d)
+    d.give(api.Succeeded(True))
+    before, use = d.now, d.gateway.uses["c0", "capped"]
+    spent = 0
+    for i in range(400):
+        for module in (d, new):
+            module.now = before + 10 * i
+            rid, out = module.ask("read", "capped", "c0", units=1)
+            if of(out, api.Send):
+                assert module is new
+                spent += 1
+                module.end(rid)
+    rate, full = CAPPED.ceiling_rate / use.width, CAPPED.ceiling_burst / use.width
+    store = min(use.ceiling + (before - use.ceiling_at) / 1000 * rate, full)
+    assert store + 4.0 * rate - 2 <= spent <= store + 4.0 * rate
+
+
+def test_a_predecessor_that_goes_on_after_all_spends_again() -> None:
+    d = busy(trouble=False)
+    d.give(api.Succeeded(True))
+    rid, out = d.ask("read", "capped", "new", units=1)
+    assert of(out, api.Refuse)[0].cause == api.CEILING
+    d.give(api.Succeeded(False))
+    assert of(d.ask("read", "capped", "new", units=1)[1], api.Send)
+
+
+def test_a_host_that_has_started_anew_since_is_not_taken_for_the_old_one() -> None:
+    d = busy()
+    new = Driver(servers=6, seed=99, now=d.now, may_count=False)
+    new.give(api.ServerList("changes", (server(2, up_since_ms=d.now),)))
+    restore(new.gateway, known(d.gateway))
+    assert new.gateway.hosts["h2"].slow == 1.0
+    assert new.gateway.fleet.warmth(new.gateway.hosts["h2"]) < 1
+
+
+def test_ceilings_that_were_forgotten_early_go_along() -> None:
+    d = busy(most_customers=CHOICES)
+    assert d.gateway.shadow.times is not None
+    new = heir(d)
+    assert new.gateway.shadow.times == d.gateway.shadow.times
+
+
+def test_documents_are_of_bounded_size() -> None:
+    d = Driver(servers=2, may_count=False)
+    for i in range(3 * AT_ONCE):
+        d.ask("read", "open", f"{i:016x}")
+    documents = list(export(d.gateway))
+    assert max(len(json.dumps(doc)) for doc in documents) < 150_000
+    assert sum(len(doc.get("uses", ())) for doc in documents) == 3 * AT_ONCE
+
+
+def _spoilt() -> list[tuple[str, object]]:
+    return [
+        ("version", 99), ("scalars", {"q": 1.0}), ("warm_rate", "1"), ("warm_rate", None),
+        ("latency", {"read": math.inf}), ("latency", []), ("cells", [["read", "open", 1.0]]),
+        ("hosts", {"h1": [1.0]}), ("hosts", {"h1": ["x"] * 9}), ("asked_at", {"open": True}),
+    ]
+
+
+@pytest.mark.parametrize(("field", "value"), _spoilt())
+def test_what_cannot_be_read_is_left_whole(field: str, value: object) -> None:
+    documents = known(busy().gateway)
+    next(d for d in documents if d["t"] == MODULE)[field] = value
+    fresh = Driver(servers=6, may_count=False)
+    before = copy.deepcopy(known(fresh.gateway))
+    with pytest.raises(StateError, match=field if field != "version" else "version 1"):
+        restore(fresh.gateway, documents)
+    assert known(fresh.gateway) == before
+
+
+@pytest.mark.parametrize("change", [
+    lambda uses: uses[0].pop(), lambda uses: uses[0].__setitem__(4, 1.5), lambda uses: uses[0].append(1.0),
+])
+def test_a_customer_that_cannot_be_read_is_told(change) -> None:
+    documents = known(busy().gateway)
+    change(next(d for d in documents if d["t"] == "customers")["uses"])
+    fresh = Driver(servers=6, may_count=False)
+    with pytest.raises(StateError, match="uses"):
+        restore(fresh.gateway, documents)
+    assert not fresh.gateway.uses
+
+
+@pytest.mark.parametrize("text", ["x", "~~~~~", "0" * 40])
+def test_a_sketch_that_cannot_be_read_is_told(text: str) -> None:
+    documents = [*known(busy().gateway), {"t": "sketch", "text": text}]
+    with pytest.raises(StateError, match="sketch"):
+        restore(Driver(servers=6, may_count=False).gateway, documents)
+    assert SLOTS == 65536
+
+
+def test_without_one_head_nothing_is_taken() -> None:
+    documents = known(busy().gateway)
+    for some in (documents[1:], [documents[0], *documents]):
+        with pytest.raises(StateError, match="one document"):
+            restore(Driver(servers=6).gateway, some)
--- /dev/null
+++ b/tests/handover/test_upgrade.py
@@ -0,0 +1,226 @@
+"""A second version takes over from the first, both the real program, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+from pathlib import Path
+
+import pytest
+from conftest import LOOP, Rig, Seen, instance, message, on_loop, read_message, reply
+
+from yewstage.handover.channel import LONGEST, NAME, Channel, connect, listen
+
+
+def serve(seen: Seen) -> bytes:
+    return reply(b"served")
+
+
+def silent(seen: Seen) -> None:
+    return None
+
+
+async def asked(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, rid: bytes) -> str:
+    writer.write(message(rid=rid))
+    return (await read_message(reader, writer)).line.split()[1]
+
+
+def test_nothing_is_turned_back_while_versions_follow_each_other(tmp_path: Path) -> None:
+    """Clients that keep their connections and clients that come anew, through three upgrades."""
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve, operated=True) as rig:
+            stop = asyncio.Event()
+            served = [0, 0]
+
+            async def keeps(name: int) -> None:
+                reader, writer = await rig.connect()
+                while not stop.is_set():
+                    assert await asked(reader, writer, b"k%d-%d" % (name, served[0])) == "200"
+                    served[0] += 1
+                    await asyncio.sleep(0.02 * (name + 1))  # within the quota
+                writer.close()
+
+            async def comes() -> None:
+                while not stop.is_set():
+                    assert await rig.status(message(rid=b"n%d" % served[1])) == 200
+                    served[1] += 1
+                    await asyncio.sleep(0.02)
+
+            clients = [asyncio.create_task(c) for c in (*(keeps(i) for i in range(5)), comes())]
+            for _ in range(3):
+                await asyncio.sleep(0.1)
+                old = await rig.upgrade()
+                assert await old.wait() == 0
+            await asyncio.sleep(0.1)
+            stop.set()
+            await asyncio.gather(*clients)
+            assert min(served) > 20
+            assert {s.headers["x-request-id"][0] for s in rig.hosts[0].seen} == {"k", "n"}
+            assert len({s.headers["x-request-id"] for s in rig.hosts[0].seen}) == len(rig.hosts[0].seen)
+    on_loop(scenario)
+
+
+def test_what_is_open_is_answered_by_the_old_process_and_the_connection_goes_on(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, silent, operated=True) as rig:
+            reader, writer = await rig.connect()
+            writer.write(message(rid=b"old"))
+            half, half_writer = await rig.connect()
+            half_writer.write(message("put", rid=b"half", body=b"x" * 100)[:-50])
+            await rig.hosts[0].until(lambda fake: len(fake.seen) == 1)
+            await asyncio.sleep(0.05)
+            old = await rig.upgrade()
+            assert old.returncode is None
+            rig.hosts[0].seen[0].writer.write(reply(b"late"))
+            assert (await read_message(reader, writer)).body == b"late"
+            half_writer.write(b"x" * 50)
+            await rig.hosts[0].until(lambda fake: len(fake.seen) == 2)
+            rig.hosts[0].seen[1].writer.write(reply(b"whole"))
+            assert (await read_message(half, half_writer)).body == b"whole"
+            assert await old.wait() == 0
+            for kept, kept_writer, rid in ((reader, writer, b"next"), (half, half_writer, b"more")):
+                kept_writer.write(message(rid=rid))
+                await rig.hosts[0].until(
+                    lambda fake, rid=rid: fake.seen[-1].headers["x-request-id"].encode() == rid)
+                rig.hosts[0].seen[-1].writer.write(reply(b"new"))
+                assert (await read_message(kept, kept_writer)).body == b"new"
+    on_loop(scenario)
+
+
+def test_a_host_out_by_hand_stays_out_and_either_process_may_be_told(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve, serve, operated=True) as rig:
+            assert await rig.call("set-down s-0") == "ACK\n"
+            old_port = rig.operator_port
+            old = await rig.upgrade(stop=False)
+            for i in range(20):
+                assert await rig.status(message(rid=b"a%d" % i)) == 200
+            assert not rig.hosts[0].seen
+            new_port, rig.operator_port = rig.operator_port, old_port
+            assert await rig.call("set-up s-0") == "ACK\n"
+            assert await rig.call("set-down s-1") == "ACK\n"
+            rig.operator_port = new_port
+            await asyncio.sleep(0.5)
+            before = len(rig.hosts[1].seen)
+            for i in range(20):
+                assert await rig.status(message(rid=b"b%d" % i)) == 200
+            assert len(rig.hosts[1].seen) == before
+            assert (await rig.figures())["skipped_hosts"] == 1
+            old.send_signal(signal.SIGTERM)
+            assert await old.wait() == 0
+    on_loop(scenario)
+
+
+def test_an_id_that_only_the_old_process_saw_may_be_taken_out(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve, operated=True) as rig:
+            await rig.directory.tell([instance("s-old", 1)])
+            await rig.directory.tell([instance("s-old", 1, "gone")])
+            await rig.upgrade()
+            assert await rig.call("set-down s-old") == "ACK\n"
+            assert (await rig.call("set-down s-never")).startswith("NAK")
+    on_loop(scenario)
+
+
+def test_a_successor_that_ends_before_it_serves_leaves_the_old_process_as_it_was(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve, operated=True) as rig:
+            sock = connect(str(tmp_path))
+            assert sock is not None
+            sock.setblocking(True)
+            sock.send(b'{"t":"ask"}')
+            data, descriptors, _, _ = socket.recv_fds(sock, LONGEST, 1)
+            assert b"listener" in data and len(descriptors) == 1
+            waiting = asyncio.create_task(rig.status(message(rid=b"waits")))
+            await asyncio.sleep(0.05)
+            assert not waiting.done()  # in the listener's line: the successor might still read it
+            os.close(descriptors[0])
+            sock.close()
+            assert await waiting == 200
+            assert await rig.status(message(rid=b"after")) == 200
+            await rig.upgrade()
+            assert await rig.status(message(rid=b"new")) == 200
+    on_loop(scenario)
+
+
+@pytest.mark.parametrize("said", [b"{", b"[]", b'{"t":"serving"}', b'{"t":"what"}', b"\0" * 1000])
+def test_nonsense_at_the_socket_changes_nothing(tmp_path: Path, said: bytes) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve, operated=True) as rig:
+            sock = connect(str(tmp_path))
+            assert sock is not None
+            sock.send(said)
+            assert await rig.status(message(rid=b"during")) == 200
+            sock.close()
+            await asyncio.sleep(0.05)
+            await rig.upgrade()
+            assert await rig.status(message(rid=b"after")) == 200
+    on_loop(scenario)
+
+
+def test_an_old_process_that_does_not_answer_is_served_beside(tmp_path: Path) -> None:
+    """A stand-in holds the socket and says nothing: the new process listens beside whoever serves."""
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve, operated=True) as rig:
+            mute = listen(str(tmp_path))
+            old = await rig.upgrade(stop=False)
+            assert any("does not hand over" in line for line in rig.log)
+            old.kill()
+            await old.wait()
+            for i in range(10):
+                assert await rig.status(message(rid=b"id-%d" % i)) == 200
+            mute.close()
+    on_loop(scenario)
+
+
+def test_a_socket_that_a_dead_process_left_is_nobody(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        listen(str(tmp_path)).close()
+        assert (tmp_path / NAME).exists()
+        async with Rig(tmp_path, serve, operated=True) as rig:
+            assert await rig.status(message()) == 200
+    on_loop(scenario)
+
+
+def test_packets_that_the_other_side_has_no_room_for_wait_in_order(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        ours, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        got: list[tuple[int, bool]] = []
+        channel = Channel(ours, loop, lambda packet, fd: None, lambda: None)
+        for i in range(200):
+            channel.send({"n": i, "fill": "x" * 5000}, os.dup(0) if i % 3 == 0 else None)
+        assert not channel.sent()
+
+        def received(packet: dict, descriptor: int | None) -> None:
+            got.append((packet["n"], descriptor is not None))
+            if descriptor is not None:
+                os.close(descriptor)
+
+        other = Channel(theirs, loop, received, lambda: None)
+        while len(got) < 200:
+            await asyncio.sleep(0.01)
+        assert got == [(i, i % 3 == 0) for i in range(200)]
+        assert channel.sent()
+        with pytest.raises(ValueError, match="a packet of"):
+            channel.send({"fill": "x" * LONGEST})
+        ended = asyncio.Event()
+        channel._lost = ended.set
+        other.close()
+        await ended.wait()
+    on_loop(scenario)
+
+
+def test_hosts_connection_count_and_address_stay(tmp_path: Path) -> None:
+    """The address is the same, and a client that connects in the middle of it waits for the new process."""
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve, operated=True) as rig:
+            port = rig.port
+            await rig.upgrade()
+            assert rig.port == port
+            reader, writer = await asyncio.open_connection(LOOP, port)
+            assert await asked(reader, writer, b"x") == "200"
+            writer.close()
+    on_loop(scenario)
--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -55,7 +55,7 @@
     loop.add_signal_handler(signal.SIGHUP, _reload, core, server, config)
     core.start()
     await core.listen(config.operator)
-    ((host, port),) = server.start(config.listen)
+    ((host, port),) = await core.open(server, config.listen)
     compiled = not str(policy.__file__).endswith(".py")
     logging.info("the decision module runs %s", "compiled" if compiled else "as Python source")
     logging.info("listening on %s:%d", host, port)
--- /dev/null
+++ b/yewstage/handover/__init__.py
@@ -0,0 +1,1 @@
+"""A second version of a gateway takes over from the first while both run."""
--- /dev/null
+++ b/yewstage/handover/state.py
@@ -0,0 +1,206 @@
+"""What a decision module knows, as documents that another process of the same gateway goes on from.
+
+Theory of operation. A new process that knew nothing would earn its ceilings from empty, ask the counter for
+every customer, trust hosts that fail and flood cold ones. So all that was learnt goes along, and the old
+module is told that it has been succeeded: it spends nothing of a ceiling any more. What is open stays with
+the old process: its requests, attempts and counter calls. Amounts in such a call count as told; the old
+module tells them again by itself if the call fails. Free of I/O; times are the module's clock, Unix time in
+ms, in both processes.
+
+A document is a plain object with a field `t`. Restoring is strict about what it reads, and takes all or
+nothing.
+"""
+
+from __future__ import annotations
+
+import base64
+import math
+import zlib
+from array import array
+from collections.abc import Iterator
+from typing import Any
+
+from yewstage import policy
+from yewstage.fleet import OUT
+from yewstage.policy import Gateway
+from yewstage.sketch import SLOTS
+
+VERSION = 1
+AT_ONCE = 256  # customers in one document
+PIECE = 96 * 1024  # of the sketch, as text
+MODULE, CUSTOMERS, SKETCH = "module", "customers", "sketch"
+SCALARS = (
+    "born", "q", "f", "q_sum", "q_n", "q_seen", "ok_q", "lost", "done", "done_rate", "bank", "heard",
+    "call_at",
+)  # fmt: skip
+HOST = ("born", "cold_from_ms", "slow", "strikes", "fails", "down_until", "died", "credit", "credit_at")
+USE = (
+    "width", "widest", "window", "own", "added", "base", "base_own", "base_use", "base_at", "base_left",
+    "most", "left", "left_at", "others", "luck", "seen", "ceiling", "ceiling_at",
+)  # fmt: skip
+WHOLE = frozenset(("q_n", "q_seen", "strikes", "fails", "width", "widest", "window"))
+
+
+class StateError(ValueError):
+    """Documents that a module cannot go on from; the text names the field."""
+
+
+def export(gateway: Gateway) -> Iterator[dict[str, Any]]:
+    """All that a module knows but for what is open, in documents of bounded size."""
+    fleet = gateway.fleet
+    yield {
+        "t": MODULE,
+        "version": VERSION,
+        "scalars": {name: getattr(gateway, name) for name in SCALARS},
+        "warm_rate": fleet.warm_rate,
+        "latency": dict(gateway.latency),
+        "asked_at": dict(gateway.asked_at),
+        "cells": [[*key, c.value, c.work, c.f, c.r] for key, c in gateway.cells.items()],
+        "hosts": {name: [getattr(host, field) for field in HOST] for name, host in fleet.hosts.items()},
+    }
+    uses = list(gateway.uses.values())
+    for at in range(0, len(uses), AT_ONCE):
+        yield {
+            "t": CUSTOMERS,
+            "uses": [[*use.key, *(getattr(use, field) for field in USE)] for use in uses[at : at + AT_ONCE]],
+        }
+    if gateway.shadow.times is not None:
+        text = base64.b85encode(zlib.compress(gateway.shadow.times.tobytes(), 1)).decode()
+        for at in range(0, len(text), PIECE):
+            yield {"t": SKETCH, "text": text[at : at + PIECE]}
+
+
+def restore(gateway: Gateway, documents: list[dict[str, Any]]) -> None:
+    """Go on from what `export` told. Nothing is changed where a StateError is raised.
+
+    What this module has not: a host that is not in its list, a class or plan that its settings do not know,
+    is left out.
+    """
+    heads = [d for d in documents if d.get("t") == MODULE]
+    if len(heads) != 1 or heads[0].get("version") != VERSION:
+        raise StateError(f"{MODULE}: one document of version {VERSION} is needed")
+    head = heads[0]
+    scalars = _named("scalars", head.get("scalars"), SCALARS)
+    hosts = {
+        name: _values(f"hosts.{name}", HOST, row)
+        for name, row in _object("hosts", head.get("hosts")).items()
+        if name in gateway.fleet.hosts
+    }
+    latency = _numbers("latency", head.get("latency"))
+    asked_at = _numbers("asked_at", head.get("asked_at"))
+    warm_rate = _number("warm_rate", head.get("warm_rate"))
+    cells = [(row[0], row[1], [_number("cells", v) for v in row[2:]]) for row in _rows("cells", head, 6)]
+    uses = [
+        (str(row[0]), str(row[1]), _values(f"uses.{row[0]}", USE, row[2:]))
+        for document in documents
+        if document.get("t") == CUSTOMERS
+        for row in _rows("uses", document, len(USE) + 2)
+    ]
+    times = _sketch("".join(str(d.get("text", "")) for d in documents if d.get("t") == SKETCH))
+
+    for name, value in scalars.items():
+        setattr(gateway, name, value)
+    gateway.latency.update({n: v for n, v in latency.items() if n in gateway.classes})
+    gateway.asked_at.update({n: v for n, v in asked_at.items() if n in gateway.plans})
+    gateway.fleet.warm_rate = warm_rate
+    for cls, plan, (value, work, f, r) in cells:
+        if cls in gateway.classes and plan in gateway.plans:
+            cell = gateway.cells[cls, plan] = policy._Cell()
+            cell.value, cell.work, cell.f, cell.r = value, work, f, r
+    for name, fields in hosts.items():
+        _restore_host(gateway, name, fields)
+    for customer, plan, fields in uses:
+        if plan in gateway.plans and len(gateway.uses) < gateway.s.most_customers:
+            _restore_use(gateway, customer, plan, fields)
+    if times is not None:
+        gateway.shadow.times = times
+
+
+def _restore_host(gateway: Gateway, name: str, fields: dict[str, Any]) -> None:
+    fleet, host = gateway.fleet, gateway.fleet.hosts[name]
+    born = host.born
+    if fields["born"] < born:
+        return  # it has started anew since: what was learnt of it is of no use
+    fleet._move(host, OUT)
+    fleet.open_well -= 0 if host.fails else host.open
+    for field, value in fields.items():
+        setattr(host, field, value)
+    host.died = bool(host.died)
+    host.weigh()
+    fleet.open_well += 0 if host.fails else host.open
+    fleet.place(host)
+
+
+def _restore_use(gateway: Gateway, customer: str, plan: str, fields: dict[str, Any]) -> None:
+    key = (customer, plan)
+    use = gateway.uses.get(key)
+    if use is None:
+        use = gateway.uses[key] = policy._Use(key, gateway.plans[plan], fields["width"], gateway.now, 0.0)
+        gateway.ring.append(use)
+    for field, value in fields.items():
+        setattr(use, field, value)
+
+
+# --- Reading ---
+
+
+def _object(field: str, found: object) -> dict[str, Any]:
+    if not isinstance(found, dict):
+        raise StateError(f"{field}: must be an object")
+    return found
+
+
+def _number(field: str, found: object) -> float:
+    if isinstance(found, bool) or not isinstance(found, int | float) or not math.isfinite(found):
+        raise StateError(f"{field}: {found!r} is not a finite number")
+    return float(found)
+
+
+def _numbers(field: str, found: object) -> dict[str, float]:
+    return {name: _number(f"{field}.{name}", value) for name, value in _object(field, found).items()}
+
+
+def _value(field: str, name: str, found: object) -> Any:
+    if name == "base" and found is None:
+        return None
+    if name == "died":
+        return bool(found)
+    value = _number(f"{field}.{name}", found)
+    if name in WHOLE:
+        if value != int(value):
+            raise StateError(f"{field}.{name}: {found!r} is not a whole number")
+        return int(value)
+    return value
+
+
+def _values(field: str, names: tuple[str, ...], row: object) -> dict[str, Any]:
+    if not isinstance(row, list) or len(row) != len(names):
+        raise StateError(f"{field}: must be {len(names)} values")
+    return {name: _value(field, name, found) for name, found in zip(names, row, strict=True)}
+
+
+def _named(field: str, found: object, names: tuple[str, ...]) -> dict[str, Any]:
+    values = _object(field, found)
+    missing = [name for name in names if name not in values]
+    if missing:
+        raise StateError(f"{field}.{missing[0]}: is missing")
+    return {name: _value(field, name, values[name]) for name in names}
+
+
+def _rows(field: str, document: dict[str, Any], width: int) -> list[list[Any]]:
+    rows = document.get(field)
+    if not isinstance(rows, list) or not all(isinstance(row, list) and len(row) == width for row in rows):
+        raise StateError(f"{field}: must be rows of {width} values")
+    return rows
+
+
+def _sketch(text: str) -> array[float] | None:
+    if not text:
+        return None
+    try:
+        found = array("d", zlib.decompressobj().decompress(base64.b85decode(text), 8 * SLOTS + 1))
+    except (ValueError, zlib.error):
+        raise StateError(f"{SKETCH}: cannot be read") from None
+    if len(found) != SLOTS or not all(map(math.isfinite, found)):
+        raise StateError(f"{SKETCH}: must be {SLOTS} times")
+    return found
--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -229,6 +229,14 @@
     settings: Settings
 
 
+@dataclass(slots=True)
+class Succeeded:
+    """Another process of this gateway decides from now on (`by_heir`), and holds what this one held of
+    ceilings; or it does not, after all."""
+
+    by_heir: bool
+
+
 @dataclass(slots=True)
 class PeerMessage:
     """A message from another gateway."""
@@ -303,5 +311,5 @@
 
 
 Event = (ServerList | Request | Outcome | StreamStarted | ClientLeft | TimerDue | CountReply | ProbeReply
-         | PeerMessage | HostOut | SettingsChanged)
+         | PeerMessage | HostOut | SettingsChanged | Succeeded)
 Action = Send | Refuse | Fail | Cancel | Timer | Count | Subscribe | Log
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import logging
+import os
 import re
 import socket
 import time
@@ -31,6 +32,7 @@
 LINGER_S, LINGER_BYTES = 1.0, 1024 * 1024  # how much of a rejected request is read before the close
 SWEEP_S = 0.25
 ACCEPT_PAUSE_S = 0.05
+HAND_ON_S = 0.005  # spacing of the looks for connections that carry nothing, while another process takes over
 ACCEPTS = 16  # connections taken in one turn of the loop: others have work to do, too
 
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout",
@@ -170,6 +172,16 @@
         """Whether requests can be served."""
 
 
+class Heir(Protocol):
+    """The process that goes on serving our clients."""
+
+    def take(self, descriptor: int) -> None:
+        """Take a connection over; the descriptor is the heir's."""
+
+    def took(self) -> bool:
+        """Whether all that it was given has left."""
+
+
 class ClientConnection(asyncio.Protocol):
     """One connection of a client: requests are taken one at a time, in order."""
 
@@ -343,7 +355,8 @@
         if self.transport.is_closing():
             return
         self._server.waits(self)
-        keep = self._keep_alive and not self._core.draining
+        heir = self._server.heir
+        keep = self._keep_alive and (heir is not None or not self._core.draining)
         parts = [LINES.get(status) or b"HTTP/1.1 %d \r\n" % status]
         if status not in NO_BODY:
             parts.append(b"Content-Length: %d\r\n" % len(body))
@@ -359,6 +372,8 @@
         self.transport.write(b"".join(parts))
         if not keep:
             self._end(status)
+        elif heir is not None:
+            self._server.loop.call_soon(self.hand_on)
         self._pump()
 
     def _retry_after(self, wait_ms: float) -> bytes:
@@ -389,6 +404,17 @@
         elif waited > (IDLE_S if self.answered else READ_S):
             self.transport.close()
 
+    def hand_on(self) -> bool:
+        """Pass the connection on to the server's heir, if it carries nothing and all answers have left."""
+        heir, transport = self._server.heir, self.transport
+        if (heir is None or self._busy or self._message is not None or self._queue or self._ending
+                or transport is None or transport.is_closing() or transport.get_write_buffer_size()):
+            return False
+        heir.take(os.dup(transport.get_extra_info("socket").fileno()))
+        self._ending = True
+        transport.abort()  # closes our descriptor and says nothing to the client: the heir has another
+        return True
+
     def close_if_idle(self) -> None:
         """Close unless a request is owed its answer or is being read."""
         if not self._busy and self._message is None and not self._queue:
@@ -413,9 +439,10 @@
         self._unheard: dict[Connection, None] = {}
         self._most = int(CLIENT_SHARE * sockets)
         self._listeners: list[socket.socket] = []
-        self._accepting = False
+        self._accepting = self._lent = False
         self._pending: set[asyncio.Task] = set()
         self._coming: set[Connection] = set()  # accepted, and not yet up
+        self.heir: Heir | None = None  # accepts in our place, and takes connections over
 
     def _read_terms(self) -> Terms | None:
         return Terms(self.core.settings)
@@ -424,8 +451,9 @@
         """Go by the core's settings as they are now."""
         self.terms = self._read_terms()
 
-    def start(self, *addresses: tuple[str, int]) -> list[tuple[str, int]]:
-        """Listen; returns the addresses, with the ports that the system chose for 0.
+    def start(self, *addresses: tuple[str, int], shared: bool = False) -> list[tuple[str, int]]:
+        """Listen; returns the addresses, with the ports that the system chose for 0. Shared ones may be
+        listened on by several processes of this user.
 
         Raises:
             OSError: an address cannot be listened on; then none is.
@@ -436,31 +464,82 @@
                 listener = socket.socket(family, socket.SOCK_STREAM)
                 self._listeners.append(listener)
                 listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                if shared:
+                    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
                 listener.setblocking(False)
                 listener.bind(address)
                 listener.listen(BACKLOG)
         except OSError:
             self.stop_accepting()
             raise
+        return self._listen()
+
+    def _listen(self) -> list[tuple[str, int]]:
         self._resume()
         self.loop.call_later(SWEEP_S, self._sweep)
         return [listener.getsockname()[:2] for listener in self._listeners]
 
+    def inherit(self, descriptor: int) -> list[tuple[str, int]]:
+        """Listen on another process's socket; returns its address. What waits there is ours."""
+        listener = socket.socket(fileno=descriptor)
+        listener.setblocking(False)
+        self._listeners.append(listener)
+        return self._listen()
+
+    def lend(self) -> int:
+        """Accept no more for now; a descriptor of the listening socket, in whose line connections wait."""
+        self._pause()
+        self._lent = True
+        return os.dup(self._listeners[0].fileno())
+
+    def take_back(self) -> None:
+        """Accept again: the other process did not."""
+        self._lent = False
+        self._resume()
+
+    def succeeded_by(self, heir: Heir) -> None:
+        """Another process accepts on our socket: pass on what carries nothing, the rest after its answers."""
+        self._drop_listeners()
+        self.heir = heir
+        self.hand_on()
+
+    def hand_on(self) -> None:
+        """Pass on the connections that carry nothing, again and again until none is left."""
+        if self.heir is None:
+            return
+        for connection in list(self.connections):
+            connection.hand_on()
+        if self.connections or self._coming:
+            self.loop.call_later(HAND_ON_S, self.hand_on)
+
+    def adopt(self, descriptor: int) -> None:
+        """Take over a client's connection that has had answers of another process."""
+        connection = self.connection(self)
+        connection.answered = True
+        if not self._room():
+            os.close(descriptor)  # guards the descriptors: its client asks again on a new one
+            return
+        self._bring_up(connection, socket.socket(fileno=descriptor))
+
+    def _drop_listeners(self) -> None:
+        self._pause()
+        for listener in self._listeners:
+            listener.close()
+        self._listeners.clear()
+
     def stop_accepting(self) -> None:
         """Close the listening socket, once what has come to it is accepted."""
         if self._accepting:
             for listener in self._listeners:
                 self._accept(listener)
-        self._pause()
-        for listener in self._listeners:
-            listener.close()
-        self._listeners.clear()
+        self._drop_listeners()
 
     def close_idle(self) -> bool:
-        """Close the connections that carry nothing; True once none is left."""
-        for connection in list(self.connections):
-            connection.close_if_idle()
-        return not self.connections and not self._pending
+        """Close the connections that carry nothing, or pass them on; True once none is left."""
+        if self.heir is None:
+            for connection in list(self.connections):
+                connection.close_if_idle()
+        return not self.connections and not self._pending and (self.heir is None or self.heir.took())
 
     def opened(self, connection: Connection) -> None:
         """A connection is up, and silent so far."""
@@ -487,7 +566,7 @@
         self._resume()
 
     def _resume(self) -> None:
-        if self._listeners and not self._accepting and self._room():
+        if self._listeners and not self._accepting and not self._lent and self._room():
             self._accepting = True
             for listener in self._listeners:
                 self.loop.add_reader(listener, self._accept, listener)
@@ -533,13 +612,15 @@
                 self._pause()
                 self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
                 return
-            accepted.setblocking(False)
-            connection = self.connection(self)
-            self._coming.add(connection)
-            task = self.loop.create_task(
-                self.loop.connect_accepted_socket(partial(_itself, connection), accepted))
-            self._pending.add(task)
-            task.add_done_callback(partial(self._accepted, connection))
+            self._bring_up(self.connection(self), accepted)
+
+    def _bring_up(self, connection: Connection, accepted: socket.socket) -> None:
+        accepted.setblocking(False)
+        self._coming.add(connection)
+        task = self.loop.create_task(
+            self.loop.connect_accepted_socket(partial(_itself, connection), accepted))
+        self._pending.add(task)
+        task.add_done_callback(partial(self._accepted, connection))
 
     def _accepted(self, connection: Connection, task: asyncio.Task) -> None:
         self._pending.discard(task)
--- a/yewstage/net/node.py
+++ b/yewstage/net/node.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import time
+from typing import Any
 
+from yewstage.net.clients import Server
 from yewstage.net.config import Config
 from yewstage.net.core import Core, Pulse
 from yewstage.net.counter import Counter
@@ -64,6 +66,10 @@
     async def listen(self, address: tuple[str, int] | None) -> None:
         """Take operators' calls at an address, where there is one; OSError where that fails."""
 
+    async def open(self, server: Server[Any], address: tuple[str, int]) -> list[tuple[str, int]]:
+        """Let clients in at an address; the addresses that are listened on. OSError where that fails."""
+        return server.start(address)
+
     def ready(self) -> bool:
         """Whether requests can be served: hosts are known, by discovery's word if it speaks at all."""
         if self.draining or not self._hosts.names():
--- a/yewstage/net/operated.py
+++ b/yewstage/net/operated.py
@@ -4,8 +4,14 @@
 
 import asyncio
 import logging
+from collections.abc import Iterable
+from itertools import chain
+from typing import Any
 
 from yewstage import interface as api
+from yewstage.handover.service import HandOver, Heir, TakeOver
+from yewstage.handover.state import StateError, export, restore
+from yewstage.net.clients import Server
 from yewstage.net.config import Config
 from yewstage.net.core import _Open
 from yewstage.net.discovery import Listing
@@ -18,6 +24,8 @@
 
 log = logging.getLogger(__name__)
 
+START_S = 4.0  # how long a new process waits to be able to serve before it takes over all the same
+SEEN, SEEN_AT_ONCE = "seen", 1024  # the hosts that may be taken out by hand
 LOOK_S = 0.2  # spacing of the looks at the hosts out by hand: a call to another process binds within a second
 
 
@@ -47,7 +55,7 @@
 
 
 class OperatedNode(Node):
-    """A node with figures, and with hosts out by hand."""
+    """A node with figures, with hosts out by hand, and with a way to hand over to a next version."""
 
     hosts = _CountedHosts
 
@@ -59,6 +67,10 @@
         self._hand_file = HandFile(config.folder)
         self._held_out: set[str] = set()
         self._operators = OperatorServer(self, loop)
+        self._folder = config.folder
+        self._server: Server[Any] | None = None  # once clients are let in
+        self._hand_over = HandOver(self, loop)
+        self._take_over: TakeOver | None = None
 
     def start(self) -> None:
         super().start()
@@ -71,6 +83,9 @@
     def stop(self) -> None:
         super().stop()
         self._operators.stop()
+        self._hand_over.stop()
+        if self._take_over is not None:
+            self._take_over.close()
 
     def reload(self, config: Config) -> None:
         super().reload(config)
@@ -79,6 +94,70 @@
     def not_reloaded(self) -> None:
         self.figures_kept.load_errors += 1
 
+    def ready(self) -> bool:
+        return self._server is not None and super().ready()
+
+    # One process after another
+
+    async def open(self, server: Server[Any], address: tuple[str, int]) -> list[tuple[str, int]]:
+        """Take over from the process that serves here already, if there is one; else listen."""
+        if self._folder is not None:
+            self._take_over = TakeOver.find(self._folder, self._loop, server.adopt)
+        listening = await self._inherit(server) if self._take_over is not None else None
+        if listening is None:
+            listening = server.start(address, shared=True)
+        self._server = server
+        if self._folder is not None:
+            self._hand_over.start(self._folder)  # in the old one's place: the next version finds us
+        if self._take_over is not None:
+            self._take_over.serving()
+        return listening
+
+    async def _inherit(self, server: Server[Any]) -> list[tuple[str, int]] | None:
+        """What the old process hands over, once we could serve; None where it does not."""
+        assert self._take_over is not None
+        end = self._loop.time() + START_S
+        while not super().ready() and self._loop.time() < end:
+            await asyncio.sleep(0.02)
+        try:
+            descriptor, documents = await self._take_over.ask()
+        except OSError as error:
+            log.warning("hand-over: %s; serving beside it, if it still does", error)
+            self._take_over = None
+            return None
+        try:
+            restore(self._gateway, documents)
+            self._listed.add(name for d in documents if d.get("t") == SEEN for name in d["names"])
+        except StateError as error:  # another version's, perhaps: its clients are worth more
+            log.warning("hand-over: what the old process knew is left: %s", error)
+        log.info("took over from the process that served here")
+        return server.inherit(descriptor)
+
+    def give(self) -> tuple[int, Iterable[dict[str, Any]]]:
+        """Stop accepting and deciding: a descriptor of the listening socket, and what is known."""
+        assert self._server is not None
+        self._post(api.Succeeded(True))
+        names = self._listed.all()
+        seen = [{"t": SEEN, "names": names[at:at + SEEN_AT_ONCE]}
+                for at in range(0, len(names), SEEN_AT_ONCE)]
+        return self._server.lend(), chain(export(self._gateway), seen)
+
+    def keep(self) -> None:
+        """Go on after all: the successor ended before it served."""
+        assert self._server is not None
+        self._post(api.Succeeded(False))
+        self._server.take_back()
+
+    def gone(self, heir: Heir) -> None:
+        """The successor serves."""
+        assert self._server is not None
+        self._server.succeeded_by(heir)
+
+    def alone(self) -> None:
+        """The successor that served is gone; connections cannot be passed on any more."""
+        assert self._server is not None
+        self._server.heir = None
+
     # Operators' calls
 
     def figures(self) -> dict[str, object]:
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -182,6 +182,7 @@
         self.heard, self.call_at = 1.0, 0.0  # part of our counter calls answered; the last one's time
         self.cuts = 0  # calls cut off since the last answer
         self.said: dict[str, float] = {}
+        self.succeeded = False  # another process holds our parts of ceilings
 
     # --- Events -------------------------------------------------------------------------------------------
 
@@ -224,6 +225,8 @@
                 self._finish(self.held.get(event.request))
             case api.HostOut():
                 self.fleet.by_hand(event.server, event.out)
+            case api.Succeeded():
+                self.succeeded = event.by_heir
             case api.SettingsChanged():
                 self._change(event.settings)
             case api.TimerDue() | api.ProbeReply() | api.PeerMessage():
@@ -556,8 +559,8 @@
         loses what was held.
         """
         plan = use.plan
-        if plan.ceiling_rate <= 0:
-            return True
+        if plan.ceiling_rate <= 0 or self.succeeded:
+            return plan.ceiling_rate <= 0
         full = plan.ceiling_burst / use.width
         gained = (self.now - use.ceiling_at) * plan.ceiling_rate / 1000 / use.width
         use.ceiling = min(full, use.ceiling + gained)
