Bodies and answers of up to 32 MB are passed on as they come, both ways

Cause of the latter, found by a line in the log for each rejection: the parser leaves blanks behind a header's value (`Content-Length: 692 `), which RFC 9110 5.5 does not count; now they are taken off.

Change: `net/flows.py`. A body is decided once 64 KiB of it have come and goes on piece by piece; its client's time runs from its last byte. An answer beyond 64 KiB begins at the client with its first bytes, the module hears StreamStarted, and its time is that of its start; one that breaks off is cut. Reading stops while the other side is full. Answers up to the close, in one-byte chunks and with trailers are read, absolute targets too. The hosted service keeps its bounds.

Tried and left: to gather up to a bound on the file system, which counts as memory here.

--- /dev/null
+++ b/tests/standins/raw.py
@@ -0,0 +1,77 @@
+"""A host whose every byte is scripted: a coroutine for each connection."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+Script = Callable[["Peer"], Awaitable[None]]
+
+
+class Peer:
+    """One connection of a scripted host."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    async def head(self) -> str:
+        """The next request's head."""
+        return (await self.reader.readuntil(b"\r\n\r\n")).decode()
+
+    async def body(self, head: str) -> bytes:
+        """The body that belongs to a head, of a length or in chunks."""
+        for line in head.lower().split("\r\n"):
+            if line.startswith("content-length:"):
+                return await self.reader.readexactly(int(line.split(":")[1]))
+        if "transfer-encoding: chunked" not in head.lower():
+            return b""
+        pieces = []
+        while size := int(await self.reader.readline(), 16):
+            pieces.append(await self.reader.readexactly(size))
+            await self.reader.readexactly(2)
+        await self.reader.readexactly(2)
+        return b"".join(pieces)
+
+    async def write(self, data: bytes) -> None:
+        """Write, and wait until the other side has room."""
+        self.writer.write(data)
+        await self.writer.drain()
+
+    async def closed(self) -> bytes:
+        """What still comes until the other side ends the connection."""
+        try:
+            return await self.reader.read(-1)
+        except ConnectionError:
+            return b""
+
+
+class RawHost:
+    """Listens, and runs the script for each connection; what the script raises is kept."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.port = 0
+        self.peers = 0
+        self.errors: list[BaseException] = []
+
+    async def start(self) -> RawHost:
+        """Listen on a port that the system chooses."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=64 * 1024 * 1024)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.peers += 1
+        try:
+            await self.script(Peer(reader, writer))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass  # the gateway ended it: scripts that care look for that themselves
+        except BaseException as error:
+            self.errors.append(error)
+            raise
+        finally:
+            writer.close()
+
+    def stop(self) -> None:
+        """Listen no more."""
+        self._server.close()
--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -8,13 +8,12 @@
 import os
 import signal
 import sys
-from typing import Any
 
 import uvloop
 
 from yewstage import policy
-from yewstage.net.clients import Server
 from yewstage.net.config import Config, ConfigError, load
+from yewstage.net.flows import FlowServer
 from yewstage.net.life import Shutdown, set_up_log
 from yewstage.net.node import Node
 
@@ -30,7 +29,7 @@
     return OperatedNode(config, loop)
 
 
-def _reload(core: Node, server: Server[Any], started: Config) -> None:
+def _reload(core: Node, server: FlowServer, started: Config) -> None:
     """SIGHUP: a file that is no good changes nothing."""
     try:
         config = load(os.environ, before=started)
@@ -48,7 +47,7 @@
     """Run until SIGTERM or SIGINT has been served."""
     loop = asyncio.get_running_loop()
     core = _node(config, loop)
-    server = Server(core, loop, config.sockets)
+    server = FlowServer(core, loop, config.sockets)
     shutdown = Shutdown(core, server, loop)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, shutdown.begin)
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -17,7 +17,7 @@
 
 from yewstage import interface as api
 from yewstage.net.core import Client, Order
-from yewstage.net.http1 import LONGEST_BODY, NO_BODY
+from yewstage.net.http1 import BLANKS, LONGEST_BODY, NO_BODY
 
 log = logging.getLogger(__name__)
 Connection = TypeVar("Connection", bound="ClientConnection")
@@ -27,7 +27,9 @@
 LONGEST_HEAD = 32 * 1024
 LONGEST_FRAME = 2 * LONGEST_BODY  # a body as it stands on the wire, with its chunk lines
 MOST_AHEAD = 16  # requests that may wait behind the open one on a connection
-READ_S = 2.0  # how long a request may take to come in, the first one from the connect on
+READ_S = 2.6  # how long a head may take to come in, the first one from the connect on: slow clients need 2 s
+STALL_S = 2.4  # how long a body may stand still
+BODY_S, BODY_RATE = 5.0, 16_384.0  # how long it may take in all, and what it must bring a second beyond that
 IDLE_S = 4.0  # how long a connection is kept after its last answer
 LINGER_S, LINGER_BYTES = 1.0, 1024 * 1024  # how much of a rejected request is read before the close
 SWEEP_S = 0.25
@@ -43,6 +45,7 @@
 WANTED = frozenset((b"x-request-id", b"x-class", b"plan", b"x-deadline", b"quota-info", b"x-retry",
                     b"idempotency-key", b"content-length", b"content-type", b"transfer-encoding", b"expect"))
 WORD = re.compile(rb"[!-~]{1,128}")
+ABSOLUTE = re.compile(rb"^https?://[^/?#]*(?=/)", re.IGNORECASE)
 CUSTOMER = re.compile(rb"0{7}[01][0-9a-fA-F]{8}")  # 33 bits
 DEADLINE = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
 UNITS = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
@@ -61,7 +64,7 @@
     """One request as parsed."""
 
     __slots__ = ("url", "headers", "body", "size", "method", "keep_alive", "twice", "head", "read_at",
-                 "old")
+                 "old", "body_at", "moved_at", "upload")
 
     def __init__(self) -> None:
         self.url = b""
@@ -73,6 +76,8 @@
         self.head = 0  # bytes of its headers
         self.twice = False  # a header that we go by came twice
         self.read_at = 0.0
+        self.body_at = self.moved_at = 0.0  # when its head was whole, and when more of its body came last
+        self.upload: Any = None  # its body, if that is passed on as it comes
         self.old = False  # HTTP/1.0, where that is looked at
 
 
@@ -116,10 +121,10 @@
     # No client of a class waits for longer than its deadline, whatever it says.
     return Order(headers.get(b"x-request-id", b""), cls.name, plan, customer.decode().lower(),
                  min(time_left_ms, cls.deadline_ms), units, width, first, headers.get(b"x-retry") == b"1",
-                 message.read_at, _head(message, cls), b"".join(message.body))
+                 message.read_at, _head(message, cls), b"".join(message.body), upload=message.upload)
 
 
-def check_framing(message: _Message) -> None:
+def check_framing(message: _Message, longest: int = LONGEST_BODY) -> None:
     """Turn away at its head what could be read in two ways, or is longer than may be passed on.
 
     Guards against a request hidden in another's body: which bytes are body must not be a matter of opinion.
@@ -132,7 +137,7 @@
         raise BadRequestError("Transfer-Encoding")
     if length is not None and not length.isdigit():
         raise BadRequestError("Content-Length")
-    if length is not None and int(length) > LONGEST_BODY:
+    if length is not None and int(length) > longest:
         raise BadRequestError("Content-Length", 413)
 
 
@@ -145,13 +150,14 @@
     # A class that may not simply be repeated must not come as a method that may.
     if message.method != (b"GET" if cls.effect == "safe" else b"POST"):
         raise BadRequestError("method")
-    if (cls.effect == "keyed" and key is None) or (cls.effect == "safe" and message.body):
+    if (cls.effect == "keyed" and key is None) or (cls.effect == "safe" and message.size):
         raise BadRequestError("Idempotency-Key or body")
     lines = [b"%b %b HTTP/1.1\r\nHost: upstream\r\nX-Request-Id: %b\r\n" % (message.method, message.url, rid)]
     if key is not None:
         lines.append(b"Idempotency-Key: %b\r\n" % key)
     if message.method == b"POST":
-        lines.append(b"Content-Length: %d\r\n" % message.size)
+        lines.append(b"Content-Length: %d\r\n" % message.size if message.upload is None
+                     else message.upload.framing())
     if b"content-type" in headers:
         lines.append(b"Content-Type: %b\r\n" % headers[b"content-type"])
     return b"".join(lines)
@@ -168,6 +174,9 @@
     def left(self, rid: str) -> None:
         """The client of a request is gone."""
 
+    def broken(self, rid: str, status: int) -> None:
+        """A request that was taken will never be whole."""
+
     def ready(self) -> bool:
         """Whether requests can be served."""
 
@@ -186,6 +195,8 @@
     """One connection of a client: requests are taken one at a time, in order."""
 
     wanted = WANTED  # the headers that are kept
+    longest = LONGEST_BODY  # a body that is said to be longer is turned away at its head
+    longest_read = LONGEST_HEAD + LONGEST_FRAME  # of a request with its chunk lines
     message: type[_Message] = _Message  # what one request is read into
     more = b""  # further header lines of the answer that is being written
 
@@ -223,7 +234,7 @@
         try:
             self._parser.feed_data(data)
             in_head = self._message is not None and self._message.method == b""
-            if self._taken > (LONGEST_HEAD if in_head else LONGEST_HEAD + LONGEST_FRAME):
+            if self._taken > (LONGEST_HEAD if in_head else self.longest_read):
                 self._reject(400)  # guards the memory: a head without an end
         except httptools.HttpParserUpgrade:  # not offered: the request is answered, and is the last
             self._ending = True
@@ -262,6 +273,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         message = self._message
+        if message.method:
+            return  # a trailer: what the request is has been decided by its head
         message.head += len(name) + len(value)
         if message.head > LONGEST_HEAD:
             raise BadRequestError("head")
@@ -270,13 +283,14 @@
             headers = message.headers
             if name in headers:
                 message.twice = True
-            headers[name] = value
+            headers[name] = value.strip(BLANKS)
 
     def on_headers_complete(self) -> None:
         message = self._message
         message.method = self._parser.get_method()
+        message.body_at = message.moved_at = self._server.loop.time()
         try:
-            check_framing(message)
+            check_framing(message, self.longest)
         except BadRequestError as error:
             self._status = error.status
             raise
@@ -290,6 +304,7 @@
             self._status = 413
             raise BadRequestError("body", 413)
         message.body.append(data)
+        message.moved_at = self._server.loop.time()
 
     def on_message_complete(self) -> None:
         message, self._message = self._message, None
@@ -335,6 +350,8 @@
             self.answer(error.status)
 
     def _serve(self, message: _Message) -> None:
+        if message.url[:1] != b"/":
+            message.url = ABSOLUTE.sub(b"", message.url) or b"/"  # RFC 9112 section 3.2.2
         path = message.url.partition(b"?")[0]
         if path == b"/ready" and message.method == b"GET":
             self.answer(200 if self._core.ready() else 503)
@@ -398,9 +415,10 @@
         if self._ending:
             if waited > LINGER_S:
                 self.transport.abort()  # also guards the descriptors: it does not read its last answer
-        elif self._message is not None and waited > READ_S:
-            self._reject(408)
-            self._pump()
+        elif self._message is not None:
+            if waited > READ_S and self._stands(now):
+                self._reject(408)
+                self._pump()
         elif waited > (IDLE_S if self.answered else READ_S):
             self.transport.close()
 
@@ -415,6 +433,14 @@
         transport.abort()  # closes our descriptor and says nothing to the client: the heir has another
         return True
 
+    def _stands(self, now: float) -> bool:
+        """Whether the request being read has taken its time: all of it for a head, or a body too slow."""
+        message = self._message
+        if message is None or not message.method:
+            return True
+        return (now - message.moved_at > STALL_S
+                or now - message.body_at > BODY_S + message.size / BODY_RATE)
+
     def close_if_idle(self) -> None:
         """Close unless a request is owed its answer or is being read."""
         if not self._busy and self._message is None and not self._queue:
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -7,7 +7,7 @@
 import time
 from collections import deque
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol, cast
 
 from yewstage import interface as api
 from yewstage.net.deadlines import TICK_S, Deadlines
@@ -44,6 +44,19 @@
         """Pass the one final answer on."""
 
 
+class FlowClient(Client, Protocol):
+    """One who is passed a long answer as it comes."""
+
+    def begin(self, reply: Reply, source: Any) -> None:
+        """Begin it; the body follows from a connection to a host."""
+
+    def finish(self) -> None:
+        """It is whole."""
+
+    def cut(self) -> None:
+        """It cannot be had whole."""
+
+
 @dataclass(slots=True)
 class Order:
     """A valid request of a client: what the module is told, and what goes on to a host."""
@@ -61,12 +74,13 @@
     head: bytes  # request line and headers for the host, but for X-Deadline
     body: bytes
     pool: str = ""  # the hosts that may serve it
+    upload: Any = None  # the rest of its body, if that is still coming (net/flows.py)
 
 
 class _Open:
     """A request until it is answered and its last attempt is over."""
 
-    __slots__ = ("id", "client", "order", "end_at", "guard", "attempts", "out", "tries")
+    __slots__ = ("id", "client", "order", "end_at", "guard", "attempts", "out", "tries", "flow")
 
     def __init__(self, rid: str, client: Client, order: Order, end_at: float, tries: int) -> None:
         self.id, self.order, self.end_at = rid, order, end_at
@@ -75,6 +89,7 @@
         self.guard = 0  # the slot of its deadline
         self.attempts: list[Attempt | None] = []  # None: never sent
         self.out = 0
+        self.flow: Attempt | None = None  # whose answer has begun at the client
 
 
 class CounterClient(Protocol):
@@ -171,7 +186,10 @@
         left_ms = order.time_left_ms - TRANSIT_MS - self._pulse.behind_ms(now) - queued_ms
         request = _Open(rid, client, order, now + (left_ms - GUARD_MS) / 1000, self.settings.try_limit)
         self._requests[rid] = request
-        request.guard = self._guards.add(request, max((left_ms - GUARD_MS) / 1000 - TICK_S, 0.0))
+        if order.upload is None:
+            request.guard = self._guards.add(request, max((left_ms - GUARD_MS) / 1000 - TICK_S, 0.0))
+        else:
+            self._uploads(request)
         self._post(api.Request(rid, order.class_name, order.plan_name, order.customer, left_ms - MODULE_MS,
                                order.units, order.width, order.first, order.repeat, order.pool))
         return rid
@@ -183,6 +201,17 @@
             self._close(request)
             self._post(api.ClientLeft(rid))
 
+    def broken(self, rid: str, status: int) -> None:
+        """A request that was taken will never be whole: answer it, and call off what is out for it."""
+        request = self._requests.get(rid)
+        if request is not None and request.client is not None:
+            self._answer(request, status)
+            self._post(api.ClientLeft(rid))
+
+    def _uploads(self, request: _Open) -> None:
+        """A request whose body is still coming: its time runs from the last byte on."""
+        raise NotImplementedError
+
     def _guard(self, request: _Open) -> None:
         # Guards the first rule: whatever the module or a socket does, the client gets its answer in time.
         self._note(logging.WARNING, "a request ran to its deadline unanswered: failed by the guard")
@@ -201,13 +230,19 @@
         client = request.client
         self._close(request)
         if reply is None:
-            client.answer(status, retry_after_ms=retry_after_ms)
+            if request.flow is not None:
+                cast(FlowClient, client).cut()  # it has begun: the client must see that it is not whole
+            else:
+                client.answer(status, retry_after_ms=retry_after_ms)
         else:
             self._pass_on(client, reply)
 
     def _pass_on(self, client: Client, reply: Reply) -> None:
         """A host's good answer goes to the client."""
-        client.answer(reply.status, reply.body, reply.headers.get(b"content-type", b""))
+        if reply.flowed:
+            cast(FlowClient, client).finish()
+        else:
+            client.answer(reply.status, reply.body, reply.headers.get(b"content-type", b""))
 
     def _close(self, request: _Open) -> None:
         request.client = None
@@ -233,7 +268,8 @@
         request = self._requests.get(act.request)
         number = len(request.attempts) if request is not None else 0
         left_s = request.end_at - time.monotonic() if request is not None else 0.0
-        if request is None or request.client is None or left_s <= 0 or number >= request.tries:
+        if request is None or request.client is None or left_s <= 0 or number >= request.tries \
+                or (request.order.upload is not None and not request.order.upload.again()):
             if request is not None:
                 request.attempts.append(None)
             self._post(api.Outcome(act.request, number, act.server, api.MOOT, 0.0,
@@ -243,6 +279,7 @@
         order = request.order
         payload = b"%bX-Deadline: %dm\r\n\r\n%b" % (order.head, max(wait_s * 1000, 1), order.body)
         attempt = Attempt(act.request, number, act.server, payload, time.monotonic())
+        attempt.upload = order.upload
         request.attempts.append(attempt)
         request.out += 1
         self._hosts.send(attempt, max(wait_s, 0.0))
@@ -259,6 +296,8 @@
         if result == api.OK:
             units = reply.amount(b"billed-units", self.settings.most_units)
             self._answer(request, reply.status, reply)
+        elif request.flow is attempt:
+            self._answer(request, 502)
         final = request.client is None
         self._forget(request)
         self._post(api.Outcome(attempt.request, attempt.number, attempt.server, result, took, final,
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -7,6 +7,7 @@
 import select
 from collections.abc import Callable
 from functools import partial
+from typing import Any, Protocol
 
 from yewstage import interface as api
 from yewstage.net.deadlines import Deadlines
@@ -24,7 +25,7 @@
     """One Send until its one outcome."""
 
     __slots__ = ("request", "number", "server", "payload", "sent_at", "connection", "dial", "slot", "timer",
-                 "dial_timer", "done")
+                 "dial_timer", "done", "upload", "timeout_s", "first_at")
 
     def __init__(self, request: str, number: int, server: str, payload: bytes, sent_at: float) -> None:
         self.request, self.number, self.server = request, number, server
@@ -35,6 +36,22 @@
         self.timer: asyncio.TimerHandle | None = None  # once that has come
         self.dial_timer: asyncio.TimerHandle | None = None
         self.done = False
+        # Of what is passed on as it comes:
+        self.upload: Upload | None = None  # the rest of its body
+        self.timeout_s = 0.0  # from the body's last byte on
+        self.first_at = 0.0  # when its answer began at the client
+
+
+class Upload(Protocol):
+    """A body that is still coming."""
+
+    whole: bool  # its last byte has come
+
+    def attach(self, connection: Any) -> None:
+        """Write what has come, and what comes, to a connection."""
+
+    def detach(self, connection: Any) -> None:
+        """Write no more to it."""
 
 
 class _Host:
--- a/yewstage/net/node.py
+++ b/yewstage/net/node.py
@@ -4,14 +4,18 @@
 
 import asyncio
 import time
+from functools import partial
 from typing import Any
 
+from yewstage import interface as api
 from yewstage.net.clients import Server
 from yewstage.net.config import Config
-from yewstage.net.core import Core, Pulse
+from yewstage.net.core import GUARD_MS, TRANSIT_MS, Core, Pulse, _Open
 from yewstage.net.counter import Counter
 from yewstage.net.discovery import Discovery, Listing
-from yewstage.net.hosts import Hosts
+from yewstage.net.flows import UPLOAD_S, FlowConnection, FlowHostConnection, FlowHosts
+from yewstage.net.hosts import Attempt
+from yewstage.net.http1 import Reply
 
 UPSTREAM_SHARE = 0.36  # of the descriptors
 LIST_WAIT_S = 1.0  # how long a start waits for discovery before it serves with the list it was given
@@ -20,12 +24,13 @@
 class Node(Core):
     """A core whose hosts come from discovery and whose counts go to the platform's counter."""
 
-    hosts: type[Hosts] = Hosts  # what sends its attempts
+    hosts: type[FlowHosts] = FlowHosts  # what sends its attempts
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(config.settings, config.seed, loop, Pulse(loop))
         self._hosts = self.hosts(loop, int(UPSTREAM_SHARE * config.sockets), config.dial_ms, config.idle_ms,
                                  self._ended)
+        self._hosts.begun = self._begun
         self._discovery = Discovery(loop, config.discovery, self._listed)
         self._client = (Counter(loop, config.counter, config.settings.count_wait_ms, self._post)
                         if config.counter is not None else None)
@@ -80,6 +85,59 @@
         """The longest that a request may take, in seconds."""
         return max(c.deadline_ms for c in self.settings.classes) / 1000
 
+    # --- What is passed on as it comes ---
+
+    def _uploads(self, request: _Open) -> None:
+        request.end_at = time.monotonic() + UPLOAD_S
+        request.order.upload.came = partial(self._whole, request)
+
+    def _whole(self, request: _Open) -> None:
+        if request.client is None or request.flow is not None:
+            return
+        left_s = (request.order.time_left_ms - TRANSIT_MS - GUARD_MS) / 1000
+        request.end_at = time.monotonic() + left_s
+        request.guard = self._guards.add(request, max(left_s, 0.0))
+        for attempt in request.attempts:
+            if attempt is not None:
+                self._hosts.came(attempt)
+
+    def _begun(self, attempt: Attempt, reply: Reply, source: FlowHostConnection) -> FlowConnection | None:
+        request = self._requests[attempt.request]
+        client = request.client
+        if client is None:
+            return None
+        request.flow = attempt
+        self._guards.cancel(request, request.guard)
+        attempt.first_at = time.monotonic()
+        self._post(api.StreamStarted(request.id, attempt.number))
+        client.begin(reply, source)
+        return client
+
+    def _ended(self, attempt: Attempt, result: str, reply: Reply | None) -> None:
+        if attempt.first_at:  # a long answer's time is that of its first bytes
+            attempt.sent_at += time.monotonic() - attempt.first_at
+        super()._ended(attempt, result, reply)
+
+    def left(self, rid: str) -> None:
+        request = self._requests.get(rid)
+        super().left(rid)
+        if request is not None:
+            self._call_off(request)
+
+    def broken(self, rid: str, status: int) -> None:
+        request = self._requests.get(rid)
+        super().broken(rid, status)
+        if request is not None:
+            self._call_off(request)
+
+    def _call_off(self, request: _Open) -> None:
+        """End the attempts that can come to nothing: on an answer that nobody reads, or on half a body."""
+        upload = request.order.upload
+        if request.flow is not None or (upload is not None and not upload.whole):
+            for attempt in request.attempts:
+                if attempt is not None:
+                    self._hosts.cancel(attempt)
+
     def _listed(self, listing: Listing) -> None:
         self._heard = True
         self._apply(listing, "full" if listing.whole else "changes")
--- a/yewstage/net/operated.py
+++ b/yewstage/net/operated.py
@@ -15,7 +15,8 @@
 from yewstage.net.config import Config
 from yewstage.net.core import _Open
 from yewstage.net.discovery import Listing
-from yewstage.net.hosts import Attempt, Hosts, _Connection
+from yewstage.net.flows import FlowHostConnection, FlowHosts
+from yewstage.net.hosts import Attempt
 from yewstage.net.http1 import Reply
 from yewstage.net.node import Node
 from yewstage.operate.byhand import HandError, HandFile, Listed, refused
@@ -29,21 +30,21 @@
 LOOK_S = 0.2  # spacing of the looks at the hosts out by hand: a call to another process binds within a second
 
 
-class _CountedConnection(_Connection):
+class _CountedConnection(FlowHostConnection):
     """Tells its pool when an attempt's last byte has left."""
 
     def begin(self, attempt: Attempt) -> None:
         super().begin(attempt)
-        if not self.unsent:
+        if not self.unsent and attempt.upload is None:  # one that flows tells by itself
             self._pool.written(attempt)
 
     def resume_writing(self) -> None:
         super().resume_writing()
-        if self.attempt is not None:
+        if self.attempt is not None and not self.unsent:
             self._pool.written(self.attempt)
 
 
-class _CountedHosts(Hosts):
+class _CountedHosts(FlowHosts):
     """Hosts whose attempts are counted."""
 
     connection = _CountedConnection
