A watch whose connection broke at once is begun anew; quicker starts; answers being read are no load

A 503 made us ask for the whole list, the dearest call. A start took 1.6 to 1.9 s: sources compiled at each start where nothing can be written, and a second's wait for a silent discovery.

Change: the watch dials anew; after a 503 it asks for changes still, from the generation of the list known at the start; rests of 0.5 s at most, half of it chance. The build compiles the sources to bytecode; a start waits 0.25 s for discovery. A host's time is that of its answer's first bytes; StreamStarted ends an attempt's part in its host's load.

Tried and left: nothing that keeps a known list's age from discovery; it may answer with the whole list as ever.

--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -9,9 +9,11 @@
 
 from __future__ import annotations
 
+import compileall
 import hashlib
 import importlib.util
 import os
+import py_compile
 import shutil
 import subprocess
 import sys
@@ -83,6 +85,10 @@
             if wrong
             else "the decision module is compiled\n"
         )
+        # Where it runs, nothing can be written: without this each start would compile the sources again, half
+        # of a start's time. By hash and not looked at again, since a copy may change their times.
+        compileall.compile_dir(folder / "yewstage", quiet=1, stripdir=folder, prependdir=target,
+                               invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH)
         (folder / NOTE).write_text(note)
         (folder / KEY).write_text(wanted)
         if target.exists():
--- a/tests/operate/test_module.py
+++ b/tests/operate/test_module.py
@@ -161,3 +161,29 @@
     with pytest.raises(ValueError, match="plans"):
         d.give(changed(plans=(PLAN,), classes=(KEYED,)))
     assert set(d.gateway.classes) == {"read", "put", "pay"}
+
+
+# --- Answers that have begun at their clients ---
+
+
+def test_an_answer_that_is_being_read_slowly_is_no_load_of_its_host() -> None:
+    d = Driver(servers=1)
+    fleet, host = d.gateway.fleet, d.gateway.hosts["h0"]
+    streams = [d.ask()[0] for _ in range(5)]
+    assert (host.open, fleet.open_well) == (5, 5)
+    for rid in streams:
+        d.give(api.StreamStarted(rid, 0))
+        d.give(api.StreamStarted(rid, 0))  # told twice, it counts once
+    d.give(api.StreamStarted(streams[0], 7))
+    assert (host.open, fleet.open_well) == (0, 0)
+    for rid in streams:
+        assert of(d.end(rid, took=40, after=5000), api.Send | api.Refuse) == []
+    assert (host.open, fleet.open_well, d.gateway.held) == (0, 0, {})
+
+
+def test_an_answer_that_breaks_off_is_not_sent_again() -> None:
+    d = Driver(servers=3)
+    rid, _ = d.ask()
+    d.give(api.StreamStarted(rid, 0))
+    assert not of(d.end(rid, api.RESET), api.Send)
+    assert all(h.open == 0 for h in d.gateway.hosts.values())
--- a/tests/test_compiled.py
+++ b/tests/test_compiled.py
@@ -53,6 +53,7 @@
     folder = tmp_path / "run"
     said = make(folder, CC="no-such-compiler", PATH="/nonexistent")
     assert "is not compiled" in said
+    assert list((folder / "yewstage/__pycache__").glob("policy.*.pyc"))  # no start compiles the sources again
     assert origin(folder) == str(folder / "yewstage/policy.py")
     assert not list(folder.rglob("*.so")) and not (folder / "setup.py").exists()
     done = run(folder, "-m", "yewstage.wirehost")  # the adapter starts, and ends with its input
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -291,6 +291,8 @@
         now = time.monotonic()
         took = (now - attempt.sent_at) * 1000
         if reply is not None:
+            if reply.came_at:  # one that comes in pieces tells of its path, not of the host's load
+                took -= (now - reply.came_at) * 1000
             took = max(took - self._pulse.behind_ms(now), 0.0)
         units = 0.0
         if result == api.OK:
--- a/yewstage/net/discovery.py
+++ b/yewstage/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -15,7 +16,8 @@
 
 WAIT_MS = 20000
 SILENT_S = 2.0  # how long an answer may be overdue before the connection is given up
-BACKOFF_S, BACKOFF_MAX_S = 0.05, 2.0
+BACKOFF_S, BACKOFF_MAX_S = 0.05, 0.5  # to turn a call away costs discovery little, a late list costs us much
+SPREAD = 0.5  # part of a rest that is left to chance: a herd that starts at once must not ask at once again
 STATES = {"ready": "up", "draining": "draining", "gone": "removed"}
 
 
@@ -67,9 +69,11 @@
     """Keeps one watch going and hands on each answer."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int],
-                 told: Callable[[Listing], None]) -> None:
+                 told: Callable[[Listing], None], generation: int = 0, seed: int = 0) -> None:
+        """`generation` is that of the list which is known already, 0 for none: what is newer is asked for."""
         self._loop, self._address, self._told = loop, address, told
-        self._generation: int | None = None  # None: the whole list is wanted
+        self._rng = random.Random(seed)
+        self._generation: int | None = generation or None  # None: the whole list is wanted
         self._connection: _Watch | None = None
         self._dial: asyncio.Task | None = None
         self._timer: asyncio.TimerHandle | None = None  # the end of our patience, or of a rest
@@ -106,7 +110,13 @@
         if self._stopped:
             return
         if self._connection is not None:
-            self._write(self._connection)
+            if not self._connection.transport.is_closing():
+                self._write(self._connection)
+                return
+            # Guards the watch itself: a connection that broke before this turn of the loop, as by an agent
+            # that is short of room, would be written to in vain, and nobody would ask again.
+            self._connection = None
+            self._retry()
             return
         self._watch_silence(SILENT_S)
         self._dial = self._loop.create_task(
@@ -148,9 +158,13 @@
         """An answer: hand it on and ask for what comes next at once."""
         if connection is not self._connection:
             return
+        if reply.status != 200:
+            # Turned away: nothing was missed, so what changed is enough the next time, too. A whole list is
+            # the dearest call there is, and discovery is short of room already.
+            log.warning("discovery: status %d, the list is kept", reply.status)
+            connection.drop()
+            return
         try:
-            if reply.status != 200:
-                raise ValueError(f"status {reply.status}")
             listing = parse_listing(json.loads(reply.body))
             if not listing.whole and (self._generation is None or listing.generation < self._generation):
                 raise ValueError("changes to a list that was never sent")
@@ -179,6 +193,7 @@
             return
         self._failures += 1
         wait = min(BACKOFF_S * 2 ** min(self._failures - 1, 10), BACKOFF_MAX_S)
+        wait *= 1 - SPREAD * self._rng.random()
         self._timer = self._loop.call_later(wait, self._ask)
 
 
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import re
+import time
 from dataclasses import dataclass
 
 import httptools
@@ -41,6 +42,7 @@
     keep_alive: bool
     flowed: bool = False  # its body was passed on as it came
     length: int | None = None  # of one that is passed on; None: not told
+    came_at: float = 0.0  # when its first bytes had come, by time.monotonic; 0: all came at once
 
     def amount(self, name: bytes, most: float) -> float:
         """A header's figure above 0; 0 where there is none, or none that can be believed."""
@@ -76,6 +78,7 @@
         self._flowing = self._to_end = False
         self._length: int | None = None
         self._in_trailers = False
+        self._came_at = 0.0
 
     def replied(self, reply: Reply, reusable: bool) -> None:
         """A whole answer to the oldest request; `reusable` if the connection may carry another."""
@@ -144,6 +147,8 @@
             if self._due:
                 self.spoilt()
             self.drop()
+        elif self._taken and not self._came_at and self._due:
+            self._came_at = time.monotonic()
 
     def eof_received(self) -> None:
         if self._to_end and self._due == 1 and not self.transport.is_closing():
@@ -207,7 +212,7 @@
     def _reply(self, keep_alive: bool) -> Reply:
         body = b"" if self._flowing else b"".join(self._body)
         return Reply(self._parser.get_status_code(), self._headers, body, keep_alive, self._flowing,
-                     self._length)
+                     self._length, self._came_at)
 
     def on_body(self, data: bytes) -> None:
         self._size += len(data)
--- a/yewstage/net/node.py
+++ b/yewstage/net/node.py
@@ -18,7 +18,8 @@
 from yewstage.net.http1 import Reply
 
 UPSTREAM_SHARE = 0.36  # of the descriptors
-LIST_WAIT_S = 1.0  # how long a start waits for discovery before it serves with the list it was given
+LIST_WAIT_S = 0.25  # how long a start waits for discovery before it serves with the list it was given: it
+# answers at once or, when it is short of room, after seconds in which clients would find nobody
 
 
 class Node(Core):
@@ -31,7 +32,8 @@
         self._hosts = self.hosts(loop, int(UPSTREAM_SHARE * config.sockets), config.dial_ms, config.idle_ms,
                                  self._ended)
         self._hosts.begun = self._begun
-        self._discovery = Discovery(loop, config.discovery, self._listed)
+        self._discovery = Discovery(loop, config.discovery, self._listed, config.known.generation,
+                                    config.seed)
         self._client = (Counter(loop, config.counter, config.settings.count_wait_ms, self._post)
                         if config.counter is not None else None)
         self._counter = self._client
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -53,11 +53,12 @@
 
 
 class _Attempt:
-    __slots__ = ("host", "sent", "open", "ran")
+    __slots__ = ("host", "sent", "open", "ran", "streams")
 
     def __init__(self, host: Host, sent: float) -> None:
         self.host, self.sent = host, sent
         self.open = self.ran = True  # may be running until an outcome proves that it never did
+        self.streams = False  # its answer has begun at the client
 
 
 class _Held:
@@ -235,14 +236,12 @@
                 raise TypeError(f"not an event of yewstage.interface: {event!r}")
 
     def _change(self, settings: api.Settings) -> None:
-        """Go over to new classes and bounds. What is open keeps what it began with; plans stay as they are:
-        what customers have of them was reckoned by their figures."""
+        """Go over to new classes and bounds. What is open keeps what it began with; plans stay."""
         settings.check()
         if settings.plans != self.s.plans:
             raise ValueError("plans: cannot change in service")
         self.s, self.classes = settings, {c.name: c for c in settings.classes}
         self.fleet.change(settings)
-        # Guards the memory against names that are ever new: what is kept of a dropped class goes once unused.
         used = {h.cls.name for h in self.held.values()} | set(self.classes)
         used |= {cls.name for use in self.askers for _, cls, _, _ in use.asking or ()}
         self.latency = {n: v for n, v in self.latency.items() if n in used}
@@ -472,8 +471,7 @@
         self._forget(best)
         return True
 
-    def _forget(self, use: _Use) -> None:
-        """Off the ring already."""
+    def _forget(self, use: _Use) -> None:  # off the ring already
         del self.uses[use.key]
         self.calls.pop(use.name, None)
 
@@ -732,8 +730,13 @@
 
     def _stream_started(self, event: api.StreamStarted) -> None:
         held = self.held.get(event.request)
-        if held is not None:
-            held.stream = True
+        if held is not None and 0 <= event.attempt < len(held.attempts):
+            attempt, held.stream = held.attempts[event.attempt], True
+            if attempt.open and not attempt.streams:
+                # Danger: a client that reads slowly keeps it open long after the host has done its work.
+                attempt.streams = True
+                self.fleet.ended(attempt.host)
+                self.fleet.place(attempt.host)
 
     def _outcome(self, event: api.Outcome) -> None:
         held = self.held.get(event.request)
@@ -744,7 +747,8 @@
             return
         attempt.open = False
         held.out -= 1
-        self.fleet.ended(attempt.host)
+        if not attempt.streams:
+            self.fleet.ended(attempt.host)
         attempt.ran = event.result not in api.NEVER_RAN
         if event.result != api.MOOT:
             self._sample(held, attempt, event)
