Hosts go over to a next version in documents of bounded size

Need: what the module knows of hosts went in one packet, which a fleet of some thousands would have made longer than a packet may be; the old process would have kept its listener lent until the new one gave up. Now 256 hosts go in each document, as customers do; ids that may be taken out by hand go 512 at a time. The test that bounded documents has hosts with long names, too.

--- a/tests/handover/test_state.py
+++ b/tests/handover/test_state.py
@@ -11,6 +11,7 @@
 from conftest import CAPPED, Driver, of, server
 
 from yewstage import interface as api
+from yewstage.handover.channel import LONGEST
 from yewstage.handover.state import AT_ONCE, MODULE, StateError, export, restore
 from yewstage.policy import CHOICES, Gateway
 from yewstage.sketch import SLOTS
@@ -117,8 +118,10 @@
     d = Driver(servers=2, may_count=False)
     for i in range(3 * AT_ONCE):
         d.ask("read", "open", f"{i:016x}")
+    d.give(api.ServerList("full", tuple(server(i, name=f"{i:0>200}") for i in range(3 * AT_ONCE))))
     documents = list(export(d.gateway))
-    assert max(len(json.dumps(doc)) for doc in documents) < 150_000
+    assert max(len(json.dumps(doc)) for doc in documents) < LONGEST
+    assert sum(len(doc.get("hosts", ())) for doc in documents) == 3 * AT_ONCE
     assert sum(len(doc.get("uses", ())) for doc in documents) == 3 * AT_ONCE
 
 
@@ -133,7 +136,7 @@
 @pytest.mark.parametrize(("field", "value"), _spoilt())
 def test_what_cannot_be_read_is_left_whole(field: str, value: object) -> None:
     documents = known(busy().gateway)
-    next(d for d in documents if d["t"] == MODULE)[field] = value
+    next(d for d in documents if d["t"] == (field if field == "hosts" else MODULE))[field] = value
     fresh = Driver(servers=6, may_count=False)
     before = copy.deepcopy(known(fresh.gateway))
     with pytest.raises(StateError, match=field if field != "version" else "version 1"):
--- a/yewstage/handover/state.py
+++ b/yewstage/handover/state.py
@@ -26,9 +26,9 @@
 from yewstage.sketch import SLOTS
 
 VERSION = 1
-AT_ONCE = 256  # customers in one document
+AT_ONCE = 256  # customers, or hosts, in one document
 PIECE = 96 * 1024  # of the sketch, as text
-MODULE, CUSTOMERS, SKETCH = "module", "customers", "sketch"
+MODULE, HOSTS, CUSTOMERS, SKETCH = "module", "hosts", "customers", "sketch"
 SCALARS = (
     "born", "q", "f", "q_sum", "q_n", "q_seen", "ok_q", "lost", "done", "done_rate", "bank", "heard",
     "call_at",
@@ -56,8 +56,11 @@
         "latency": dict(gateway.latency),
         "asked_at": dict(gateway.asked_at),
         "cells": [[*key, c.value, c.work, c.f, c.r] for key, c in gateway.cells.items()],
-        "hosts": {name: [getattr(host, field) for field in HOST] for name, host in fleet.hosts.items()},
     }
+    hosts = list(fleet.hosts.values())
+    for at in range(0, len(hosts), AT_ONCE):
+        some = hosts[at : at + AT_ONCE]
+        yield {"t": HOSTS, "hosts": {h.name: [getattr(h, field) for field in HOST] for h in some}}
     uses = list(gateway.uses.values())
     for at in range(0, len(uses), AT_ONCE):
         yield {
@@ -83,7 +86,9 @@
     scalars = _named("scalars", head.get("scalars"), SCALARS)
     hosts = {
         name: _values(f"hosts.{name}", HOST, row)
-        for name, row in _object("hosts", head.get("hosts")).items()
+        for document in documents
+        if document.get("t") == HOSTS
+        for name, row in _object("hosts", document.get("hosts")).items()
         if name in gateway.fleet.hosts
     }
     latency = _numbers("latency", head.get("latency"))
--- a/yewstage/net/operated.py
+++ b/yewstage/net/operated.py
@@ -26,7 +26,7 @@
 log = logging.getLogger(__name__)
 
 START_S = 4.0  # how long a new process waits to be able to serve before it takes over all the same
-SEEN, SEEN_AT_ONCE = "seen", 1024  # the hosts that may be taken out by hand
+SEEN, SEEN_AT_ONCE = "seen", 512  # the hosts that may be taken out by hand
 LOOK_S = 0.2  # spacing of the looks at the hosts out by hand: a call to another process binds within a second
 
 
