--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -198,6 +198,8 @@
     longest = LONGEST_BODY  # a body that is said to be longer is turned away at its head
     longest_read = LONGEST_HEAD + LONGEST_FRAME  # of a request with its chunk lines
     message: type[_Message] = _Message  # what one request is read into
+    _serving: Any = None  # the body of the request that is owed an answer, where it is passed on as it comes
+    _held = False  # no host takes that body: read no more of it
     more = b""  # further header lines of the answer that is being written
 
     def __init__(self, server: Server[Any]) -> None:
@@ -288,7 +290,6 @@
     def on_headers_complete(self) -> None:
         message = self._message
         message.method = self._parser.get_method()
-        message.body_at = message.moved_at = self._server.loop.time()
         try:
             check_framing(message, self.longest)
         except BadRequestError as error:
@@ -300,13 +301,24 @@
     def on_body(self, data: bytes) -> None:
         message = self._message
         message.size += len(data)
-        if message.size > LONGEST_BODY:
-            self._status = 413
-            raise BadRequestError("body", 413)
-        message.body.append(data)
         message.moved_at = self._server.loop.time()
+        if message.size > LONGEST_BODY:
+            self.beyond(data)
+        else:
+            message.body.append(data)
+
+    def beyond(self, data: bytes) -> None:
+        """More of a body that is too long to be gathered."""
+        self._status = 413
+        raise BadRequestError("body", 413)
+
+    def uploaded(self) -> None:
+        """The last byte of one that is passed on as it comes."""
 
     def on_message_complete(self) -> None:
+        if self._message.upload is not None:
+            self.uploaded()
+            return
         message, self._message = self._message, None
         self._taken = 0
         message.keep_alive = self._parser.should_keep_alive()
@@ -332,7 +344,11 @@
                 self._take(self._queue.popleft())
         finally:
             self._pumping = False
-        wait = bool(self._queue)
+        if self._queue or self._held or self._paused:
+            self._read_or_wait()
+
+    def _read_or_wait(self) -> None:
+        wait = bool(self._queue) or self._held
         if wait != self._paused and not self.transport.is_closing():
             self._paused = wait
             (self.transport.pause_reading if wait else self.transport.resume_reading)()
@@ -344,6 +360,8 @@
             if isinstance(item, int):
                 raise BadRequestError("unreadable", item)
             self._keep_alive = item.keep_alive
+            if item.upload is not None:
+                self._serving = item.upload
             self._serve(item)
         except BadRequestError as error:
             self._keep_alive = False  # guards against a flood on one connection: it has to come again
@@ -369,6 +387,10 @@
                retry_after_ms: float = 0.0) -> None:
         """The one answer to the request that is open."""
         self._open, self._busy, self.answered = None, False, True
+        if self._serving is not None:
+            upload, self._serving = self._serving, None
+            if not upload.whole:
+                upload.drop()  # its answer is here before its end: read on, so that the client hears it
         if self.transport.is_closing():
             return
         self._server.waits(self)
@@ -438,6 +460,8 @@
         message = self._message
         if message is None or not message.method:
             return True
+        if not message.body_at:  # its head has come since we last looked, and perhaps some of its body
+            message.body_at = message.moved_at = message.moved_at or now
         return (now - message.moved_at > STALL_S
                 or now - message.body_at > BODY_S + message.size / BODY_RATE)
 
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -279,7 +279,9 @@
         order = request.order
         payload = b"%bX-Deadline: %dm\r\n\r\n%b" % (order.head, max(wait_s * 1000, 1), order.body)
         attempt = Attempt(act.request, number, act.server, payload, time.monotonic())
-        attempt.upload = order.upload
+        if order.upload is not None:
+            attempt.upload, attempt.timeout_s = order.upload, wait_s
+            wait_s = wait_s if order.upload.whole else left_s
         request.attempts.append(attempt)
         request.out += 1
         self._hosts.send(attempt, max(wait_s, 0.0))
--- a/yewstage/net/flows.py
+++ b/yewstage/net/flows.py
@@ -19,7 +19,7 @@
 from typing import Any
 
 from yewstage import interface as api
-from yewstage.net.clients import BadRequestError, ClientConnection, Server, _Message
+from yewstage.net.clients import BadRequestError, ClientConnection, Server
 from yewstage.net.hosts import Attempt, Hosts, _Connection
 from yewstage.net.http1 import LONGEST_BODY, NO_BODY, Reply
 
@@ -116,19 +116,14 @@
     def __init__(self, server: Server[Any]) -> None:
         super().__init__(server)
         self._upload: Body | None = None  # of the request that is being read
-        self._serving: Body | None = None  # of the request that is owed an answer
         self._source: FlowHostConnection | None = None  # of the answer that is being passed on
         self._chunked = False
-        self._held = False
 
     # A body on its way to a host
 
-    def on_body(self, data: bytes) -> None:
+    def beyond(self, data: bytes) -> None:
         message = self._message
         if self._upload is None:
-            if message.size + len(data) <= LONGEST_BODY:
-                super().on_body(data)
-                return
             length = message.headers.get(b"content-length")
             self._upload = message.upload = Body(self, None if length is None else int(length))
             for piece in message.body:
@@ -138,22 +133,13 @@
             message.keep_alive = self._parser.should_keep_alive()
             self._queue.append(message)  # it has its turn like a whole one
             self._server.uploads.add(self)
-        message.size += len(data)
-        message.moved_at = self._server.loop.time()
         if message.size > LONGEST_UPLOAD:
             self._status = 413
             raise BadRequestError("body", 413)
         self._upload.add(data)
 
-    def _serve(self, message: _Message) -> None:
-        self._serving = message.upload
-        super()._serve(message)
-
-    def on_message_complete(self) -> None:
+    def uploaded(self) -> None:
         upload = self._upload
-        if upload is None:
-            super().on_message_complete()
-            return
         self._message = self._upload = None
         self._taken = 0
         self._server.uploads.discard(self)
@@ -163,16 +149,9 @@
 
     def hold(self, wait: bool) -> None:
         """Read no more of a body while no host takes it, or go on."""
-        if wait == self._held or self.transport.is_closing():
-            return
         self._held = wait
-        if not self._paused:
-            (self.transport.pause_reading if wait else self.transport.resume_reading)()
-
-    def _pump(self) -> None:
-        super()._pump()
-        if self._held and not self._paused and not self.transport.is_closing():
-            self.transport.pause_reading()  # what waits in the queue is over, what no host takes is not
+        if not self._pumping:
+            self._read_or_wait()
 
     def _reject(self, status: int) -> None:
         """Also a request that waits for its turn, or was taken already: its body cannot be had."""
@@ -246,13 +225,6 @@
         self._ending = True
         self.transport.abort()
 
-    def answer(self, status: int, body: bytes = b"", content_type: bytes = b"",
-               retry_after_ms: float = 0.0) -> None:
-        upload, self._serving = self._serving, None
-        if upload is not None and not upload.whole:
-            upload.drop()  # its answer is here before its end: read on, so that the client hears it
-        super().answer(status, body, content_type, retry_after_ms)
-
     def pause_writing(self) -> None:
         super().pause_writing()
         if self._source is not None:
@@ -299,15 +271,10 @@
         self.moved_at = 0.0
         self._last_sent = True
 
-    def begin(self, attempt: Attempt) -> None:
-        upload = attempt.upload
-        if upload is None:
-            super().begin(attempt)
-            return
+    def upload(self, attempt: Attempt) -> None:
         self._last_sent = False
-        super().begin(attempt)
         self.unsent = True
-        upload.attach(self)
+        attempt.upload.attach(self)
 
     def send(self, data: bytes) -> None:
         """More of a body."""
@@ -350,10 +317,6 @@
         if not self.transport.is_closing():
             (self.transport.pause_reading if wait else self.transport.resume_reading)()
 
-    def replied(self, reply: Reply, reusable: bool) -> None:
-        self.flowing = None
-        super().replied(reply, reusable)
-
 
 class FlowHosts(Hosts):
     """Sends attempts whose bodies and answers may flow."""
@@ -361,15 +324,6 @@
     connection = FlowHostConnection
     begun: Callable[[Attempt, Reply, FlowHostConnection], FlowConnection | None]
 
-    def __init__(self, *args: Any) -> None:
-        super().__init__(*args)
-        self._flows: dict[Attempt, FlowHostConnection] = {}
-
-    def send(self, attempt: Attempt, timeout_s: float) -> None:
-        attempt.timeout_s = timeout_s
-        whole = attempt.upload is None or attempt.upload.whole
-        super().send(attempt, timeout_s if whole else UPLOAD_S)
-
     def came(self, attempt: Attempt) -> None:
         """Its body's last byte has come: its time runs from now on."""
         if not attempt.done:
@@ -394,12 +348,12 @@
         if attempt not in self._flows:  # it began while its time-out waited for a turn of the loop
             super()._time_out(attempt)
 
-    def _end(self, attempt: Attempt, result: str, reply: Reply | None = None) -> None:
-        if self._flows:
-            self._flows.pop(attempt, None)
-        if attempt.upload is not None and not attempt.done:
+    def _end_flow(self, attempt: Attempt) -> None:
+        connection = self._flows.pop(attempt, None)
+        if connection is not None:
+            connection.flowing = None
+        if attempt.upload is not None:
             attempt.upload.detach(attempt.connection)
-        super()._end(attempt, result, reply)
 
     def retire(self) -> None:
         super().retire()
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -25,7 +25,7 @@
     """One Send until its one outcome."""
 
     __slots__ = ("request", "number", "server", "payload", "sent_at", "connection", "dial", "slot", "timer",
-                 "dial_timer", "done", "upload", "timeout_s", "first_at")
+                 "dial_timer", "done", "upload", "timeout_s")
 
     def __init__(self, request: str, number: int, server: str, payload: bytes, sent_at: float) -> None:
         self.request, self.number, self.server = request, number, server
@@ -39,7 +39,6 @@
         # Of what is passed on as it comes:
         self.upload: Upload | None = None  # the rest of its body
         self.timeout_s = 0.0  # from the body's last byte on
-        self.first_at = 0.0  # when its answer began at the client
 
 
 class Upload(Protocol):
@@ -77,6 +76,7 @@
         self._dials = 0
         self._timeouts = Deadlines(loop, self._overdue)
         self._stopped = False
+        self._flows: dict[Attempt, Any] = {}  # whose answers are being passed on as they come
 
     def start(self) -> None:
         """Begin to retire idle connections."""
@@ -233,12 +233,17 @@
         if attempt.done:
             return
         attempt.done = True
+        if attempt.upload is not None or self._flows:
+            self._end_flow(attempt)
         attempt.connection = None
         self._timeouts.cancel(attempt, attempt.slot)
         if attempt.timer is not None:
             attempt.timer.cancel()
         self._ended(attempt, result, reply)
 
+    def _end_flow(self, attempt: Attempt) -> None:
+        """Pass on no more of its body or its answer."""
+
     # From connections
 
     def opened(self, connection: _Connection) -> None:
@@ -324,6 +329,11 @@
         self.attempt, attempt.connection = attempt, self
         self.kept = self.idle_since > 0
         self.write(attempt.payload)
+        if attempt.upload is not None:
+            self.upload(attempt)
+
+    def upload(self, attempt: Attempt) -> None:
+        """Write the rest of its body as it comes."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -75,11 +75,21 @@
         self._body: list[bytes] = []
         self._size = 0
         self._begun = False
-        self._flowing = self._to_end = False
+        self._odd = False  # any of these was set
+        self._flowing = self._to_end = self._in_trailers = False
         self._length: int | None = None
-        self._in_trailers = False
         self._came_at = 0.0
 
+    def _next(self) -> None:
+        """Make ready for the next answer; the ordinary one has touched little."""
+        if self._odd:
+            self._reset()
+            return
+        self._headers = {}
+        self._body = []
+        self._size = 0
+        self._begun = False
+
     def replied(self, reply: Reply, reusable: bool) -> None:
         """A whole answer to the oldest request; `reusable` if the connection may carry another."""
         raise NotImplementedError
@@ -148,7 +158,7 @@
                 self.spoilt()
             self.drop()
         elif self._taken and not self._came_at and self._due:
-            self._came_at = time.monotonic()
+            self._came_at, self._odd = time.monotonic(), True
 
     def eof_received(self) -> None:
         if self._to_end and self._due == 1 and not self.transport.is_closing():
@@ -178,13 +188,13 @@
         status = self._parser.get_status_code()
         if status < 200 or status in NO_BODY:
             return
-        self._in_trailers = True
         if coding is not None and (length is not None or coding.strip().lower() != b"chunked"):
             raise SpoiltError("framing")
         if coding is not None:
+            self._in_trailers = self._odd = True  # the next header stands behind the body
             return
         if length is None and self.flows and self._closes():
-            self._to_end = True
+            self._to_end = self._odd = True
             return
         # Guards against a cut answer: one with neither length nor chunks ends where its connection breaks.
         if length is None or not length.isdigit():
@@ -205,7 +215,7 @@
 
     def _flow(self) -> None:
         """Begin to pass the answer on."""
-        self._flowing = True
+        self._flowing = self._odd = True
         if not self.flow(self._reply(False)):
             raise SpoiltError("it may not be passed on")
 
@@ -233,5 +243,7 @@
         status = self._parser.get_status_code()
         if status >= 200:  # interim answers are not the answer, but count for its bound
             self._taken = 0
-            self._whole.append(self._reply(self._parser.should_keep_alive()))
-        self._reset()
+            keep_alive = self._parser.should_keep_alive()
+            self._whole.append(self._reply(keep_alive) if self._odd else
+                               Reply(status, self._headers, b"".join(self._body), keep_alive))
+        self._next()
--- a/yewstage/net/node.py
+++ b/yewstage/net/node.py
@@ -110,16 +110,10 @@
             return None
         request.flow = attempt
         self._guards.cancel(request, request.guard)
-        attempt.first_at = time.monotonic()
         self._post(api.StreamStarted(request.id, attempt.number))
         client.begin(reply, source)
         return client
 
-    def _ended(self, attempt: Attempt, result: str, reply: Reply | None) -> None:
-        if attempt.first_at:  # a long answer's time is that of its first bytes
-            attempt.sent_at += time.monotonic() - attempt.first_at
-        super()._ended(attempt, result, reply)
-
     def left(self, rid: str) -> None:
         request = self._requests.get(rid)
         super().left(rid)
