--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -1,10 +1,10 @@
-"""Make build/run: the package as it is started, with the decision module compiled where that can be done.
+"""Make build/run: the package as it is started, its ordinary path compiled where that can be done.
 
     .venv/bin/python deploy/compile.py [FOLDER]
 
 The sources stay what they are and what the tests read; mypyc (requirements-build.txt) and a C compiler make
 extension modules of them beside a copy. Where either is missing or fails, the copy alone stands, and what is
-started from it behaves the same at three times the cost of a decision. Done again only when a source changes.
+started from it behaves the same at twice the cost of a request. Done again only when a source changes.
 """
 
 from __future__ import annotations
@@ -21,7 +21,11 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[1]
-COMPILED = ("yewstage/policy.py", "yewstage/fleet.py")
+NET = ("deadlines", "http1", "hosts", "core", "clients", "flows", "counter", "discovery", "node", "operated")
+COMPILED = (  # what an ordinary request passes through, and every class that inherits from one of these
+    "yewstage/interface.py", "yewstage/policy.py", "yewstage/fleet.py",
+    *(f"yewstage/net/{name}.py" for name in NET),
+)
 LONGEST_S = 600
 KEY, NOTE = "sources.sha256", "compiled.txt"
 SET_UP = """\
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -11,13 +11,13 @@
 import time
 from collections import deque
 from functools import lru_cache, partial
-from typing import Any, Generic, Protocol, TypeVar
+from typing import Any, ClassVar, Generic, Protocol, TypeVar, cast
 
 import httptools
 
 from yewstage import interface as api
 from yewstage.net.core import Client, Order
-from yewstage.net.http1 import BLANKS, LONGEST_BODY, NO_BODY
+from yewstage.net.http1 import BLANKS, LONGEST_BODY, NO_BODY, NOT_UP
 
 log = logging.getLogger(__name__)
 Connection = TypeVar("Connection", bound="ClientConnection")
@@ -167,6 +167,7 @@
     """Who takes the requests of one server."""
 
     draining: bool
+    settings: api.Settings
 
     def request(self, client: Client, order: Order) -> str | None:
         """Take one; None if its own id is in use."""
@@ -191,8 +192,11 @@
         """Whether all that it was given has left."""
 
 
-class ClientConnection(asyncio.Protocol):
-    """One connection of a client: requests are taken one at a time, in order."""
+class ClientConnection:
+    """One connection of a client: requests are taken one at a time, in order.
+
+    An `asyncio.Protocol` by its methods, not by its base (see `ReplyProtocol`).
+    """
 
     wanted = WANTED  # the headers that are kept
     longest = LONGEST_BODY  # a body that is said to be longer is turned away at its head
@@ -204,7 +208,7 @@
 
     def __init__(self, server: Server[Any]) -> None:
         self._server, self._core = server, server.core
-        self.transport: asyncio.Transport = None  # type: ignore[assignment]  # until it is up
+        self.transport = NOT_UP
         self._parser = httptools.HttpRequestParser(self)
         self._message: _Message | None = None  # being read
         self._queue: deque[_Message | int] = deque()  # whole, or the status of a bad one
@@ -219,10 +223,10 @@
         self._taken = 0  # bytes of the message being read, or of a rejected one's rest
         self.since = 0.0  # when it was opened, became idle, or the message being read began
 
-    # asyncio.Protocol
+    # The methods of asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = transport
+        self.transport = cast(asyncio.Transport, transport)
         self._server.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -240,7 +244,9 @@
                 self._reject(400)  # guards the memory: a head without an end
         except httptools.HttpParserUpgrade:  # not offered: the request is answered, and is the last
             self._ending = True
-            self._queue[-1].keep_alive = False
+            last = self._queue[-1]
+            if isinstance(last, _Message):
+                last.keep_alive = False
         except httptools.HttpParserError:
             self._reject(self._status)
         self._pump()
@@ -271,10 +277,13 @@
         self._message = self.message()
 
     def on_url(self, url: bytes) -> None:
-        self._message.url += url
+        message = self._message
+        assert message is not None
+        message.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         message = self._message
+        assert message is not None
         if message.method:
             return  # a trailer: what the request is has been decided by its head
         message.head += len(name) + len(value)
@@ -289,6 +298,7 @@
 
     def on_headers_complete(self) -> None:
         message = self._message
+        assert message is not None
         message.method = self._parser.get_method()
         try:
             check_framing(message, self.longest)
@@ -300,6 +310,7 @@
 
     def on_body(self, data: bytes) -> None:
         message = self._message
+        assert message is not None
         message.size += len(data)
         message.moved_at = self._server.loop.time()
         if message.size > LONGEST_BODY:
@@ -316,10 +327,12 @@
         """The last byte of one that is passed on as it comes."""
 
     def on_message_complete(self) -> None:
-        if self._message.upload is not None:
+        message = self._message
+        assert message is not None
+        if message.upload is not None:
             self.uploaded()
             return
-        message, self._message = self._message, None
+        self._message = None
         self._taken = 0
         message.keep_alive = self._parser.should_keep_alive()
         message.read_at = time.monotonic()
@@ -336,7 +349,7 @@
 
     def _pump(self) -> None:
         """Take what waits, one request at a time; read on only while nothing waits."""
-        if self._pumping or self.transport is None or not (self._queue or self._paused):
+        if self._pumping or self.transport is NOT_UP or not (self._queue or self._paused):
             return
         self._pumping = True
         try:
@@ -376,7 +389,9 @@
         elif not path.startswith(b"/api/"):
             raise BadRequestError("path", 404)
         else:
-            wanted = order(message, self._server.terms)
+            terms = self._server.terms
+            assert terms is not None  # a front without any has a way of its own to serve
+            wanted = order(message, terms)
             rid = self._core.request(self, wanted)
             if rid is None:
                 raise BadRequestError("an id that is in use", 409)
@@ -448,7 +463,7 @@
         """Pass the connection on to the server's heir, if it carries nothing and all answers have left."""
         heir, transport = self._server.heir, self.transport
         if (heir is None or self._busy or self._message is not None or self._queue or self._ending
-                or transport is None or transport.is_closing() or transport.get_write_buffer_size()):
+                or transport is NOT_UP or transport.is_closing() or transport.get_write_buffer_size()):
             return False
         heir.take(os.dup(transport.get_extra_info("socket").fileno()))
         self._ending = True
@@ -471,14 +486,14 @@
             self.transport.close()
 
 
-def _itself(connection: Connection) -> Connection:
-    return connection
+def _itself(connection: ClientConnection) -> asyncio.Protocol:
+    return cast(asyncio.Protocol, connection)
 
 
 class Server(Generic[Connection]):
     """Accepts clients while there is room for them."""
 
-    connection: type[Connection] = ClientConnection  # type: ignore[assignment]  # made of what is accepted
+    connection: ClassVar[type[Any]] = ClientConnection  # made of what is accepted
 
     def __init__(self, core: Taker, loop: asyncio.AbstractEventLoop, sockets: int) -> None:
         self.core, self.loop = core, loop
@@ -490,7 +505,7 @@
         self._most = int(CLIENT_SHARE * sockets)
         self._listeners: list[socket.socket] = []
         self._accepting = self._lent = False
-        self._pending: set[asyncio.Task] = set()
+        self._pending: set[asyncio.Task[Any]] = set()
         self._coming: set[Connection] = set()  # accepted, and not yet up
         self.heir: Heir | None = None  # accepts in our place, and takes connections over
 
@@ -658,7 +673,7 @@
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError as error:
-                log.warning("accept failed: %s", errno.errorcode.get(error.errno, error))
+                log.warning("accept failed: %s", errno.errorcode.get(error.errno or 0, error))
                 self._pause()
                 self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
                 return
@@ -672,7 +687,7 @@
         self._pending.add(task)
         task.add_done_callback(partial(self._accepted, connection))
 
-    def _accepted(self, connection: Connection, task: asyncio.Task) -> None:
+    def _accepted(self, connection: Connection, task: asyncio.Task[Any]) -> None:
         self._pending.discard(task)
         self._coming.discard(connection)
         if not task.cancelled() and task.exception() is not None:
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -297,7 +297,7 @@
                 took -= (now - reply.came_at) * 1000
             took = max(took - self._pulse.behind_ms(now), 0.0)
         units = 0.0
-        if result == api.OK:
+        if result == api.OK and reply is not None:
             units = reply.amount(b"billed-units", self.settings.most_units)
             self._answer(request, reply.status, reply)
         elif request.flow is attempt:
--- a/yewstage/net/counter.py
+++ b/yewstage/net/counter.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from functools import partial
+from typing import Any
 
 from yewstage import interface as api
 from yewstage.net.http1 import Reply, ReplyProtocol, number
@@ -23,7 +25,7 @@
     def __init__(self, act: api.Count, now: float) -> None:
         self.act, self.sent_at = act, now
         self.timer: asyncio.TimerHandle | None = None
-        self.slot: _Slot | None = None
+        self.slot: _Slot | None = None  # once it has a connection to wait for
         self.written = self.done = False
 
 
@@ -84,22 +86,22 @@
         call.timer = self._loop.call_later(GRACE_S, self._time_out, call)
 
     def _time_out(self, call: _Call) -> None:
-        if call.written and self._alone_silent(call):
+        if call.written and call.slot is not None and self._alone_silent(call, call.slot):
             call.slot.give_up()
             return
         # The call stays in its connection's line, so that its late answer is not taken for the next one's.
         self.end(call, api.TIMED_OUT if call.written else api.CONNECT_FAILED)
 
-    def _alone_silent(self, call: _Call) -> bool:
+    def _alone_silent(self, call: _Call, its: _Slot) -> bool:
         """Whether the call's connection has gone silent and the counter has not.
 
         Guards the quotas against a path that drops one connection, or a stuck worker behind a proxy: the
         calls in that line would make the module think that nobody answers. A slow part of the counter shows
         on more than one connection, a slow or silent counter on all. Hurts: a lone late call costs a dial.
         """
-        others = [slot for slot in self._slots if slot is not call.slot]
+        others = [slot for slot in self._slots if slot is not its]
         late = self._loop.time() - self._wait_s / 2
-        return (call.slot.silent_since(call.sent_at)
+        return (its.silent_since(call.sent_at)
                 and any(not slot.silent_since(call.sent_at) for slot in others)
                 and not any(slot.waits_since(late) for slot in others))
 
@@ -110,7 +112,7 @@
     def __init__(self, counter: Counter, loop: asyncio.AbstractEventLoop, address: tuple[str, int]) -> None:
         self._counter, self._loop, self._address = counter, loop, address
         self._connection: _Connection | None = None
-        self._dial: asyncio.Task | None = None
+        self._dial: asyncio.Task[Any] | None = None
         self._dial_timer: asyncio.TimerHandle | None = None
         self._check_timer: asyncio.TimerHandle | None = None
         self._redial_timer: asyncio.TimerHandle | None = None
@@ -140,8 +142,7 @@
             self._redial_timer.cancel()
         if self._dial is not None:
             self._dial.cancel()
-        if self._connection is not None:
-            self._connection.drop()
+        self._drop()
 
     def retire(self) -> list[_Call]:
         """Close once the calls that are out are answered; returns those that were never written."""
@@ -165,29 +166,32 @@
 
     def give_up(self) -> None:
         """Close a connection that has gone silent."""
-        self._connection.drop()
+        self._drop()
         self._end_all(api.CUT)
 
     def write(self, call: _Call) -> None:
         self._calls.append(call)
         call.slot = self
         if self._connection is not None:
-            self._send(call)
+            self._send(call, self._connection)
         elif self._dial is None:
             self.dial()
 
     def dial(self) -> None:
         """Open the connection."""
+        connection = _Connection(self)
         self._dial = self._loop.create_task(
-            self._loop.create_connection(lambda: _Connection(self), *self._address))
-        self._dial.add_done_callback(self._dial_ended)
+            self._loop.create_connection(connection.as_protocol, *self._address))
+        self._dial.add_done_callback(partial(self._dial_ended, connection))
         self._dial_timer = self._loop.call_later(DIAL_S, self._dial.cancel)
 
-    def _dial_ended(self, task: asyncio.Task) -> None:
+    def _dial_ended(self, connection: _Connection, task: asyncio.Task[Any]) -> None:
         failed = task.cancelled() or task.exception() is not None
+        if failed:
+            connection.called_off()
         if task is self._dial and failed:
             self._dial = None
-            self._dial_timer.cancel()
+            self._stop_dial_timer()
             self._broken()
 
     def opened(self, connection: _Connection) -> None:
@@ -197,22 +201,26 @@
         of it, and taken from there it would stand as the slot's own for good, with every call on it failing.
         """
         self._dial = None
-        self._dial_timer.cancel()
+        self._stop_dial_timer()
         self._connection = connection
         if self._retired:
-            self._connection.drop()
+            connection.drop()
             return
         # A call that has run out while it waited was reported as not added: it must not be written now.
         self._calls = deque(call for call in self._calls if not call.done)
         for call in self._calls:
-            self._send(call)
+            self._send(call, connection)
 
-    def _send(self, call: _Call) -> None:
+    def _stop_dial_timer(self) -> None:
+        if self._dial_timer is not None:
+            self._dial_timer.cancel()
+
+    def _send(self, call: _Call, connection: _Connection) -> None:
         act = call.act
-        self._connection.write(
+        connection.write(
             f"POST /v1/count/{act.name}?add={_decimal(act.amount)}&ttl_ms={max(1, round(act.keep_ms))}"
             " HTTP/1.1\r\nHost: counter\r\nContent-Length: 0\r\n\r\n".encode())
-        call.written = not self._connection.unsent
+        call.written = not connection.unsent
         if self._check_timer is None:
             self._check_timer = self._loop.call_later(SILENT_S, self._check)
 
@@ -242,7 +250,7 @@
             return
         call = self._calls.popleft()
         if not reusable or (self._retired and not self._calls):
-            self._connection.drop()  # before the module hears of it: its next call goes to another one
+            self._drop()  # before the module hears of it: its next call goes to another one
         if total is None:
             self._counter.end(call, api.FULL)
         else:
@@ -250,9 +258,13 @@
 
     def spoilt(self) -> None:
         """Noise where answers should be: no call behind it will be told its total either."""
-        self._connection.drop()
+        self._drop()
         self._end_all(api.SPOILT)
 
+    def _drop(self) -> None:
+        if self._connection is not None:
+            self._connection.drop()
+
     def lost(self) -> None:
         """The connection is gone."""
         self._connection = None
--- a/yewstage/net/deadlines.py
+++ b/yewstage/net/deadlines.py
@@ -37,8 +37,7 @@
             slot = self._slots[number] = {}
             heappush(self._numbers, number)
         slot[thing] = None
-        if self._handle is None or number < self._wakes_at:
-            self._wake(number)
+        self._see_to(number)
         return number
 
     def cancel(self, thing: T, number: int) -> None:
@@ -54,7 +53,10 @@
         self._slots.clear()
         self._numbers.clear()
 
-    def _wake(self, number: int) -> None:
+    def _see_to(self, number: int) -> None:
+        """Have the loop wake us for a slot, if it does not do so by then."""
+        if self._handle is not None and number >= self._wakes_at:
+            return
         if self._handle is not None:
             self._handle.cancel()
         self._wakes_at = number
@@ -83,6 +85,4 @@
                 self._due(thing)
         finally:  # what `due` raises goes to the loop's handler, the others' deadlines hold
             if self._numbers:
-                first = self._numbers[0]
-                if self._handle is None or first < self._wakes_at:
-                    self._wake(first)
+                self._see_to(self._numbers[0])
--- a/yewstage/net/discovery.py
+++ b/yewstage/net/discovery.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from yewstage import interface as api
 from yewstage.net.http1 import LONGEST_LIST, Reply, ReplyProtocol
@@ -52,7 +53,7 @@
         raise ValueError("an instance without instanceId")
     name = entry["instanceId"]
     # Guards against a state that a later discovery may add: what is not known to be ready gets no new work.
-    status = STATES.get(entry.get("lifecycle"), "draining")
+    status = STATES.get(str(entry.get("lifecycle")), "draining")
     host, _, port = str(entry.get("hostPort", "")).rpartition(":")
     if status != "removed" and not (host and port.isascii() and port.isdigit() and int(port) < 65536):
         raise ValueError(f"{name}: hostPort {entry.get('hostPort')!r} is not HOST:PORT")
@@ -75,7 +76,7 @@
         self._rng = random.Random(seed)
         self._generation: int | None = generation or None  # None: the whole list is wanted
         self._connection: _Watch | None = None
-        self._dial: asyncio.Task | None = None
+        self._dial: asyncio.Task[Any] | None = None
         self._timer: asyncio.TimerHandle | None = None  # the end of our patience, or of a rest
         self._failures = 0
         self._stopped = False
@@ -120,10 +121,10 @@
             return
         self._watch_silence(SILENT_S)
         self._dial = self._loop.create_task(
-            self._loop.create_connection(lambda: _Watch(self), *self._address))
+            self._loop.create_connection(lambda: _Watch(self).as_protocol(), *self._address))
         self._dial.add_done_callback(self._dialled)
 
-    def _dialled(self, task: asyncio.Task) -> None:
+    def _dialled(self, task: asyncio.Task[Any]) -> None:
         failed = task.cancelled() or task.exception() is not None
         if task is not self._dial:  # the watch has moved on meanwhile
             if not failed:
--- a/yewstage/net/flows.py
+++ b/yewstage/net/flows.py
@@ -16,7 +16,7 @@
 import asyncio
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import Any, ClassVar
 
 from yewstage import interface as api
 from yewstage.net.clients import BadRequestError, ClientConnection, Server
@@ -113,8 +113,9 @@
     longest = LONGEST_UPLOAD
     longest_read = 4 * LONGEST_UPLOAD  # small chunks have long lines
 
-    def __init__(self, server: Server[Any]) -> None:
+    def __init__(self, server: FlowServer) -> None:
         super().__init__(server)
+        self._uploads: set[FlowConnection] = server.uploads
         self._upload: Body | None = None  # of the request that is being read
         self._source: FlowHostConnection | None = None  # of the answer that is being passed on
         self._chunked = False
@@ -123,6 +124,7 @@
 
     def beyond(self, data: bytes) -> None:
         message = self._message
+        assert message is not None
         if self._upload is None:
             length = message.headers.get(b"content-length")
             self._upload = message.upload = Body(self, None if length is None else int(length))
@@ -132,7 +134,7 @@
             message.read_at = time.monotonic()
             message.keep_alive = self._parser.should_keep_alive()
             self._queue.append(message)  # it has its turn like a whole one
-            self._server.uploads.add(self)
+            self._uploads.add(self)
         if message.size > LONGEST_UPLOAD:
             self._status = 413
             raise BadRequestError("body", 413)
@@ -140,9 +142,10 @@
 
     def uploaded(self) -> None:
         upload = self._upload
+        assert upload is not None
         self._message = self._upload = None
         self._taken = 0
-        self._server.uploads.discard(self)
+        self._uploads.discard(self)
         if not self._busy and not self._ending:
             self._server.waits(self)  # its answer went out before its end had come
         upload.end()
@@ -159,9 +162,9 @@
         if upload is None or self._ending:
             super()._reject(status)
             return
-        self._server.uploads.discard(self)
+        self._uploads.discard(self)
         message, self._message = self._message, None
-        if message in self._queue:
+        if message is not None and message in self._queue:
             self._queue.remove(message)
             super()._reject(status)
         elif upload.unwanted or self._open is None:
@@ -236,7 +239,7 @@
         super().resume_writing()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._server.uploads.discard(self)
+        self._uploads.discard(self)
         upload, self._upload = self._upload, None
         if upload is not None:
             upload.unwanted = True
@@ -246,7 +249,7 @@
 class FlowServer(Server[FlowConnection]):
     """Accepts clients whose long bodies and answers flow."""
 
-    connection = FlowConnection
+    connection: ClassVar[type[Any]] = FlowConnection
 
     def __init__(self, core: Any, loop: asyncio.AbstractEventLoop, sockets: int) -> None:
         super().__init__(core, loop, sockets)
@@ -266,6 +269,7 @@
 
     def __init__(self, pool: FlowHosts, host: Any) -> None:
         super().__init__(pool, host)
+        self._flow_pool = pool
         self.flowing: FlowConnection | None = None  # the client that the answer goes to
         self.full = False  # the host does not read what we write
         self.moved_at = 0.0
@@ -274,7 +278,8 @@
     def upload(self, attempt: Attempt) -> None:
         self._last_sent = False
         self.unsent = True
-        attempt.upload.attach(self)
+        if attempt.upload is not None:
+            attempt.upload.attach(self)
 
     def send(self, data: bytes) -> None:
         """More of a body."""
@@ -286,8 +291,8 @@
             self.transport.write(data)
         self._last_sent = True
         self.unsent = self.transport.get_write_buffer_size() > 0
-        if not self.unsent:
-            self._pool.written(self.attempt)
+        if not self.unsent and self.attempt is not None:
+            self._flow_pool.written(self.attempt)
 
     def pause_writing(self) -> None:
         self.full = True
@@ -303,7 +308,7 @@
 
     def flow(self, reply: Reply) -> bool:
         attempt = self.attempt
-        self.flowing = self._pool.began(self, attempt, reply) if attempt is not None else None
+        self.flowing = self._flow_pool.began(self, attempt, reply) if attempt is not None else None
         self.moved_at = asyncio.get_running_loop().time()
         return self.flowing is not None
 
@@ -321,7 +326,7 @@
 class FlowHosts(Hosts):
     """Sends attempts whose bodies and answers may flow."""
 
-    connection = FlowHostConnection
+    connection: ClassVar[type[Any]] = FlowHostConnection
     begun: Callable[[Attempt, Reply, FlowHostConnection], FlowConnection | None]
 
     def came(self, attempt: Attempt) -> None:
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -7,7 +7,7 @@
 import select
 from collections.abc import Callable
 from functools import partial
-from typing import Any, Protocol
+from typing import Any, ClassVar, Protocol
 
 from yewstage import interface as api
 from yewstage.net.deadlines import Deadlines
@@ -25,13 +25,14 @@
     """One Send until its one outcome."""
 
     __slots__ = ("request", "number", "server", "payload", "sent_at", "connection", "dial", "slot", "timer",
-                 "dial_timer", "done", "upload", "timeout_s")
+                 "dial_timer", "done", "upload", "timeout_s", "coming")
 
     def __init__(self, request: str, number: int, server: str, payload: bytes, sent_at: float) -> None:
         self.request, self.number, self.server = request, number, server
         self.payload, self.sent_at = payload, sent_at
         self.connection: _Connection | None = None
-        self.dial: asyncio.Task | None = None
+        self.dial: asyncio.Task[Any] | None = None
+        self.coming: _Connection | None = None  # what the dial has made
         self.slot = 0  # of its time-out
         self.timer: asyncio.TimerHandle | None = None  # once that has come
         self.dial_timer: asyncio.TimerHandle | None = None
@@ -45,6 +46,7 @@
     """A body that is still coming."""
 
     whole: bool  # its last byte has come
+    source: Any  # the client's connection, which can be told to `hold` it
 
     def attach(self, connection: Any) -> None:
         """Write what has come, and what comes, to a connection."""
@@ -64,7 +66,7 @@
 class Hosts:
     """Sends attempts and reports how each one ended, exactly once."""
 
-    connection: type[_Connection]  # what is made of each dial
+    connection: ClassVar[type[Any]]  # what is made of each dial
 
     def __init__(self, loop: asyncio.AbstractEventLoop, most: int, dial_ms: float, idle_ms: float,
                  ended: Callable[[Attempt, str, Reply | None], None]) -> None:
@@ -148,10 +150,15 @@
             return
         self._dials += 1
         attempt.dial = self._loop.create_task(
-            self._loop.create_connection(lambda: self.connection(self, host), *host.address))
+            self._loop.create_connection(partial(self._make, attempt, host), *host.address))
         attempt.dial.add_done_callback(partial(self._dialled, attempt))
         attempt.dial_timer = self._loop.call_later(self._dial_s, self._dial_overdue, attempt)
 
+    def _make(self, attempt: Attempt, host: _Host) -> asyncio.Protocol:
+        connection: _Connection = self.connection(self, host)
+        attempt.coming = connection
+        return connection.as_protocol()
+
     def _may_dial(self) -> bool:
         """Whether one more connection may be opened now."""
         return self._dials < DIALS and self._room()
@@ -171,11 +178,15 @@
         connection.host.idle.remove(connection)
         connection.drop()
 
-    def _dialled(self, attempt: Attempt, task: asyncio.Task) -> None:
+    def _dialled(self, attempt: Attempt, task: asyncio.Task[Any]) -> None:
         self._dial_over()
         attempt.dial = None
-        attempt.dial_timer.cancel()
+        if attempt.dial_timer is not None:
+            attempt.dial_timer.cancel()
         error = None if task.cancelled() else task.exception()
+        coming, attempt.coming = attempt.coming, None
+        if coming is not None and (task.cancelled() or error is not None):
+            coming.called_off()
         if isinstance(error, OSError) and error.errno in OWN_BOUNDS:
             # Guards the hosts' good name: the last descriptor is our trouble, and a rested host is lost work.
             self._end(attempt, api.NO_ROOM)
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -10,6 +10,7 @@
 import re
 import time
 from dataclasses import dataclass
+from typing import cast
 
 import httptools
 
@@ -21,6 +22,7 @@
 NUMBER = re.compile(rb"-?[0-9]{1,15}(?:\.[0-9]{1,15})?(?:[eE][+-]?[0-9]{1,2})?")
 BLANKS = b" \t"  # may stand beside a value (RFC 9110 section 5.5); the parser leaves those behind it
 NO_BODY = frozenset((204, 304))
+NOT_UP = cast(asyncio.Transport, None)  # in a transport's place until the connection is up
 
 
 class SpoiltError(Exception):
@@ -50,9 +52,12 @@
         return value if value is not None and 0 < value <= most else 0.0
 
 
-class ReplyProtocol(asyncio.Protocol):
+class ReplyProtocol:
     """Parses the answers to what was written; a subclass says what they and a lost connection mean.
 
+    An `asyncio.Protocol` by its methods, not by its base: compiled, a class with a Python base would keep its
+    attributes in a dictionary.
+
     One that `flows` is told of an answer longer than `longest` when that shows (`flow`), then of its body
     piece by piece (`piece`), and of its end by `replied` with a reply that has `flowed`. It also takes an
     answer that ends where its connection is closed in good order (RFC 9112 section 6.3, rule 8).
@@ -61,7 +66,8 @@
     flows = False
 
     def __init__(self, longest: int = LONGEST_BODY) -> None:
-        self.transport: asyncio.Transport | None = None
+        self.transport = NOT_UP
+        self._up = False
         self.unsent = False  # part of what we wrote has not left this process
         self._parser = httptools.HttpResponseParser(self)
         self._longest = longest
@@ -121,14 +127,22 @@
 
     def drop(self) -> None:
         """End the connection at once."""
-        if self.transport is not None:
+        if self.transport is not NOT_UP:
             self.transport.abort()
 
-    # asyncio.Protocol
+    def as_protocol(self) -> asyncio.Protocol:
+        """Itself, as the loop's typed functions want it."""
+        return cast(asyncio.Protocol, self)
+
+    # The methods of asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = transport
-        transport.set_write_buffer_limits(high=0)  # so that resume_writing tells of the last byte
+        self.transport = cast(asyncio.Transport, transport)
+        self._up = True
+        self.transport.set_write_buffer_limits(high=0)  # so that resume_writing tells of the last byte
+
+    def pause_writing(self) -> None:
+        """Part of what was written waits; `write` has seen so."""
 
     def resume_writing(self) -> None:
         self.unsent = False
@@ -168,7 +182,17 @@
             self.replied(reply, False)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.lost()
+        if self._up:
+            self._up = False
+            self.lost()
+
+    def called_off(self) -> None:
+        """Its dial failed or was cancelled.
+
+        Guards the descriptors' account: when that comes in the turn of the loop in which the connection came
+        up, uvloop closes it and never tells that it is lost.
+        """
+        self.connection_lost(None)
 
     # httptools; what these raise reaches data_received as an HttpParserError
 
--- a/yewstage/net/node.py
+++ b/yewstage/net/node.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 from functools import partial
-from typing import Any
+from typing import Any, ClassVar, cast
 
 from yewstage import interface as api
 from yewstage.net.clients import Server
@@ -25,13 +25,14 @@
 class Node(Core):
     """A core whose hosts come from discovery and whose counts go to the platform's counter."""
 
-    hosts: type[FlowHosts] = FlowHosts  # what sends its attempts
+    hosts: ClassVar[type[FlowHosts]] = FlowHosts  # what sends its attempts
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(config.settings, config.seed, loop, Pulse(loop))
-        self._hosts = self.hosts(loop, int(UPSTREAM_SHARE * config.sockets), config.dial_ms, config.idle_ms,
-                                 self._ended)
-        self._hosts.begun = self._begun
+        most = int(UPSTREAM_SHARE * config.sockets)
+        self._flow_hosts = self.hosts(loop, most, config.dial_ms, config.idle_ms, self._ended)
+        self._flow_hosts.begun = self._begun
+        self._hosts = self._flow_hosts
         self._discovery = Discovery(loop, config.discovery, self._listed, config.known.generation,
                                     config.seed)
         self._client = (Counter(loop, config.counter, config.settings.count_wait_ms, self._post)
@@ -101,11 +102,11 @@
         request.guard = self._guards.add(request, max(left_s, 0.0))
         for attempt in request.attempts:
             if attempt is not None:
-                self._hosts.came(attempt)
+                self._flow_hosts.came(attempt)
 
     def _begun(self, attempt: Attempt, reply: Reply, source: FlowHostConnection) -> FlowConnection | None:
         request = self._requests[attempt.request]
-        client = request.client
+        client = cast(FlowConnection | None, request.client)
         if client is None:
             return None
         request.flow = attempt
--- a/yewstage/net/operated.py
+++ b/yewstage/net/operated.py
@@ -6,7 +6,7 @@
 import logging
 from collections.abc import Iterable
 from itertools import chain
-from typing import Any
+from typing import Any, ClassVar, cast
 
 from yewstage import interface as api
 from yewstage.handover.service import HandOver, Heir, TakeOver
@@ -36,18 +36,18 @@
     def begin(self, attempt: Attempt) -> None:
         super().begin(attempt)
         if not self.unsent and attempt.upload is None:  # one that flows tells by itself
-            self._pool.written(attempt)
+            self._flow_pool.written(attempt)
 
     def resume_writing(self) -> None:
         super().resume_writing()
         if self.attempt is not None and not self.unsent:
-            self._pool.written(self.attempt)
+            self._flow_pool.written(self.attempt)
 
 
 class _CountedHosts(FlowHosts):
     """Hosts whose attempts are counted."""
 
-    connection = _CountedConnection
+    connection: ClassVar[type[Any]] = _CountedConnection
     node: OperatedNode
 
     def written(self, attempt: Attempt) -> None:
@@ -58,13 +58,13 @@
 class OperatedNode(Node):
     """A node with figures, with hosts out by hand, and with a way to hand over to a next version."""
 
-    hosts = _CountedHosts
+    hosts: ClassVar[type[FlowHosts]] = _CountedHosts
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(config, loop)
-        self._hosts.node = self
+        cast(_CountedHosts, self._flow_hosts).node = self
         self.figures_kept = Figures()
-        self._listed = Listed()
+        self._seen = Listed()
         self._hand_file = HandFile(config.folder)
         self._held_out: set[str] = set()
         self._operators = OperatorServer(self, loop)
@@ -79,7 +79,8 @@
 
     async def listen(self, address: tuple[str, int] | None) -> None:
         if address is not None:
-            log.info("operators call at %s:%d", *await self._operators.start(address))
+            host, port = await self._operators.start(address)
+            log.info("operators call at %s:%d", host, port)
 
     def stop(self) -> None:
         super().stop()
@@ -130,7 +131,7 @@
             restore(self._gateway, documents)
             names = [n for d in documents if d.get("t") == SEEN and isinstance(d.get("names"), list)
                      for n in d["names"]]
-            self._listed.add(n for n in names if isinstance(n, str))
+            self._seen.add(n for n in names if isinstance(n, str))
         except StateError as error:  # another version's, perhaps: its clients are worth more
             log.warning("hand-over: what the old process knew is left: %s", error)
         log.info("took over from the process that served here")
@@ -140,7 +141,7 @@
         """Stop accepting and deciding: a descriptor of the listening socket, and what is known."""
         assert self._server is not None
         self._post(api.Succeeded(True))
-        names = self._listed.all()
+        names = self._seen.all()
         seen = [{"t": SEEN, "names": names[at:at + SEEN_AT_ONCE]}
                 for at in range(0, len(names), SEEN_AT_ONCE)]
         return self._server.lend(), chain(export(self._gateway), seen)
@@ -172,7 +173,7 @@
 
     def hand(self, host: str, out: bool) -> str:
         """Take a host out by hand, or put it back; "" once that holds, else why not."""
-        wrong = refused(host, out, self._listed, self._held_out)
+        wrong = refused(host, out, self._seen, self._held_out)
         if wrong:
             return wrong
         try:
@@ -199,7 +200,7 @@
     # What is counted
 
     def _apply(self, listing: Listing, kind: str) -> None:
-        self._listed.add(server.name for server in listing.servers)
+        self._seen.add(server.name for server in listing.servers)
         super()._apply(listing, kind)
 
     def _answer(self, request: _Open | None, status: int, reply: Reply | None = None,
