--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -7,21 +7,36 @@
 
 import math
 from dataclasses import dataclass, field
+from typing import Final
 
 # Why a request is refused: its quota, its ceiling, pressure on the back end, no host that may take it, too
 # little time left, too many customers to know one more, or settings that do not know its class or plan.
-QUOTA, CEILING, PRESSURE, NO_HOST, LATE, CROWDED, UNKNOWN = (
-    "quota", "ceiling", "pressure", "no_host", "late", "crowded", "unknown")
+# (A line each: mypyc puts a constant in place only where its own line says that it is one.)
+QUOTA: Final = "quota"
+CEILING: Final = "ceiling"
+PRESSURE: Final = "pressure"
+NO_HOST: Final = "no_host"
+LATE: Final = "late"
+CROWDED: Final = "crowded"
+UNKNOWN: Final = "unknown"
 
 # Results of an attempt, and whether each one proves that the request never ran.
-OK, ERROR, FULL, TIMED_OUT = "ok", "error", "full", "timed_out"
-CONNECT_FAILED, RESET, CANCELLED, MOOT = "connect_failed", "reset", "cancelled", "moot"
-SPOILT = "spoilt"  # an answer came that cannot be read: it may have run, and says little of the server
-STALE = "stale"  # a kept connection was reset by its next request: it may have run, the server is no worse
-UNSENT = "unsent"  # a connection came up and broke before the last byte was written: it never ran
-CUT = "cut"  # the connection broke under a counter call: it may have been added, the counter may be well
-NO_ROOM = "no_room"  # a bound of our own kept it from being sent: it says nothing of the server
-NEVER_RAN = frozenset((FULL, CONNECT_FAILED, MOOT, UNSENT, NO_ROOM))
+OK: Final = "ok"
+ERROR: Final = "error"
+FULL: Final = "full"
+TIMED_OUT: Final = "timed_out"
+CONNECT_FAILED: Final = "connect_failed"
+RESET: Final = "reset"
+CANCELLED: Final = "cancelled"
+MOOT: Final = "moot"
+SPOILT: Final = "spoilt"  # an answer came that cannot be read: it may have run, and says little of the server
+# A kept connection was reset by its next request: it may have run, the server is no worse
+STALE: Final = "stale"
+UNSENT: Final = "unsent"  # a connection came up and broke before the last byte was written: it never ran
+# The connection broke under a counter call: it may have been added, the counter may be well
+CUT: Final = "cut"
+NO_ROOM: Final = "no_room"  # a bound of our own kept it from being sent: it says nothing of the server
+NEVER_RAN: Final = frozenset((FULL, CONNECT_FAILED, MOOT, UNSENT, NO_ROOM))
 
 
 @dataclass(slots=True, frozen=True)
@@ -129,6 +144,7 @@
 
 
 # Events. Nobody changes one, nor an action; but to have it checked (frozen) triples the cost of making one.
+# Those that each request makes say how they are made: what dataclass writes itself is not compiled.
 
 
 @dataclass(slots=True)
@@ -139,7 +155,7 @@
     servers: tuple[Server, ...] = ()
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, init=False)
 class Request:
     """A client's request, which is owed exactly one final answer."""
 
@@ -154,8 +170,15 @@
     repeat: bool = False
     pool: str = ""  # the hosts that may serve it
 
+    def __init__(self, id: str, class_name: str, plan_name: str, customer: str, time_left_ms: float,
+                 units: float = 1.0, width: int = 1, first: int = 0, repeat: bool = False,
+                 pool: str = "") -> None:
+        self.id, self.class_name, self.plan_name, self.customer = id, class_name, plan_name, customer
+        self.time_left_ms, self.units, self.width, self.first = time_left_ms, units, width, first
+        self.repeat, self.pool = repeat, pool
 
-@dataclass(slots=True)
+
+@dataclass(slots=True, init=False)
 class Outcome:
     """How one attempt ended; `final` is set once the request is finished."""
 
@@ -169,6 +192,13 @@
     true_units: float = 0.0  # 0: not told
     report: dict[str, float] = field(default_factory=dict)
 
+    def __init__(self, request: str, attempt: int, server: str, result: str, took_ms: float, final: bool,
+                 use_percent: float = 0.0, true_units: float = 0.0,
+                 report: dict[str, float] | None = None) -> None:
+        self.request, self.attempt, self.server, self.result = request, attempt, server, result
+        self.took_ms, self.final, self.use_percent, self.true_units = took_ms, final, use_percent, true_units
+        self.report = {} if report is None else report
+
 
 @dataclass(slots=True)
 class StreamStarted:
@@ -248,7 +278,7 @@
 # Actions
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, init=False)
 class Send:
     """Start an attempt; attempts of a request are numbered 0, 1, 2... in the order of Sends."""
 
@@ -256,6 +286,9 @@
     server: str
     timeout_ms: float
 
+    def __init__(self, request: str, server: str, timeout_ms: float) -> None:
+        self.request, self.server, self.timeout_ms = request, server, timeout_ms
+
 
 @dataclass(slots=True)
 class Refuse:
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -11,7 +11,7 @@
 import time
 from collections import deque
 from functools import lru_cache, partial
-from typing import Any, ClassVar, Generic, Protocol, TypeVar, cast
+from typing import Any, ClassVar, Final, Generic, Protocol, TypeVar, cast
 
 import httptools
 
@@ -22,34 +22,36 @@
 log = logging.getLogger(__name__)
 Connection = TypeVar("Connection", bound="ClientConnection")
 
-BACKLOG = 256
-CLIENT_SHARE = 0.5  # of the descriptors
-LONGEST_HEAD = 32 * 1024
-LONGEST_FRAME = 2 * LONGEST_BODY  # a body as it stands on the wire, with its chunk lines
-MOST_AHEAD = 16  # requests that may wait behind the open one on a connection
-READ_S = 2.6  # how long a head may take to come in, the first one from the connect on: slow clients need 2 s
-STALL_S = 2.4  # how long a body may stand still
+BACKLOG: Final = 256
+CLIENT_SHARE: Final = 0.5  # of the descriptors
+LONGEST_HEAD: Final = 32 * 1024
+LONGEST_FRAME: Final = 2 * LONGEST_BODY  # a body as it stands on the wire, with its chunk lines
+MOST_AHEAD: Final = 16  # requests that may wait behind the open one on a connection
+# How long a head may take to come in, the first one from the connect on: slow clients need 2 s
+READ_S: Final = 2.6
+STALL_S: Final = 2.4  # how long a body may stand still
 BODY_S, BODY_RATE = 5.0, 16_384.0  # how long it may take in all, and what it must bring a second beyond that
-IDLE_S = 4.0  # how long a connection is kept after its last answer
+IDLE_S: Final = 4.0  # how long a connection is kept after its last answer
 LINGER_S, LINGER_BYTES = 1.0, 1024 * 1024  # how much of a rejected request is read before the close
-SWEEP_S = 0.25
-ACCEPT_PAUSE_S = 0.05
-HAND_ON_S = 0.005  # spacing of the looks for connections that carry nothing, while another process takes over
-ACCEPTS = 16  # connections taken in one turn of the loop: others have work to do, too
+SWEEP_S: Final = 0.25
+ACCEPT_PAUSE_S: Final = 0.05
+# Spacing of the looks for connections that carry nothing, while another process takes over
+HAND_ON_S: Final = 0.005
+ACCEPTS: Final = 16  # connections taken in one turn of the loop: others have work to do, too
 
-REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout",
+REASONS: Final = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout",
            405: b"Method Not Allowed", 409: b"Conflict", 410: b"Gone", 413: b"Content Too Large",
            429: b"Too Many Requests", 500: b"Internal Server Error", 502: b"Bad Gateway",
            503: b"Service Unavailable", 504: b"Gateway Timeout"}
-LINES = {status: b"HTTP/1.1 %d %b\r\n" % (status, reason) for status, reason in REASONS.items()}
-WANTED = frozenset((b"x-request-id", b"x-class", b"plan", b"x-deadline", b"quota-info", b"x-retry",
+LINES: Final = {status: b"HTTP/1.1 %d %b\r\n" % (status, reason) for status, reason in REASONS.items()}
+WANTED: Final = frozenset((b"x-request-id", b"x-class", b"plan", b"x-deadline", b"quota-info", b"x-retry",
                     b"idempotency-key", b"content-length", b"content-type", b"transfer-encoding", b"expect"))
-WORD = re.compile(rb"[!-~]{1,128}")
-ABSOLUTE = re.compile(rb"^https?://[^/?#]*(?=/)", re.IGNORECASE)
-CUSTOMER = re.compile(rb"0{7}[01][0-9a-fA-F]{8}")  # 33 bits
-DEADLINE = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
-UNITS = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
-WHOLE = re.compile(r"[0-9]{1,6}")
+WORD: Final = re.compile(rb"[!-~]{1,128}")
+ABSOLUTE: Final = re.compile(rb"^https?://[^/?#]*(?=/)", re.IGNORECASE)
+CUSTOMER: Final = re.compile(rb"0{7}[01][0-9a-fA-F]{8}")  # 33 bits
+DEADLINE: Final = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
+UNITS: Final = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
+WHOLE: Final = re.compile(r"[0-9]{1,6}")
 
 
 class BadRequestError(ValueError):
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -7,7 +7,7 @@
 import time
 from collections import deque
 from dataclasses import dataclass
-from typing import Any, Protocol, cast
+from typing import Any, Final, Protocol, cast
 
 from yewstage import interface as api
 from yewstage.net.deadlines import TICK_S, Deadlines
@@ -18,11 +18,11 @@
 
 log = logging.getLogger(__name__)
 
-TRANSIT_MS = 4.0  # what a request may have spent on its way to us and its answer may on its way back
-GUARD_MS = 8.0  # the guard answers this long before the client's time is up
-MODULE_MS = 20.0  # the module is told of an end this much earlier, so that it comes first
-BEAT_S = 0.05  # spacing of the heartbeat that measures our own lag
-LAG_MS = 5.0  # a heartbeat later than this is a stall
+TRANSIT_MS: Final = 4.0  # what a request may have spent on its way to us and its answer may on its way back
+GUARD_MS: Final = 8.0  # the guard answers this long before the client's time is up
+MODULE_MS: Final = 20.0  # the module is told of an end this much earlier, so that it comes first
+BEAT_S: Final = 0.05  # spacing of the heartbeat that measures our own lag
+LAG_MS: Final = 5.0  # a heartbeat later than this is a stall
 
 
 class Clock:
@@ -57,7 +57,7 @@
         """It cannot be had whole."""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, init=False)
 class Order:
     """A valid request of a client: what the module is told, and what goes on to a host."""
 
@@ -76,6 +76,16 @@
     pool: str = ""  # the hosts that may serve it
     upload: Any = None  # the rest of its body, if that is still coming (net/flows.py)
 
+    def __init__(self, wire_id: bytes, class_name: str, plan_name: str, customer: str, time_left_ms: float,
+                 units: float, width: int, first: int, repeat: bool, read_at: float, head: bytes, body: bytes,
+                 pool: str = "", upload: Any = None) -> None:
+        self.wire_id, self.class_name = wire_id, class_name
+        self.plan_name, self.customer = plan_name, customer
+        self.time_left_ms, self.units, self.width, self.first = time_left_ms, units, width, first
+        self.repeat, self.read_at, self.head, self.body = repeat, read_at, head, body
+        self.pool, self.upload = pool, upload
+
+
 
 class _Open:
     """A request until it is answered and its last attempt is over."""
--- a/yewstage/net/counter.py
+++ b/yewstage/net/counter.py
@@ -6,17 +6,17 @@
 from collections import deque
 from collections.abc import Callable
 from functools import partial
-from typing import Any
+from typing import Any, Final
 
 from yewstage import interface as api
 from yewstage.net.http1 import Reply, ReplyProtocol, number
 
-CONNECTIONS = 4  # a slow part of the counter holds up what is written behind it on the same connection
-DIAL_S = 0.25
+CONNECTIONS: Final = 4  # a slow part of the counter holds up what is written behind it on the same connection
+DIAL_S: Final = 0.25
 BACKOFF_S, BACKOFF_MAX_S = 0.05, 1.0
-SILENT_S = 1.0  # an answer this late is not coming: the counter's machine is gone
-NOTHING_ADDED = frozenset((400, 404, 503))
-GRACE_S = 0.001  # one turn of the loop, in which what has arrived is read before a time-out counts
+SILENT_S: Final = 1.0  # an answer this late is not coming: the counter's machine is gone
+NOTHING_ADDED: Final = frozenset((400, 404, 503))
+GRACE_S: Final = 0.001  # one turn of the loop, in which what has arrived is read before a time-out counts
 
 
 class _Call:
--- a/yewstage/net/deadlines.py
+++ b/yewstage/net/deadlines.py
@@ -11,12 +11,12 @@
 import asyncio
 from collections.abc import Callable
 from heapq import heappop, heappush
-from typing import Generic, TypeVar
+from typing import Final, Generic, TypeVar
 
 T = TypeVar("T")
 
-TICK_S = 0.004  # finer would keep more slots: one for each tick up to the farthest deadline
-AT_ONCE = 64  # deadlines told of in one turn of the loop
+TICK_S: Final = 0.004  # finer would keep more slots: one for each tick up to the farthest deadline
+AT_ONCE: Final = 64  # deadlines told of in one turn of the loop
 
 
 class Deadlines(Generic[T]):
--- a/yewstage/net/discovery.py
+++ b/yewstage/net/discovery.py
@@ -8,18 +8,19 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Final
 
 from yewstage import interface as api
 from yewstage.net.http1 import LONGEST_LIST, Reply, ReplyProtocol
 
 log = logging.getLogger(__name__)
 
-WAIT_MS = 20000
-SILENT_S = 2.0  # how long an answer may be overdue before the connection is given up
+WAIT_MS: Final = 20000
+SILENT_S: Final = 2.0  # how long an answer may be overdue before the connection is given up
 BACKOFF_S, BACKOFF_MAX_S = 0.05, 0.5  # to turn a call away costs discovery little, a late list costs us much
-SPREAD = 0.5  # part of a rest that is left to chance: a herd that starts at once must not ask at once again
-STATES = {"ready": "up", "draining": "draining", "gone": "removed"}
+# Part of a rest that is left to chance: a herd that starts at once must not ask at once again
+SPREAD: Final = 0.5
+STATES: Final = {"ready": "up", "draining": "draining", "gone": "removed"}
 
 
 @dataclass(slots=True, frozen=True)
--- a/yewstage/net/flows.py
+++ b/yewstage/net/flows.py
@@ -16,18 +16,18 @@
 import asyncio
 import time
 from collections.abc import Callable
-from typing import Any, ClassVar
+from typing import Any, ClassVar, Final
 
 from yewstage import interface as api
 from yewstage.net.clients import BadRequestError, ClientConnection, Server
 from yewstage.net.hosts import Attempt, Hosts, _Connection
 from yewstage.net.http1 import LONGEST_BODY, NO_BODY, Reply
 
-LONGEST_UPLOAD = 33 * 1024 * 1024
-KEPT = 128 * 1024  # of a body, for a further attempt
-WINDOW = 64 * 1024  # of a body that no host takes yet; beyond it nothing more is read
-STANDS_S = 15.0  # how long a flow may stand still; a slow client empties our buffers every 5 s
-UPLOAD_S = 600.0  # how long a body may take to come at all
+LONGEST_UPLOAD: Final = 33 * 1024 * 1024
+KEPT: Final = 128 * 1024  # of a body, for a further attempt
+WINDOW: Final = 64 * 1024  # of a body that no host takes yet; beyond it nothing more is read
+STANDS_S: Final = 15.0  # how long a flow may stand still; a slow client empties our buffers every 5 s
+UPLOAD_S: Final = 600.0  # how long a body may take to come at all
 
 
 class Body:
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -7,18 +7,20 @@
 import select
 from collections.abc import Callable
 from functools import partial
-from typing import Any, ClassVar, Protocol
+from typing import Any, ClassVar, Final, Protocol
 
 from yewstage import interface as api
 from yewstage.net.deadlines import Deadlines
 from yewstage.net.http1 import Reply, ReplyProtocol
 
-GRACE_S = 0.002  # a turn of the loop or two, in which what has arrived is read before a time-out counts
-IDLE_SHARE = 0.5  # idle connections are retired after this part of the host's idle limit
-SWEEP_S = 1.0
-DIALS = 64  # dials under way at once
-OWN_BOUNDS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
-REST_S = 0.01  # an answered connection is used again after this: what follows an answer late is seen by then
+# A turn of the loop or two, in which what has arrived is read before a time-out counts
+GRACE_S: Final = 0.002
+IDLE_SHARE: Final = 0.5  # idle connections are retired after this part of the host's idle limit
+SWEEP_S: Final = 1.0
+DIALS: Final = 64  # dials under way at once
+OWN_BOUNDS: Final = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
+# An answered connection is used again after this: what follows an answer late is seen by then
+REST_S: Final = 0.01
 
 
 class Attempt:
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -10,19 +10,19 @@
 import re
 import time
 from dataclasses import dataclass
-from typing import cast
+from typing import Final, cast
 
 import httptools
 
-LONGEST_BODY = 64 * 1024
-LONGEST_LIST = 4 * 1024 * 1024
-LONGEST_FRAME = 64 * 1024  # heads and interim answers of one answer
-CHUNK_LINES = 16  # bytes of chunk lines for each byte of a body, at most: a chunk may hold one byte
-LONGEST_FLOW = 64 * 1024 * 1024  # an answer that is passed on as it comes
-NUMBER = re.compile(rb"-?[0-9]{1,15}(?:\.[0-9]{1,15})?(?:[eE][+-]?[0-9]{1,2})?")
-BLANKS = b" \t"  # may stand beside a value (RFC 9110 section 5.5); the parser leaves those behind it
-NO_BODY = frozenset((204, 304))
-NOT_UP = cast(asyncio.Transport, None)  # in a transport's place until the connection is up
+LONGEST_BODY: Final = 64 * 1024
+LONGEST_LIST: Final = 4 * 1024 * 1024
+LONGEST_FRAME: Final = 64 * 1024  # heads and interim answers of one answer
+CHUNK_LINES: Final = 16  # bytes of chunk lines for each byte of a body, at most: a chunk may hold one byte
+LONGEST_FLOW: Final = 64 * 1024 * 1024  # an answer that is passed on as it comes
+NUMBER: Final = re.compile(rb"-?[0-9]{1,15}(?:\.[0-9]{1,15})?(?:[eE][+-]?[0-9]{1,2})?")
+BLANKS: Final = b" \t"  # may stand beside a value (RFC 9110 section 5.5); the parser leaves those behind it
+NO_BODY: Final = frozenset((204, 304))
+NOT_UP: Final = cast(asyncio.Transport, None)  # in a transport's place until the connection is up
 
 
 class SpoiltError(Exception):
@@ -34,7 +34,7 @@
     return float(text) if NUMBER.fullmatch(text) else None
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, init=False)
 class Reply:
     """One whole answer."""
 
@@ -46,6 +46,11 @@
     length: int | None = None  # of one that is passed on; None: not told
     came_at: float = 0.0  # when its first bytes had come, by time.monotonic; 0: all came at once
 
+    def __init__(self, status: int, headers: dict[bytes, bytes], body: bytes, keep_alive: bool,
+                 flowed: bool = False, length: int | None = None, came_at: float = 0.0) -> None:
+        self.status, self.headers, self.body, self.keep_alive = status, headers, body, keep_alive
+        self.flowed, self.length, self.came_at = flowed, length, came_at
+
     def amount(self, name: bytes, most: float) -> float:
         """A header's figure above 0; 0 where there is none, or none that can be believed."""
         value = number(self.headers.get(name, b""))
