--- a/tests/hosted/test_isolation.py
+++ b/tests/hosted/test_isolation.py
@@ -124,6 +124,7 @@
         rig.per_tenant = {"a": {"default_plan": "small"}}
         async with rig:
             rig.service.resources.clock._offset += 3600
+            rig.service.resources.loop.whole = 1e9  # a slow one would refuse some first
             client = await rig.connect()
             found: dict[str, Counter[int]] = {"a": Counter(), "b": Counter()}
             for _ in range(20):
@@ -132,9 +133,7 @@
                     for name in "ab":
                         found[name][status(await client.read())] += 1
             assert found["b"] == {200: 80}
-            # Its plan lets 4 through; a slow machine's loop, too, may have no time for the others.
-            assert set(found["a"]) <= {200, 429, 503} and found["a"][429] > 0
-            assert sum(found["a"].values()) == 80 and found["a"][200] < 20
+            assert sum(found["a"].values()) == 80 and found["a"][429] > 60
             assert rig.service.slot("b").stats.units == 80
             assert rig.service.resources.clients.holds("a") + rig.service.resources.clients.holds("b") == 1
 
--- a/tests/test_compiled.py
+++ b/tests/test_compiled.py
@@ -45,8 +45,8 @@
     )
 
 
-def origin(folder: Path) -> str:
-    return run(folder, "-c", "import yewstage.policy as p; print(p.__file__)").stdout.strip()
+def origin(folder: Path, module: str = "policy") -> str:
+    return run(folder, "-c", f"import yewstage.{module} as m; print(m.__file__)").stdout.strip()
 
 
 @pytest.mark.skipif(
@@ -59,7 +59,8 @@
     with open(folder.parent / "lock", "w") as lock:  # one worker of the tests makes it, the others wait
         fcntl.flock(lock, fcntl.LOCK_EX)
         assert "is compiled" in make(folder)
-    assert origin(folder).endswith(".so") and str(folder) in origin(folder)
+    for module in ("policy", "net.clients", "net.operated"):
+        assert origin(folder, module).endswith(".so") and str(folder) in origin(folder, module)
     done = run(folder, "-m", "pytest", "-q", "-p", "no:cacheprovider", "-p", "no:xdist", tests)
     assert done.returncode == 0, done.stdout[-2000:]
 
--- a/yewstage/counter/service.py
+++ b/yewstage/counter/service.py
@@ -100,6 +100,9 @@
         """End the connection."""
         self._transport.abort()
 
+    def _ends(self) -> bool:
+        return self._close
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
         self._address = str((transport.get_extra_info("peername") or ("",))[0])
@@ -126,7 +129,7 @@
             self._answer(400, b"no HTTP/1.1 call", False)
         out, self._out = self._out, []
         self._transport.write(b"".join(out))
-        if self._close:
+        if self._ends():
             self._transport.close()
         elif self._transport.get_write_buffer_size() > LONGEST_UNREAD:
             self.drop()  # guards the memory: it calls and does not read
