--- a/tests/handover/test_state.py
+++ b/tests/handover/test_state.py
@@ -13,7 +13,8 @@
 from yewstage import interface as api
 from yewstage.handover.channel import LONGEST
 from yewstage.handover.state import AT_ONCE, MODULE, StateError, export, restore
-from yewstage.policy import CHOICES, Gateway
+from yewstage.limits.quotas import CHOICES
+from yewstage.policy import Gateway
 
 
 def busy(seed: int = 1, customers: int = 30, trouble: bool = True, **changes: object) -> Driver:
@@ -73,7 +74,7 @@
     d = busy()
     new = heir(d)
     d.give(api.Succeeded(True))
-    before, use = d.now, d.gateway.uses["c0", "capped"]
+    before, use = d.now, d.gateway.quotas.uses["c0", "capped"]
     spent = 0
     for i in range(400):
         for module in (d, new):
@@ -108,9 +109,9 @@
 
 def test_ceilings_that_were_forgotten_early_go_along() -> None:
     d = busy(most_customers=CHOICES)
-    assert d.gateway.shadow.times is not None
+    assert d.gateway.quotas.shadow.times is not None
     new = heir(d)
-    assert new.gateway.shadow.times == d.gateway.shadow.times
+    assert new.gateway.quotas.shadow.times == d.gateway.quotas.shadow.times
 
 
 def test_documents_are_of_bounded_size() -> None:
@@ -154,7 +155,7 @@
     fresh = Driver(servers=6, may_count=False)
     with pytest.raises(StateError, match="uses"):
         restore(fresh.gateway, documents)
-    assert not fresh.gateway.uses
+    assert not fresh.gateway.quotas.uses
 
 
 @pytest.mark.parametrize("text", ["x", "~~~~~", "0" * 40])
--- /dev/null
+++ b/tests/limits/test_quotas.py
@@ -0,0 +1,62 @@
+"""Quotas of customers that a gateway sees seldom, as in a fleet of hundreds."""
+
+from __future__ import annotations
+
+import pytest
+from conftest import PLAN, Driver, of
+
+from yewstage import interface as api
+
+
+def window_start(d: Driver, customer: str) -> float:
+    """The start of the customer's window that begins next."""
+    d.ask(plan="basic", customer=customer, width=100)
+    use = d.gateway.quotas.uses[customer, "basic"]
+    length = d.gateway.quotas.windows["basic"]
+    phase = (use.digest[0] << 8 | use.digest[1]) / 65536
+    return (use.window + 1 - phase) * length
+
+
+@pytest.mark.parametrize("into_ms", [1.0, 1500.0, 5000.0])
+def test_the_first_total_of_a_customer_is_laid_on_its_window(into_ms: float) -> None:
+    """The others spent at the plan's rate since the window's start: the store is as full as it was then."""
+    start = window_start(Driver(), "c")
+    d = Driver(fleet_size=100, now=start + into_ms)
+    rid, out = d.ask(plan="basic", customer="c", width=100)
+    (call,) = of(out, api.Count)
+    spent = PLAN.rate * into_ms / 1000
+    assert of(d.give(api.CountReply(call.name, api.OK, call.amount + spent)), api.Send)
+    use = d.gateway.quotas.uses["c", "basic"]
+    assert use.others == pytest.approx(PLAN.rate / 1000 if into_ms > 1 else use.others)
+    assert use.left == pytest.approx(PLAN.burst - 1, abs=0.2)
+
+
+def test_a_customer_whose_quota_was_spent_before_we_came_is_refused() -> None:
+    start = window_start(Driver(), "c")
+    d = Driver(fleet_size=100, now=start + 1000.0)
+    _, out = d.ask(plan="basic", customer="c", width=100)
+    (call,) = of(out, api.Count)
+    out = d.give(api.CountReply(call.name, api.OK, call.amount + PLAN.burst + PLAN.rate))
+    assert of(out, api.Refuse) and not of(out, api.Send)
+
+
+def test_after_a_first_total_the_rate_of_the_others_is_no_guess_from_one_millisecond() -> None:
+    """Half of the rate used by the others leaves room for all of ours, also seconds later and untold."""
+    start = window_start(Driver(), "c")
+    d = Driver(fleet_size=100, now=start + 2000.0)
+    _, out = d.ask(plan="basic", customer="c", width=100)
+    (call,) = of(out, api.Count)
+    rid = of(d.give(api.CountReply(call.name, api.OK, call.amount + 2.0)), api.Send)[0].request
+    d.end(rid)
+    d.gateway.quotas.heard = 1.0
+    d.now += 2000.0
+    assert d.gateway.quotas.left(d.gateway.quotas.uses["c", "basic"]) >= PLAN.burst - 2
+
+
+@pytest.mark.parametrize("into_ms", [1.0, 1500.0, 5000.0])
+def test_a_lone_gateway_that_starts_anew_finds_what_it_had_spent(into_ms: float) -> None:
+    d = Driver(now=window_start(Driver(), "c") + into_ms)
+    _, out = d.ask(plan="basic", customer="c", width=1)
+    (call,) = of(out, api.Count)
+    out = d.give(api.CountReply(call.name, api.OK, call.amount + PLAN.burst))
+    assert of(out, api.Refuse) and not of(out, api.Send)
--- a/yewstage/fleet.py
+++ b/yewstage/fleet.py
@@ -19,6 +19,7 @@
 from math import log2, sqrt
 
 from yewstage import interface as api
+from yewstage.limits.parts import draw
 
 GAIN = 0.2  # weight of one outcome in a host's running pace
 BACKOFF_MS, BACKOFF_MAX_MS = 500.0, 4000.0  # a failing host's rest before one trial, doubled to the second
@@ -36,13 +37,6 @@
 OUT, READY, COLD, FAILING = range(4)
 
 
-def draw(rng: random.Random, part: float, whole: float) -> float:
-    """A part of one unit serves nobody: a fair draw for the whole keeps the sum of all gateways right."""
-    if part >= whole or part <= 0:
-        return part
-    return whole if rng.random() * whole < part else 0.0
-
-
 class Host:
     """What this gateway knows of one server."""
 
--- a/yewstage/handover/state.py
+++ b/yewstage/handover/state.py
@@ -22,6 +22,7 @@
 
 from yewstage import policy
 from yewstage.fleet import OUT
+from yewstage.limits.quotas import Use
 from yewstage.policy import Gateway
 from yewstage.sketch import SLOTS
 
@@ -30,9 +31,9 @@
 PIECE = 96 * 1024  # of the sketch, as text
 MODULE, HOSTS, CUSTOMERS, SKETCH = "module", "hosts", "customers", "sketch"
 SCALARS = (
-    "born", "q", "f", "q_sum", "q_n", "q_seen", "ok_q", "lost", "done", "done_rate", "bank", "heard",
-    "call_at",
+    "born", "q", "f", "q_sum", "q_n", "q_seen", "ok_q", "lost", "done", "done_rate", "bank",
 )  # fmt: skip
+COUNTER = ("heard", "call_at")  # of the quotas; told beside the scalars
 HOST = ("born", "cold_from_ms", "slow", "strikes", "fails", "down_until", "died", "credit", "credit_at")
 USE = (
     "width", "widest", "window", "own", "added", "base", "base_own", "base_use", "base_at", "base_left",
@@ -51,24 +52,25 @@
     yield {
         "t": MODULE,
         "version": VERSION,
-        "scalars": {name: getattr(gateway, name) for name in SCALARS},
+        "scalars": {name: getattr(gateway, name) for name in SCALARS}
+        | {name: getattr(gateway.quotas, name) for name in COUNTER},
         "warm_rate": fleet.warm_rate,
         "latency": dict(gateway.latency),
-        "asked_at": dict(gateway.asked_at),
+        "asked_at": dict(gateway.quotas.asked_at),
         "cells": [[*key, c.value, c.work, c.f, c.r] for key, c in gateway.cells.items()],
     }
     hosts = list(fleet.hosts.values())
     for at in range(0, len(hosts), AT_ONCE):
         some = hosts[at : at + AT_ONCE]
         yield {"t": HOSTS, "hosts": {h.name: [getattr(h, field) for field in HOST] for h in some}}
-    uses = list(gateway.uses.values())
+    uses = list(gateway.quotas.uses.values())
     for at in range(0, len(uses), AT_ONCE):
         yield {
             "t": CUSTOMERS,
             "uses": [[*use.key, *(getattr(use, field) for field in USE)] for use in uses[at : at + AT_ONCE]],
         }
-    if gateway.shadow.times is not None:
-        text = base64.b85encode(zlib.compress(gateway.shadow.times.tobytes(), 1)).decode()
+    if gateway.quotas.shadow.times is not None:
+        text = base64.b85encode(zlib.compress(gateway.quotas.shadow.times.tobytes(), 1)).decode()
         for at in range(0, len(text), PIECE):
             yield {"t": SKETCH, "text": text[at : at + PIECE]}
 
@@ -83,7 +85,7 @@
     if len(heads) != 1 or heads[0].get("version") != VERSION:
         raise StateError(f"{MODULE}: one document of version {VERSION} is needed")
     head = heads[0]
-    scalars = _named("scalars", head.get("scalars"), SCALARS)
+    scalars = _named("scalars", head.get("scalars"), SCALARS + COUNTER)
     hosts = {
         name: _values(f"hosts.{name}", HOST, row)
         for document in documents
@@ -106,9 +108,11 @@
     times = _sketch("".join(str(d.get("text", "")) for d in documents if d.get("t") == SKETCH))
 
     for name, value in scalars.items():
-        setattr(gateway, name, value)
+        setattr(gateway.quotas if name in COUNTER else gateway, name, value)
+    gateway.quotas.born = gateway.born
+    gateway.quotas.pressed = gateway.f < 1
     gateway.latency.update({n: v for n, v in latency.items() if n in gateway.classes})
-    gateway.asked_at.update({n: v for n, v in asked_at.items() if n in gateway.plans})
+    gateway.quotas.asked_at.update({n: v for n, v in asked_at.items() if n in gateway.plans})
     gateway.fleet.warm_rate = warm_rate
     for cls, plan, (value, work, f, r) in cells:
         if cls in gateway.classes and plan in gateway.plans:
@@ -117,10 +121,10 @@
     for name, fields in hosts.items():
         _restore_host(gateway, name, fields)
     for customer, plan, fields in uses:
-        if plan in gateway.plans and len(gateway.uses) < gateway.s.most_customers:
+        if plan in gateway.plans and len(gateway.quotas.uses) < gateway.s.most_customers:
             _restore_use(gateway, customer, plan, fields)
     if times is not None:
-        gateway.shadow.times = times
+        gateway.quotas.shadow.times = times
 
 
 def _restore_host(gateway: Gateway, name: str, fields: dict[str, Any]) -> None:
@@ -140,10 +144,10 @@
 
 def _restore_use(gateway: Gateway, customer: str, plan: str, fields: dict[str, Any]) -> None:
     key = (customer, plan)
-    use = gateway.uses.get(key)
+    use = gateway.quotas.uses.get(key)
     if use is None:
-        use = gateway.uses[key] = policy._Use(key, gateway.plans[plan], fields["width"], gateway.now, 0.0)
-        gateway.ring.append(use)
+        use = gateway.quotas.uses[key] = Use(key, gateway.plans[plan], fields["width"], gateway.now, 0.0)
+        gateway.quotas.ring.append(use)
     for field, value in fields.items():
         setattr(use, field, value)
 
--- /dev/null
+++ b/yewstage/lab/virtual/gateway.py
@@ -0,0 +1,197 @@
+"""One gateway in virtual time: the decision module, and in place of sockets the modelled hosts and counter.
+
+Follows the platform's gateway (net/core.py, net/hosts.py, net/counter.py) where it matters for many together:
+kept connections and dials, time-outs, counter calls that are given up, a death that forgets all.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from yewstage import interface as api
+from yewstage.lab.virtual.hosts import Job
+from yewstage.policy import Gateway
+
+if TYPE_CHECKING:
+    from yewstage.lab.traffic import Try
+    from yewstage.lab.virtual.world import World
+
+RESULTS = {"ok": api.OK, "full": api.FULL, "draining": api.FULL, "reset": api.RESET}
+Answer = Callable[[str, float], object]  # served, refused, failed or reset; when to come back
+
+
+class _Attempt:
+    __slots__ = ("number", "server", "sent_at", "open", "job", "came")
+
+    def __init__(self, number: int, server: str, sent_at: float) -> None:
+        self.number, self.server, self.sent_at = number, server, sent_at
+        self.open = True
+        self.job: Job | None = None
+        self.came = False  # it is at the host
+
+
+class _Open:
+    __slots__ = ("id", "asked", "answer", "attempts")
+
+    def __init__(self, rid: str, asked: Try, answer: Answer) -> None:
+        self.id, self.asked = rid, asked
+        self.answer: Answer | None = answer
+        self.attempts: list[_Attempt] = []
+
+
+class Process:
+    """A gateway's process, from a start to its end."""
+
+    def __init__(self, world: World, number: int, seed: int) -> None:
+        self.world, self.loop, self.number = world, world.loop, number
+        self.zone = world.zone_of(number)
+        self.module = Gateway(world.settings(number), seed)
+        self.alive = True
+        self.counted_late = 0
+        self._open: dict[str, _Open] = {}
+        self._idle: dict[str, list[float]] = {}  # by host, since when each connection is idle
+        self._serial = 0
+
+    def give(self, event: api.Event) -> None:
+        """An event for the module."""
+        if not self.alive:
+            return
+        for act in self.module.handle(self.loop.now, event):
+            match act:
+                case api.Send():
+                    self._send(act)
+                case api.Refuse():
+                    self.world.causes[act.cause] += 1
+                    self._answer(act.request, "refused", act.retry_after_ms)
+                case api.Fail():
+                    self._answer(act.request, "failed", 0.0)
+                case api.Cancel():
+                    self._cancel(act)
+                case api.Timer():
+                    self.loop.after(act.in_ms, self.give, api.TimerDue(act.name))
+                case api.Count():
+                    self._count(act)
+                case _:
+                    pass
+
+    def request(self, make: Callable[[str], api.Request], one: Try, answer: Answer) -> str:
+        """A client's request, which is answered once; its id here."""
+        self._serial += 1
+        rid = f"r{self._serial}"
+        self._open[rid] = _Open(rid, one, answer)
+        self.give(make(rid))
+        return rid
+
+    def left(self, rid: str) -> None:
+        """The client has given up."""
+        one = self._open.get(rid)
+        if one is not None and one.answer is not None:
+            one.answer = None
+            self.give(api.ClientLeft(rid))
+            if all(not a.open for a in one.attempts):
+                self._open.pop(rid, None)
+
+    def die(self) -> None:
+        """Killed: connections to clients and hosts are reset, all is forgotten."""
+        self.alive = False
+        for one in self._open.values():
+            if one.answer is not None:
+                self.loop.after(self.world.client_ms, one.answer, "reset", 0.0)
+                one.answer = None
+
+    # --- Hosts ---
+
+    def _send(self, act: api.Send) -> None:
+        one = self._open.get(act.request)
+        if one is None:
+            return
+        attempt = _Attempt(len(one.attempts), act.server, self.loop.now)
+        world = self.world
+        if not one.attempts:
+            world.spent(one.asked)
+        one.attempts.append(attempt)
+        host = world.hosts.get(world.at_address.get(act.server, ""))
+        way = world.way_ms(self.zone, host.zone if host is not None else self.zone)
+        self.loop.after(act.timeout_ms, self._ended, one, attempt, api.TIMED_OUT)
+        idle = self._idle.setdefault(act.server, [])
+        fresh = self.loop.now - world.idle_ms / 2
+        while idle and idle[0] < fresh:
+            idle.pop(0)
+        if idle:
+            idle.pop()
+            if host is not None and host.alive and host.reachable:
+                self.loop.after(way, self._arrive, one, attempt)
+            elif host is None or not host.alive:
+                self.loop.after(2 * way, self._ended, one, attempt, api.STALE)
+            return
+        world.dials += 1
+        if host is None or not host.alive:
+            self.loop.after(2 * way, self._ended, one, attempt, api.CONNECT_FAILED)
+        elif not host.reachable:
+            self.loop.after(world.dial_ms, self._ended, one, attempt, api.CONNECT_FAILED)
+        else:
+            host.dialled()
+            self.loop.after(3 * way, self._arrive, one, attempt)
+
+    def _arrive(self, one: _Open, attempt: _Attempt) -> None:
+        host = self.world.hosts.get(self.world.at_address.get(attempt.server, ""))
+        if not attempt.open or host is None or not host.alive or not host.reachable:
+            return
+        self.world.attempts += 1
+        attempt.came = True
+        attempt.job = Job(one.id, one.asked.work_ms,
+                          lambda result: self._result(one, attempt, host.zone, result))
+        host.came(attempt.job)
+
+    def _result(self, one: _Open, attempt: _Attempt, zone: str, result: str) -> None:
+        self.loop.after(self.world.way_ms(self.zone, zone), self._ended, one, attempt, RESULTS[result])
+
+    def _ended(self, one: _Open, attempt: _Attempt, result: str) -> None:
+        if not attempt.open or not self.alive:
+            return
+        attempt.open = False
+        if attempt.job is not None and result in (api.TIMED_OUT, api.CANCELLED):
+            attempt.job.over = True
+        if result in (api.OK, api.FULL):
+            self._idle.setdefault(attempt.server, []).append(self.loop.now)
+        if result == api.OK:
+            self._answer(one.id, "served", 0.0)
+        final = one.answer is None
+        if final and all(not a.open for a in one.attempts):
+            self._open.pop(one.id, None)
+        self.give(api.Outcome(one.id, attempt.number, attempt.server, result, self.loop.now - attempt.sent_at,
+                              final, true_units=one.asked.true_units if result == api.OK else 0.0))
+
+    def _cancel(self, act: api.Cancel) -> None:
+        one = self._open.get(act.request)
+        if one is not None and act.attempt < len(one.attempts):
+            self._ended(one, one.attempts[act.attempt], api.CANCELLED)
+
+    def _answer(self, rid: str, result: str, retry_after_ms: float) -> None:
+        one = self._open.get(rid)
+        if one is None or one.answer is None:
+            return
+        answer, one.answer = one.answer, None
+        self.loop.after(self.world.client_ms, answer, result, retry_after_ms)
+        if all(not a.open for a in one.attempts):
+            del self._open[rid]
+
+    # --- The counter ---
+
+    def _count(self, act: api.Count) -> None:
+        world, made = self.world, self.loop.now
+        world.counter_calls += 1
+        done = [False]
+
+        def end(result: str, total: float) -> None:
+            if not done[0]:
+                done[0] = True
+                world.counter_unheard += result != api.OK
+                self.give(api.CountReply(act.name, result, total, self.loop.now - made))
+
+        def answered(result: str, total: float) -> None:
+            self.loop.after(world.counter_way_ms, end, api.OK if result == "ok" else api.FULL, total)
+
+        self.loop.after(self.module.s.count_wait_ms, end, api.TIMED_OUT, 0.0)
+        self.loop.after(world.counter_way_ms, world.counter.call, act.name, act.amount, act.keep_ms, answered)
--- /dev/null
+++ b/yewstage/lab/virtual/world.py
@@ -0,0 +1,366 @@
+"""A whole day in virtual time: gateways, hosts, counter, lists that come late, clients that ask again.
+
+What is measured follows what the operators count: worth answered within each class's aim over the worth asked
+for inside the quotas, a client's retries belonging to its first try. Quotas are judged by one true store for
+each customer, which no gateway sees.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from yewstage import interface as api
+from yewstage.lab.streams import Stream, generator
+from yewstage.lab.traffic import Customer, PlanTraffic, TrafficModel, Try, tries
+from yewstage.lab.virtual.counter import CounterModel, CounterService
+from yewstage.lab.virtual.gateway import Process
+from yewstage.lab.virtual.hosts import Host, HostModel
+from yewstage.lab.virtual.loop import Loop
+
+START_MS = 1e9  # the modules' clock at the start of a day
+
+
+@dataclass(slots=True, frozen=True)
+class DayModel:
+    """What a day is made of."""
+
+    gateways: int
+    hosts: int
+    traffic: TrafficModel
+    zones: tuple[str, ...] = ("a", "b")
+    host: HostModel = field(default_factory=HostModel)
+    counter: CounterModel = field(default_factory=CounterModel)
+    count_wait_ms: float = 90.0
+    retries: int = 3
+    backoff_ms: float = 300.0
+    honour: float = 0.6  # part of the clients that obey Retry-After
+    try_share: float = 0.75  # of the class's deadline, after which a try is given up
+    notice_ms: float = 2000.0  # how long the front goes on sending to a dead gateway
+    list_ms: tuple[float, float] = (800.0, 2000.0)  # how late a change of the list comes
+    max_retry_after_ms: float = 2000.0
+
+
+class Store:
+    """A store of units that starts full and fills at a rate."""
+
+    __slots__ = ("rate", "most", "left", "at")
+
+    def __init__(self, rate: float, most: float, now: float) -> None:
+        self.rate, self.most, self.left, self.at = rate, most, most, now
+
+    def fill(self, now: float) -> float:
+        """What is in it now."""
+        self.left = min(self.most, self.left + (now - self.at) * self.rate / 1000)
+        self.at = now
+        return self.left
+
+
+@dataclass(slots=True)
+class Figures:
+    """What came of a day; windows are of one second."""
+
+    tries: int = 0
+    first: int = 0
+    refused: int = 0
+    refused_with_room: int = 0  # at least half of the quota was unused
+    worth: float = 0.0  # asked for inside the quotas
+    served: float = 0.0
+    beyond: float = 0.0  # units sent on beyond the quotas
+    sent: float = 0.0
+    over_cost: float = 0.0  # worth that what was sent on beyond the quotas cost
+    reset: int = 0
+    lowest_ceiling: float = 0.0  # the least that was in a ceiling's store, in units
+    fallen: int = 0
+    windows: dict[int, list[float]] = field(default_factory=dict)  # asked, served
+
+    def g(self) -> float:
+        """Worth served over worth asked for, less what went beyond the quotas."""
+        return (self.served - self.over_cost) / max(self.worth, 1e-9)
+
+
+class _Ask:
+    """A first try and its retries."""
+
+    __slots__ = ("one", "left_tries", "inside", "done", "begun", "charged")
+
+    def __init__(self, one: Try, retries: int, begun: float) -> None:
+        self.one, self.left_tries, self.begun = one, retries, begun
+        self.done = False
+        self.inside = self.charged = False
+
+
+class World:
+    """One day."""
+
+    client_ms = 0.6
+    counter_way_ms = 1.0
+    dial_ms = 250.0
+    idle_ms = 30_000.0
+
+    def __init__(self, day: DayModel, seed: int) -> None:
+        self.day, self.seed = day, seed
+        self.loop = Loop(START_MS)
+        self.stream = Stream(seed, "network")
+        self.counter = CounterService(self.loop, day.counter)
+        self.hosts: dict[str, Host] = {}
+        self.at_address: dict[str, str] = {}
+        self.generation = 0
+        self.dials = self.attempts = self.counter_calls = self.counter_unheard = 0
+        self.figures = Figures()
+        self.causes: Counter[str] = Counter()  # why requests were refused
+        self._lists: dict[str, api.Server] = {}
+        self._starts = 0
+        self._classes = tuple(
+            api.RequestClass(c.name, c.aim_ms, c.deadline_ms, c.worth, 0.0, c.effect, "all", c.window_ms)
+            for c in day.traffic.classes)
+        self._plans = tuple(
+            api.Plan(p.name, p.rate, p.burst, p.worth, p.over_worth, p.over_cost, p.ceiling * p.rate,
+                     p.ceiling * p.burst, max(0.1 * p.ceiling * p.burst, day.traffic.most_units))
+            for p in day.traffic.plans)
+        speeds = generator(seed, "hosts").lognormal(0.0, 0.12, size=day.hosts)
+        for i in range(day.hosts):
+            self.add_host(f"h{i}", float(speeds[i]))
+        self.gateways = [self._start(i) for i in range(day.gateways)]
+        self._down_until: dict[int, float] = {}
+        self._quotas: dict[str, Store] = {}
+        self._ceilings: dict[str, Store] = {}
+        self._asked = tries(day.traffic, day.gateways, seed)
+        self._next = 0
+        if self._asked:
+            self.loop.at(START_MS + self._asked[0].at_ms, self._arrivals)
+
+    # --- The fleet ---
+
+    def zone_of(self, number: int) -> str:
+        """The zone of a gateway."""
+        return self.day.zones[number % len(self.day.zones)]
+
+    def way_ms(self, a: str, b: str) -> float:
+        """One way between two machines."""
+        return (0.25 if a == b else 1.0) * self.stream.uniform(1.0, 1.3)
+
+    def add_host(self, name: str, speed: float = 1.0, started: bool = False) -> Host:
+        """One more host; `started`: just now, so it is cold. The lists tell of it late."""
+        model = self.day.host
+        host = Host(self.loop, name, self.day.zones[len(self.hosts) % len(self.day.zones)],
+                    HostModel(model.cores, model.speed * speed, model.waiting, model.cold_from, model.cold_ms,
+                              model.fall_multiple, model.fall_ms, model.handshake_ms))
+        if started:
+            host.start()
+        self.hosts[name] = host
+        self.at_address[name] = name
+        self._tell(api.Server(name, host.zone, 0, "up", 1.0, host.started_ms))
+        return host
+
+    def drain_host(self, name: str) -> None:
+        """It wants nothing new."""
+        self.hosts[name].state = "draining"
+        self._tell(api.Server(name, self.hosts[name].zone, 0, "draining", 1.0, self.hosts[name].started_ms))
+
+    def remove_host(self, name: str) -> None:
+        """Its process ends, and it leaves the list."""
+        self.hosts[name].stop()
+        self._tell(api.Server(name, self.hosts[name].zone, 0, "removed", 1.0, self.hosts[name].started_ms))
+
+    def restart_host(self, name: str) -> None:
+        """Its process is back, cold, under its id."""
+        host = self.hosts[name]
+        host.start()
+        self._tell(api.Server(name, host.zone, 0, "up", 1.0, host.started_ms))
+
+    def _tell(self, server: api.Server) -> None:
+        """News for every agent, late by its own time; what is newer is not overtaken."""
+        self.generation += 1
+        if server.status == "removed":
+            self._lists.pop(server.name, None)
+        else:
+            self._lists[server.name] = server
+        for number in range(len(getattr(self, "gateways", ()))):
+            late = self.stream.uniform(*self.day.list_ms)
+            self.loop.after(late, self._told, number, server)
+
+    def _told(self, number: int, server: api.Server) -> None:
+        self.gateways[number].give(api.ServerList("changes", (server,)))
+
+    def settings(self, number: int) -> api.Settings:
+        """What a gateway is told when it starts."""
+        day = self.day
+        return api.Settings(
+            classes=self._classes, plans=self._plans, me=number, fleet_size=day.gateways,
+            zone=self.zone_of(number), try_limit=5, second_copies=True, cancel=True,
+            max_retry_after_ms=day.max_retry_after_ms, may_count=True,
+            most_units=day.traffic.most_units, count_wait_ms=day.count_wait_ms, trued_up=True, tick_ms=4.0,
+            drain_grace_ms=1000.0, cold_from=min(day.host.cold_from, 0.16), cold_ms=1.2 * day.host.cold_ms,
+            fall_multiple=day.host.fall_multiple, tip_after_ms=day.host.fall_ms)
+
+    def _start(self, number: int) -> Process:
+        self._starts += 1
+        process = Process(self, number, hash_seed(self.seed, number, self._starts))
+        process.give(api.ServerList("kept", tuple(self._lists.values())))
+        return process
+
+    def kill(self, number: int) -> None:
+        """A gateway dies at once; the front notices late."""
+        self.gateways[number].die()
+        self._down_until[number] = self.loop.now + self.day.notice_ms
+
+    def start(self, number: int) -> None:
+        """It is back, and knows nothing."""
+        self.gateways[number] = self._start(number)
+        self._down_until.pop(number, None)
+
+    # --- Clients ---
+
+    def _arrivals(self) -> None:
+        asked, now = self._asked, self.loop.now
+        while self._next < len(asked) and START_MS + asked[self._next].at_ms <= now:
+            one = asked[self._next]
+            self._next += 1
+            self._first(one)
+        if self._next < len(asked):
+            self.loop.at(START_MS + asked[self._next].at_ms, self._arrivals)
+
+    def _worth(self, one: Try) -> float:
+        return one.cls.worth * one.customer.plan.worth * one.units
+
+    def _quota(self, customer: Customer) -> Store:
+        store = self._quotas.get(customer.name)
+        if store is None:
+            plan: PlanTraffic = customer.plan
+            store = self._quotas[customer.name] = Store(plan.rate, plan.burst, START_MS)
+            self._ceilings[customer.name] = Store(plan.ceiling * plan.rate, plan.ceiling * plan.burst,
+                                                  START_MS)
+        return store
+
+    def _first(self, one: Try) -> None:
+        ask = _Ask(one, self.day.retries, self.loop.now)
+        figures = self.figures
+        figures.first += 1
+        offered = self._offered(one)
+        window = figures.windows.setdefault(int((self.loop.now - START_MS) / 1000), [0.0, 0.0])
+        if offered:
+            figures.worth += self._worth(one)
+            window[0] += self._worth(one)
+        ask.inside = offered
+        self._try(ask, one.gateway)
+
+    def _offered(self, one: Try) -> bool:
+        """Whether a try is inside the quota if all before it that were inside had been served."""
+        key = "asked." + one.customer.name
+        store = self._quotas.get(key)
+        if store is None:
+            store = self._quotas[key] = Store(one.customer.plan.rate, one.customer.plan.burst, START_MS)
+        if store.fill(self.loop.now) >= one.units:
+            store.left -= one.true_units
+            return True
+        return False
+
+    def _try(self, ask: _Ask, number: int) -> None:
+        customer = ask.one.customer
+        self.figures.tries += 1
+        process = self.gateways[number]
+        if not process.alive:
+            until = self._down_until.get(number)
+            if until is not None and self.loop.now >= until:  # the front knows: another of the set
+                for step in range(1, customer.width):
+                    other = self._beside(customer, number, step)
+                    if self.gateways[other].alive:
+                        self._try_at(ask, other)
+                        return
+            self.loop.after(2 * self.client_ms, self._ended, ask, number, "reset", 0.0)
+            return
+        self._try_at(ask, number)
+
+    def _beside(self, customer: Customer, number: int, step: int) -> int:
+        """Another gateway of a customer's set, counted round."""
+        place = (number - customer.first) % self.day.gateways
+        return (customer.first + (place + step) % customer.width) % self.day.gateways
+
+    def _try_at(self, ask: _Ask, number: int) -> None:
+        one, customer = ask.one, ask.one.customer
+        left = min(self.day.try_share * one.cls.deadline_ms,
+                   one.cls.deadline_ms - (self.loop.now - ask.begun))
+        done = [False]
+
+        def answer(result: str, retry_after_ms: float) -> None:
+            if not done[0]:
+                done[0] = True
+                self._ended(ask, number, result, retry_after_ms)
+
+        process = self.gateways[number]
+        rid = process.request(
+            lambda rid: api.Request(rid, one.cls.name, customer.plan.name, customer.name, left, one.units,
+                                    customer.width, customer.first),
+            one, answer)
+        self.loop.after(left, self._give_up, process, rid, answer)
+
+    def _give_up(self, process: Process, rid: str, answer: Any) -> None:
+        process.left(rid)
+        answer("late", 0.0)
+
+    def spent(self, one: Try) -> None:
+        """A try was sent on: it takes its units from the true stores."""
+        store, plan = self._quota(one.customer), one.customer.plan
+        figures = self.figures
+        figures.sent += one.units
+        if store.fill(self.loop.now) >= one.units:
+            store.left -= one.true_units
+        else:
+            figures.beyond += one.units
+            figures.over_cost += plan.over_cost * self._worth(one)
+        ceiling = self._ceilings[one.customer.name]
+        if ceiling.rate > 0:
+            ceiling.fill(self.loop.now)
+            ceiling.left -= one.units
+            figures.lowest_ceiling = min(figures.lowest_ceiling, ceiling.left)
+
+    def _ended(self, ask: _Ask, number: int, result: str, retry_after_ms: float) -> None:
+        one, figures = ask.one, self.figures
+        if ask.done:
+            return
+        if result == "served":
+            ask.done = True
+            if ask.inside and self.loop.now - ask.begun <= one.cls.aim_ms:
+                worth = self._worth(one)
+                figures.served += worth
+                figures.windows.setdefault(int((ask.begun - START_MS) / 1000), [0.0, 0.0])[1] += worth
+            return
+        if result == "refused":
+            figures.refused += 1
+            store = self._quota(one.customer)
+            figures.refused_with_room += store.fill(self.loop.now) >= store.most / 2
+        figures.reset += result == "reset"
+        spent = self.loop.now - ask.begun
+        if ask.left_tries <= 0 or result == "late" or spent >= one.cls.deadline_ms:
+            ask.done = True
+            return
+        ask.left_tries -= 1
+        wait = self.day.backoff_ms
+        if result == "refused" and retry_after_ms > 0 and one.luck < self.day.honour:
+            wait = max(wait, min(retry_after_ms, self.day.max_retry_after_ms))
+        customer = one.customer
+        step = 1 if one.luck < 0.3 else 0
+        other = self._beside(customer, number, step)
+        if spent + wait < one.cls.deadline_ms:
+            self.loop.after(wait, self._try, ask, other)
+        else:
+            ask.done = True
+
+    # --- The day ---
+
+    def run(self, until_s: float | None = None) -> Figures:
+        """Play to a time, or to the end."""
+        until = until_s if until_s is not None else self.day.traffic.length_s + 12.0
+        self.loop.run(START_MS + 1000 * until)
+        self.figures.fallen = sum(h.fallen for h in self.hosts.values())
+        return self.figures
+
+
+def hash_seed(*parts: int) -> int:
+    """One seed of several numbers."""
+    value = 0
+    for part in parts:
+        value = (value * 1_000_003 + part + 1) % (1 << 61)
+    return value
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -5,14 +5,13 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
 from bisect import bisect_left, bisect_right
 from collections import deque
 
 from yewstage import interface as api
-from yewstage.fleet import Fleet, Host, draw
-from yewstage.sketch import LatestTimes
+from yewstage.fleet import Fleet, Host
+from yewstage.limits.quotas import Quotas, Use
 
 # --- Constants -------------------------------------------------------------------------------------------
 SWEEP_MS = 100.0  # spacing of the housekeeping timer and of the q updates: a tenth of the quickest trouble
@@ -29,19 +28,8 @@
 PATIENCE, LOST = 2.5, 0.06  # usual latencies before an answer is missed; share missed that shows a loss
 TRIES = 64  # last tries of a class that tell its usual time left
 ROOM = 0.5  # beyond-quota work is let in only while q is under this part of Q_MIN
-WINDOWS = 2.0  # a count's window, in burst / rate: what idle times left unused in one is not lent out later
-SPLIT = 1.5  # our part of a silent counter's even split while there is room: use is uneven, peers may be dead
-OTHERS_MS = 1000.0  # memory of the others' rate of use
-HEED, CROWD = 0.35, 4  # weight of one counter reply in a mean of them; the power of the mean that thins calls
-CUTS = 4  # counter calls cut off with no answer between them: more than one connection's end breaks
-CALL_REST_MS = 1000.0  # one call in this time is made however few are answered: it finds the counter's return
-FORGET_WINDOWS = 3.0  # windows without a request after which what was read of a customer's use is no guide
-KEEP_MS = 120000.0  # a customer is forgotten that long after its last request, to make it anew costs more
 FADED = 0.01  # smoothed occupancy of a back end that has nothing to do
-LOOKS, SWEEPS = 64, 1200  # customers looked at in one sweep, and sweeps in which all are, where that is more
-CHOICES = 8  # customers weighed against each other when one must go early
 ROUNDING = 1e-9  # what a sum of shares may lack of a whole: taken for less than 1, it refused some work
-KEEP_MAX_MS = 60000.0  # longest life of a count
 BROKEN = frozenset((api.CONNECT_FAILED, api.RESET, api.STALE, api.UNSENT))  # the connection, not the work
 NOBODY: list[Host] = []
 NO_SAMPLE = BROKEN | {api.CANCELLED, api.SPOILT, api.NO_ROOM}  # results that tell nothing of occupancy
@@ -67,7 +55,7 @@
     __slots__ = ("req", "cls", "use", "aim_at", "end_at", "attempts", "out", "answered", "stream", "work",
                  "tries")
 
-    def __init__(self, req: api.Request, cls: api.RequestClass, use: _Use, aim_at: float, end_at: float,
+    def __init__(self, req: api.Request, cls: api.RequestClass, use: Use, aim_at: float, end_at: float,
                  work: float, tries: int) -> None:
         self.req, self.cls, self.use, self.work, self.tries = req, cls, use, work, tries
         self.aim_at, self.end_at = aim_at, end_at
@@ -76,34 +64,6 @@
         self.answered = self.stream = False
 
 
-class _Use:
-    """One customer's use: the count of this window, and this gateway's part of the ceiling."""
-
-    __slots__ = ("key", "plan", "width", "widest", "digest", "window", "name", "own", "added",
-                 "base", "base_own", "base_at", "base_use", "base_left", "most", "left", "left_at", "others",
-                 "calling", "in_call", "call_at", "asking", "open", "seen", "ceiling", "ceiling_at", "luck")
-
-    def __init__(self, key: tuple[str, str], plan: api.Plan, width: int, now: float, age: float) -> None:
-        self.key, self.plan, self.seen = key, plan, now
-        self.width = self.widest = width  # of its set, as named in this window or the last; in this one
-        # Windows start at a phase of the customer's own: no herd of calls at their edges.
-        self.digest = hashlib.blake2s(key[0].encode(), digest_size=8).digest()
-        self.window, self.name = -1, ""
-        self.own = self.added = self.in_call = 0.0  # our use in the window; told; in a call
-        self.calling, self.call_at = False, 0.0
-        self.base: float | None = None  # last total read; None: nothing read in this life
-        self.base_own = self.base_use = self.base_at = 0.0  # what it held of ours, our use then, when
-        self.most = self.base_left = plan.burst  # left if the others use nothing; the same at base
-        self.others = plan.rate / 1000 * (1 - 1 / width)  # estimate of the others' use, units per ms
-        # Danger: a gateway back from the dead has spent what it no longer knows. It earns its split anew.
-        self.left, self.left_at = min(plan.burst, plan.rate * age / 1000) / width, now
-        # Wait for a total: request, class, aim, end. None while there are none: most never have one.
-        self.asking: list[tuple[api.Request, api.RequestClass, float, float]] | None = None
-        self.open = 0
-        self.ceiling = self.ceiling_at = 0.0
-        self.luck = 1.0  # part of our asking that found something left
-
-
 class _Cell:
     """Requests of one class and plan: their worth per work, share of the work, fraction let in."""
 
@@ -151,23 +111,9 @@
         self.fleet = Fleet(settings, self.rng)
         self.hosts = self.fleet.hosts
         self.held: dict[str, _Held] = {}
-        # A window's number tells plans apart but for those with windows of one length. Names stay:
-        # gateways of two versions must count together while a new one is rolled out.
-        self.windows = {p.name: self._window_ms(p) if p.rate > 0 else 0.0 for p in settings.plans}
-        # Unseen for so long, a customer's use is no guide any longer, and its ceiling is full again.
-        self.rests = {p.name: max(FORGET_WINDOWS * (self.windows[p.name] or RATE_MEMORY_MS),
-                                  1000 * p.ceiling_burst / p.ceiling_rate if p.ceiling_rate > 0 else 0.0)
-                      for p in settings.plans}
-        self.asked_at: dict[str, float] = {}  # the last request under each plan
-        lengths = list(self.windows.values())
-        self.tags = {p.name: f".{i}" if lengths.count(lengths[i]) > 1 else ""
-                     for i, p in enumerate(settings.plans)}
-        self.uses: dict[tuple[str, str], _Use] = {}  # by customer and plan
-        self.ring: deque[_Use] = deque()  # the same, in the order in which they are looked at for forgetting
-        self.shadow = LatestTimes()  # since when ceilings fill whose customers went early
-        self.calls: dict[str, _Use] = {}  # by the name of its count, while a call is out
-        self.asking: dict[str, _Use] = {}  # by the request that waits for a total
-        self.askers: dict[_Use, None] = {}  # those with a request that waits, or has left while it waited
+        self.quotas = Quotas(settings, self.rng, self._settle)
+        self.asking: dict[str, Use] = {}  # by the request that waits for a total
+        self.askers: dict[Use, None] = {}  # those with a request that waits, or has left while it waited
         self.cells: dict[tuple[str, str], _Cell] = {}
         self.latency = {c.name: c.aim_ms / 10 for c in settings.classes}  # usual latency per unit
         self.patience = {c.name: _Patience() for c in settings.classes}
@@ -180,20 +126,18 @@
         self.ok_q = self.lost = 0.0  # part of the aim that good answers take; share of answers that are lost
         self.done = self.done_rate = 0.0  # good completions since the last sweep, and per ms
         self.bank = RETRY_BANK
-        self.heard, self.call_at = 1.0, 0.0  # part of our counter calls answered; the last one's time
-        self.cuts = 0  # calls cut off since the last answer
         self.said: dict[str, float] = {}
-        self.succeeded = False  # another process holds our parts of ceilings
 
     # --- Events -------------------------------------------------------------------------------------------
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         """The actions that answer one event at `now_ms`; times never run backwards."""
         if now_ms > self.now:
-            self.now = self.fleet.now = now_ms
-        self.out = []
+            self.now = self.fleet.now = self.quotas.now = now_ms
+        self.out = self.quotas.out = []
         if self.born is None:
-            self.born, self.sweep_due = self.now, self.now + SWEEP_MS
+            self.born = self.quotas.born = self.now
+            self.sweep_due = self.now + SWEEP_MS
             self.out.append(api.Timer("sweep", SWEEP_MS))
             if self.s.must_ask:
                 self.out.append(api.Subscribe())
@@ -227,7 +171,7 @@
             case api.HostOut():
                 self.fleet.by_hand(event.server, event.out)
             case api.Succeeded():
-                self.succeeded = event.by_heir
+                self.quotas.succeeded = event.by_heir
             case api.SettingsChanged():
                 self._change(event.settings)
             case api.TimerDue() | api.ProbeReply() | api.PeerMessage():
@@ -242,6 +186,7 @@
             raise ValueError("plans: cannot change in service")
         self.s, self.classes = settings, {c.name: c for c in settings.classes}
         self.fleet.change(settings)
+        self.quotas.s = settings
         used = {h.cls.name for h in self.held.values()} | set(self.classes)
         used |= {cls.name for use in self.askers for _, cls, _, _ in use.asking or ()}
         self.latency = {n: v for n, v in self.latency.items() if n in used}
@@ -257,7 +202,7 @@
         Such a module may be put away, and made anew from its settings when the next request comes: its first
         event, handled at the time of birth, gives ceilings back all that they have earned since.
         """
-        return (self.idle() and all(self.now - at >= self.rests[plan] for plan, at in self.asked_at.items())
+        return (self.idle() and self.quotas.settled()
                 and all(not h.fails and not h.died and self.fleet.warmth(h) >= 1
                         for h in self.hosts.values()))
 
@@ -287,12 +232,12 @@
         if aim_at <= self.now:
             self._refuse(req.id, api.LATE)  # its aim has passed: whatever we did would be waste
             return
-        use = self._use(req, plan)
+        use = self.quotas.use(req, plan)
         if use is None:
             self._refuse(req.id, api.CROWDED)
             return
         # Danger: a try with little time left would be held past its end; it is decided at once.
-        if aim_at - self.now > self.s.count_wait_ms + 2 * SWEEP_MS and self._unsure(use, req.units):
+        if aim_at - self.now > self.s.count_wait_ms + 2 * SWEEP_MS and self.quotas.unsure(use, req.units):
             if not self._admit(cls, plan, req.units):  # danger: asking for what f sheds crowds the counter
                 self._refuse_new(req, use, api.PRESSURE)
                 return
@@ -302,7 +247,7 @@
             if use.asking is None:
                 use.asking = []
             use.asking.append((req, cls, aim_at, end_at))
-            self._sync(use, req.units)
+            self.quotas.sync(use, req.units)
         else:
             self._decide(req, cls, use, aim_at, end_at, False)
 
@@ -317,16 +262,16 @@
             return 0.0
         return max(cls.deadline_ms - req.time_left_ms, 0.0)
 
-    def _decide(self, req: api.Request, cls: api.RequestClass, use: _Use, aim_at: float, end_at: float,
+    def _decide(self, req: api.Request, cls: api.RequestClass, use: Use, aim_at: float, end_at: float,
                 admitted: bool) -> None:
         """Send on or refuse, at once."""
         plan = use.plan
-        over = not self._quota_has(use, req.units)
+        over = not self.quotas.has(use, req.units)
         if over:
             fits = plan.over_worth > plan.over_cost and self.q < ROOM * Q_MIN
         else:
             fits = admitted or self._admit(cls, plan, req.units)
-        if not fits or not self._ceiling_has(use, req.units):
+        if not fits or not self.quotas.ceiling_has(use, req.units):
             cause = api.CEILING if fits else api.QUOTA if over else api.PRESSURE
             self._refuse_new(req, use, cause, over)
             return
@@ -341,8 +286,8 @@
         use.ceiling -= req.units
         use.open += 1
         if not over:
-            self._spend(use, req.units)
-        self._sync(use)
+            self.quotas.spend(use, req.units)
+        self.quotas.sync(use)
         self._send(held, host)
 
     def _admit(self, cls: api.RequestClass, plan: api.Plan, units: float) -> bool:
@@ -359,7 +304,7 @@
         cell.r = max(cell.r - 1.0, 0.0)
         return True
 
-    def _refuse_new(self, req: api.Request, use: _Use, cause: str, over: bool = False) -> None:
+    def _refuse_new(self, req: api.Request, use: Use, cause: str, over: bool = False) -> None:
         self._refuse(req.id, cause, 1000 * req.units / use.plan.rate if over and use.plan.rate else 0.0)
 
     def _refuse(self, rid: str, cause: str, wait_ms: float = 0.0) -> None:
@@ -408,6 +353,7 @@
             late = sum(a.open and self.now - a.sent > Q_MAX * h.cls.aim_ms
                        for h in self.held.values() for a in h.attempts)
         self.f = ramp((FEW * self.q + late) / (FEW + late))
+        self.quotas.pressed = self.f < 1
         # Staggered ramps: worth per work decides whose ramp f reaches first; the sum over cells stays f.
         total, above = sum(c.work for c in self.cells.values()), 0.0
         for cell in sorted(self.cells.values(), key=lambda c: -c.value):
@@ -419,223 +365,25 @@
 
     # --- Quotas and ceiling -----------------------------------------------------------------------------
 
-    def _use(self, req: api.Request, plan: api.Plan) -> _Use | None:
-        """What is known of a customer under a plan; None where there is no room to know one more.
-
-        Danger: another plan in a customer's name would reset its use, and a wide set once named would shrink
-        its parts for good. So each plan counts by itself, and a set holds for a window and the next.
-        """
-        width = max(1, min(req.width, self.s.fleet_size))
-        key = (req.customer, plan.name)
-        use = self.uses.get(key)
-        if use is None:
-            if len(self.uses) >= self.s.most_customers and not self._forget_one():
-                return None
-            use = self.uses[key] = _Use(key, plan, width, self.now, self.now - (self.born or 0.0))
-            use.ceiling_at = max(self.born or 0.0, self.shadow.at(use.digest))
-            self.ring.append(use)
-        unseen, use.seen = self.now - use.seen, self.now
-        self.asked_at[plan.name] = self.now
-        if plan.rate > 0:
-            length = self.windows[plan.name]
-            clock = self.now / length + (use.digest[0] << 8 | use.digest[1]) / 65536
-            if int(clock) != use.window:
-                self._roll(use, int(clock), self.now - clock % 1 * length)
-                if unseen >= FORGET_WINDOWS * length:
-                    # Danger: what was read long ago is no guide, and to ask anew for each of 100,000 seldom
-                    # seen customers crowds the counter. Our split of the burst goes untold at most.
-                    use.left = min(self._left(use), plan.burst / use.width)
-        if width > use.widest:
-            use.widest = width
-            use.width = max(use.width, width)
-        return use
-
-    def _forget_one(self) -> bool:
-        """Make room for a customer by forgetting one early, of a few the one unseen for the longest.
-
-        What it has of its ceiling is noted. Of its quota the counter knows all but the last few requests.
-        """
-        best, at, ring = None, 0, self.ring
-        looks = min(CHOICES, len(ring))
-        for i in range(looks):
-            use = ring[0]
-            ring.rotate(-1)
-            if not use.open and not use.asking and (best is None or use.seen < best.seen):
-                best, at = use, i
-        if best is None:
-            return False
-        del ring[len(ring) - looks + at]
-        rate = best.plan.ceiling_rate / 1000 / best.width
-        if rate > 0:
-            self.shadow.put(best.digest, best.ceiling_at - best.ceiling / rate)
-        self._forget(best)
-        return True
-
-    def _forget(self, use: _Use) -> None:  # off the ring already
-        del self.uses[use.key]
-        self.calls.pop(use.name, None)
-
-    @staticmethod
-    def _window_ms(plan: api.Plan) -> float:
-        return min(max(WINDOWS * 1000.0 * plan.burst / plan.rate, 1.0), KEEP_MAX_MS / 2)
-
-    def _roll(self, use: _Use, window: int, start: float) -> None:
-        """A new window: a new count. What was left unused is carried over, the burst at most.
-
-        Danger: a gateway that sees a customer once in many seconds rolls late; what the others used since the
-        window's start is in its total, so what was left is taken at that start, too.
-        """
-        self.calls.pop(use.name, None)
-        self._settle(use)
-        use.window, use.name = window, ""
-        use.width, use.widest = use.widest, 1
-        self._left(use, start)
-        known = use.most if use.base is None else max(use.left, 0.0)
-        use.base_at, use.base_left = max(start, use.left_at), known
-        use.own = use.base_use = use.own - use.added  # not told yet: told in the new window
-        use.added = use.base_own = 0.0
-        use.calling = False
-        use.base = None if use.base is None else 0.0
-
-    def _left(self, use: _Use, at: float | None = None) -> float:
-        """What is left of the quota: carried + rate x time - our use - the others' as read or estimated."""
-        span = (self.now if at is None else at) - use.left_at
-        if span <= 0:
-            return use.left
-        burst, rate = use.plan.burst, use.plan.rate / 1000
-        part = min(1.0, (SPLIT if self.f >= 1 else 1.0) / use.width)
-        use.most = min(burst, use.most + rate * span)
-        gain, most = (0.0, burst * part) if use.base is None else (rate - use.others, burst)
-        if use.base is None or self.heard < 0.5:  # nothing is known, or no more: our split at least
-            gain = max(gain, rate * part)
-        use.left = min(most, use.left + gain * span)
-        use.left_at += span
-        return use.left
-
-    def _unsure(self, use: _Use, units: float) -> bool:
-        """Nothing was read, or the estimate says no or maybe and the last total does not."""
-        if not self.s.may_count or use.plan.rate <= 0:
-            return False
-        if use.base is None:
-            return self._may_call()
-        doubt = (max(use.others, 0.0) * (self.now - use.base_at)) ** 0.5  # the others' use may vary so much
-        if self._left(use) - doubt >= units or units > use.most or not self._may_call():
-            return False
-        return self.rng.random() < max(use.luck, self.heard ** CROWD)
-
-    def _may_call(self) -> bool:
-        """Danger: the crowd at the counter is us. Unanswered calls thin out ours; what was not told waits.
-
-        Holds against a slow, silent or small counter alike. Hurts: totals are older while it acts.
-        """
-        return self.rng.random() < self.heard ** CROWD or self.now > self.call_at + CALL_REST_MS
-
-    @staticmethod
-    def _spend(use: _Use, units: float) -> None:
-        use.own += units
-        use.left -= units
-        use.most -= units
-
-    def _quota_has(self, use: _Use, units: float) -> bool:
-        plan = use.plan
-        if plan.parallel and use.open >= max(1, plan.parallel // use.width):
-            return False
-        if plan.rate <= 0:
-            return True
-        if use.base is None and use.own == 0:
-            return True  # one request costs nearly nothing, and its count call tells us more
-        self._left(use)
-        if use.base is None or self.heard < 0.5:
-            use.left = draw(self.rng, use.left, units)  # hurts: small parts serve by luck
-        return use.left >= units - 1e-9
-
-    def _ceiling_has(self, use: _Use, units: float) -> bool:
-        """This gateway's part of the ceiling, 1 / width of its rate and burst, empty at our start.
-
-        Invariant: the parts of all gateways never sum to more than the customer's store, whatever happens to
-        messages, counters and clocks: they fill no faster, hold no more, and a restart only
-        loses what was held.
-        """
-        plan = use.plan
-        if plan.ceiling_rate <= 0 or self.succeeded:
-            return plan.ceiling_rate <= 0
-        full = plan.ceiling_burst / use.width
-        gained = (self.now - use.ceiling_at) * plan.ceiling_rate / 1000 / use.width
-        use.ceiling = min(full, use.ceiling + gained)
-        use.ceiling_at = self.now
-        return units <= use.ceiling + 1e-9
-
-    def _sync(self, use: _Use, reserve: float = 0.0) -> None:
-        """Tell the counter, in batches that shrink as the customer nears its limit."""
-        newer = use.own - use.added + reserve  # asked and told in one; a refusal is taken off again
-        if not self.s.may_count or use.plan.rate <= 0 or use.calling:
-            return
-        if not reserve and (not newer or 0 < newer * use.width < self._left(use) or not self._may_call()):
-            return
-        use.calling, use.call_at, self.call_at = True, self.now, self.now
-        use.added += newer
-        use.in_call = newer
-        use.name = f"{use.digest.hex()}{self.tags[use.plan.name]}.{use.window}"
-        self.calls[use.name] = use
-        self.out.append(api.Count(use.name, newer, min(2 * self.windows[use.plan.name], KEEP_MAX_MS)))
-
     def _count_reply(self, reply: api.CountReply) -> None:
-        ok = reply.result == api.OK
-        self._hear(reply.result)
-        use = self.calls.pop(reply.name, None)
-        if use is None or not use.calling:
-            return
-        use.calling, use.name = False, ""
-        if ok:
-            self._read(use, reply.total)
-        elif reply.result not in (api.TIMED_OUT, api.CUT, api.SPOILT):
-            use.added -= use.in_call  # a call that may have counted is not added twice
-        self._settle(use)
-        if ok:
-            self._sync(use)
-
-    def _hear(self, result: str) -> None:
-        """Note one call's end in the share of calls that are answered.
-
-        Danger: what a good counter did not add to the silence, taken for it, blinds the quotas: they refuse
-        with room and let in beyond. A spoilt answer is one all the same. A cut connection (a proxy or a part
-        of the counter that starts anew, a cap on connections, an idle limit) says nothing of the pace of
-        answers on the others; only cuts with no answer between them mean a counter that is gone. Hurts: one
-        that sheds load by cuts alone, and answers one call in CUTS, is called in full.
-        """
-        answered = result in (api.OK, api.SPOILT)
-        self.cuts = 0 if answered else self.cuts + (result == api.CUT)
-        if result != api.CUT or self.cuts > CUTS:
-            self.heard += HEED * (answered - self.heard)
-        if self.heard < 0.5:
+        use = self.quotas.replied(reply)
+        if self.quotas.heard < 0.5:
             self._say("counter", "counter silent or crowded: calling less, quotas go by our estimates")
+        if use is not None:
+            self._settle(use)
+            if reply.result == api.OK:
+                self.quotas.sync(use)
 
-    def _settle(self, use: _Use) -> None:
+    def _settle(self, use: Use) -> None:
         """Decide the requests that waited for a total."""
         waiting, use.asking = use.asking or [], None
         self.askers.pop(use, None)
-        if waiting:  # danger: all gateways ask again and again for a customer who floods them
-            found = use.left >= waiting[0][0].units
-            use.luck = max(use.luck + HEED * (found - use.luck), 1 / use.width)
+        if waiting:
+            self.quotas.found(use, waiting[0][0].units)
         for req, cls, aim_at, end_at in waiting:
             if self.asking.pop(req.id, None) is not None:
                 self._decide(req, cls, use, aim_at, end_at, True)
 
-    def _read(self, use: _Use, total: float) -> None:
-        """A total: what the others used since the last one comes off what is left."""
-        span = max(self.now - use.base_at, 1.0)
-        others = total - (use.base or 0.0) - (use.added - use.base_own)
-        self._left(use)
-        if total >= use.added - 1e-6 and others >= -1e-6:
-            full = use.base_left + use.plan.rate * span / 1000 - others - (use.own - use.base_use)
-            # Danger: what overshot took nothing from the store, so it must not be owed ever after.
-            use.left = use.most = max(min(full, use.most), 0.0)
-            keep = 0.0 if use.base is None else OTHERS_MS / (OTHERS_MS + span)
-            use.others = keep * use.others + (1 - keep) * others / span
-        # Else the counter lost its counts: what is left stays as we know it, the count goes on from here.
-        use.base, use.base_own, use.base_use = total, use.added, use.own
-        use.base_left, use.base_at = use.most, self.now
-
     # --- Health of servers ----------------------------------------------------------------------------------
 
     def _judge(self, held: _Held, host: Host, event: api.Outcome) -> None:
@@ -755,8 +503,8 @@
             self._judge(held, attempt.host, event)
         self.fleet.place(attempt.host)
         if event.result == api.OK and event.true_units > 0 and held.use.plan.rate > 0:
-            self._spend(held.use, event.true_units - held.req.units)
-            self._sync(held.use)
+            self.quotas.spend(held.use, event.true_units - held.req.units)
+            self.quotas.sync(held.use)
         if event.final or event.result == api.OK or held.answered:
             self._finish(held)
         elif not held.out:
@@ -801,14 +549,7 @@
             if self.now - use.call_at > self.s.count_wait_ms + SWEEP_MS:  # danger: a reply that never comes
                 use.calling = False
                 self._settle(use)
-        for _ in range(min(len(self.ring), max(LOOKS, len(self.ring) // SWEEPS))):
-            use = self.ring.popleft()
-            # A forgotten ceiling part starts anew from our start: only one that would be full again may go.
-            if (self.now - use.seen >= max(self.rests[use.plan.name], KEEP_MS)
-                    and not use.open and not use.asking):
-                self._forget(use)
-            else:
-                self.ring.append(use)
+        self.quotas.sweep()
         self.sweep_due = self.now + SWEEP_MS
         self.out.append(api.Timer("sweep", SWEEP_MS))
 
