--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -62,11 +62,14 @@
                 continue
             assert {h for h in mine if groups[h] == fl.COLD} == set(home.cold.hosts)
             assert {h for h in mine if groups[h] == fl.FAILING} == set(home.failing.hosts)
-            ranked = {h: r for r, held in home.ranks.items() for h in held}
+            tiers = (home.near, home.far)
+            ranked = {h: r for tier in tiers for r, held in tier.ranks.items() for h in held}
             assert set(ranked) == {h for h in mine if groups[h] == fl.READY}
-            assert home.mask == sum(1 << r for r, held in home.ranks.items() if held)
+            for tier in tiers:
+                assert tier.mask == sum(1 << r for r, held in tier.ranks.items() if held)
             for host, rank in ranked.items():
-                assert home.ranks[rank][host.at] is host
+                assert host.tier is (home.near if host.near else home.far)
+                assert host.tier.ranks[rank][host.at] is host
                 load = (host.open + 1) * host.slow**0.5 / host.nominal
                 assert fl.LOWEST[rank] <= load * 1.000001
                 assert rank == fl.RANKS - 1 or load <= fl.LOWEST[rank + 1] * 1.000001
@@ -342,7 +345,7 @@
     assert fleet.open_well == 0 and fleet.up == 50
     for rid in rids:  # their outcomes come from hosts that are off the list
         d.end(rid)
-    assert fleet.open_well == 0 and len(fleet._pools[""].ranks) < 20
+    assert fleet.open_well == 0 and len(fleet._pools[""].near.ranks) < 20
     sent = [of(d.ask()[1], api.Send)[0].server for _ in range(50)]
     assert len(set(sent)) > 40 and all(int(name[1:]) >= 100 for name in sent)
 
--- a/yewstage/fleet.py
+++ b/yewstage/fleet.py
@@ -7,6 +7,11 @@
 and scored in full. So no cost here grows with the fleet: where a request may go to a few servers only, and
 among cold and failing ones, a bounded number is looked at from a random start.
 
+Where many gateways each see little traffic, a gateway prefers some of its ready hosts, its aperture, so that
+their connections are kept and their times known: the deterministic subsets of Site Reliability Engineering
+(ch. 20) on a ring as in Finagle's aperture. All gateways lay the same hosts on one ring; each begins at its
+own place, so every host is in as many apertures as the next. What is not in it stays ranked, apart.
+
 Sums (up, cold, failing, open on well ones) and a histogram of pace are kept up as servers change. Every
 change of a server ends in `place`. Free of I/O; times in milliseconds; part of the decision module.
 """
@@ -15,7 +20,9 @@
 
 import random
 from collections.abc import Iterable
+from hashlib import blake2s
 from heapq import heapify, heappop, heappush
+from itertools import chain
 from math import log2, sqrt
 
 from yewstage import interface as api
@@ -34,6 +41,10 @@
 PACE_STEPS, PACES, PACE_ZERO = 16, 176, 96  # the same for the histogram of pace
 LOWEST = [0.0, *(2.0 ** ((r - ZERO) / STEPS) for r in range(1, RANKS))]  # least load of each rank
 RANKS_OPEN = [STEPS * log2(n + 1) for n in range(1024)]  # ranks that n open requests add
+APERTURE_MS = 1500.0  # a host in the aperture sees a request of ours in this time: its connection is kept
+APERTURE_MIN, COVER = 8, 6  # hosts in it at least, and apertures that each host is in: traffic is uneven
+SPILL = 2.0  # a host outside of it is taken where the best inside is so many times as loaded
+RESIZE = 1.25  # it is laid out anew where its size is off by that factor: each change costs dials
 OUT, READY, COLD, FAILING = range(4)
 
 
@@ -42,7 +53,8 @@
 
     __slots__ = ("name", "zone", "cell", "nominal", "up", "born", "cold_from_ms", "open", "slow", "pool",
                  "strikes", "fails", "down_until", "died", "credit", "credit_at", "server", "listed", "group",
-                 "home", "regions", "rank", "at", "pace", "load", "log_load", "log_nominal", "out")
+                 "home", "regions", "rank", "at", "pace", "load", "log_load", "log_nominal", "out", "place",
+                 "near", "tier")
 
     def __init__(self, server: api.Server) -> None:
         self.name = server.name
@@ -57,6 +69,9 @@
         self.group = OUT
         self.home: _Pool | None = None  # while it is up
         self.regions: list[_Region] = []
+        self.place = blake2s(self.name.encode(), digest_size=8).digest()  # on the ring that all share
+        self.near = True  # it is in the aperture
+        self.tier: _Tier | None = None  # where it is ranked while it is ready
         self.rank, self.at = -1, 0  # its rank among the ready, and its place in that
         self.pace = PACE_ZERO  # its bin in the histogram
         self.update(server)
@@ -122,15 +137,24 @@
         self.well, self.failing = Bag(), Bag()
 
 
+class _Tier:
+    """Ready hosts by rank: those in the aperture, or those outside of it."""
+
+    __slots__ = ("ranks", "mask")
+
+    def __init__(self) -> None:
+        self.ranks: dict[int, list[Host]] = {}
+        self.mask = 0  # bit r: rank r holds somebody
+
+
 class _Pool:
     """The hosts that serve one pool, by group."""
 
-    __slots__ = ("count", "ranks", "mask", "cold", "failing", "regions", "trials")
+    __slots__ = ("count", "near", "far", "cold", "failing", "regions", "trials")
 
     def __init__(self) -> None:
         self.count = 0
-        self.ranks: dict[int, list[Host]] = {}
-        self.mask = 0  # bit r: rank r holds somebody
+        self.near, self.far = _Tier(), _Tier()
         self.cold, self.failing = Bag(), Bag()
         self.regions: dict[tuple[str | int, ...], _Region] = {}
         self.trials = TRIAL_BANK
@@ -158,6 +182,8 @@
         self._paces = [0] * PACES
         self._warming: list[tuple[float, int, Host]] = []  # when cold hosts will be warm; may hold stale ones
         self._turn = 0  # breaks ties there
+        self._ring_stale, self._aperture = True, 0  # hosts came or went; the size laid out last, 0: all
+        self._begun, self._begun_rate = 0, 0.0  # requests since the last sweep, and per ms
 
     # --- The list ---
 
@@ -182,6 +208,8 @@
                 host.update(server)
                 self.open_well += 0 if host.fails else host.open
                 self.place(host)
+        if event.kind != "changes":
+            self._lay_out()
 
     def _unlist(self, name: str) -> None:
         host = self.hosts.pop(name)
@@ -236,26 +264,28 @@
         if rank == host.rank:
             return
         rank = min(max(rank, 0), RANKS - 1)
-        home = host.home
-        assert home is not None
         if host.rank >= 0:
-            self._leave(home, host)
-        held = home.ranks.get(rank)
+            self._leave(host)
+        tier = host.tier
+        assert tier is not None
+        held = tier.ranks.get(rank)
         if held is None:
-            held = home.ranks[rank] = []
+            held = tier.ranks[rank] = []
         host.rank, host.at = rank, len(held)
         held.append(host)
-        home.mask |= 1 << rank
+        tier.mask |= 1 << rank
 
     @staticmethod
-    def _leave(home: _Pool, host: Host) -> None:
-        held = home.ranks[host.rank]
+    def _leave(host: Host) -> None:
+        tier = host.tier
+        assert tier is not None
+        held = tier.ranks[host.rank]
         last = held.pop()
         if last is not host:
             held[host.at] = last
             last.at = host.at
         if not held:
-            home.mask ^= 1 << host.rank
+            tier.mask ^= 1 << host.rank
         host.rank = -1
 
     def _move(self, host: Host, group: int) -> None:
@@ -268,7 +298,7 @@
         home = host.home
         assert home is not None
         if old == READY:
-            self._leave(home, host)
+            self._leave(host)
         elif old == COLD:
             home.cold.drop(host)
             self.cold -= 1
@@ -294,11 +324,13 @@
     def _enter(self, host: Host) -> None:
         """It is up: into its pool, and the regions that requests may be bound to."""
         self.up += 1
+        self._ring_stale = True
         self._paces[host.pace] += 1
         home = host.home = self._pools.get(host.pool)
         if home is None:
             home = host.home = self._pools[host.pool] = _Pool()
         home.count += 1
+        host.tier = home.near if host.near else home.far
         for scope, key in (("zone", (host.zone,)), ("cell", (host.zone, host.cell))):
             if scope in self.scopes:
                 region = home.regions.get(key)
@@ -309,6 +341,7 @@
     def _exit(self, host: Host, home: _Pool) -> None:
         """It is up no longer. What it leaves empty goes: renamed pools and zones must not fill the memory."""
         self.up -= 1
+        self._ring_stale = True
         self._paces[host.pace] -= 1
         for key in ((host.zone,), (host.zone, host.cell)):
             region = home.regions.get(key)
@@ -325,6 +358,7 @@
     def began(self, host: Host, work: float) -> None:
         """A request with `work`, ms of service, goes to it."""
         host.open += 1
+        self._begun += 1
         if not host.fails and host.listed:
             self.open_well += 1
         if host.cold_from_ms and self.warmth(host) < 1:
@@ -395,8 +429,12 @@
                 self.place(host)
 
     def sweep(self, span: float, keep: float) -> None:
-        """Refresh what is weighed seldom: the median pace and the yardstick of a warm host."""
+        """Refresh what is weighed seldom: the median pace, the yardstick of a warm host, the aperture."""
         self.warm_up()
+        memory = APERTURE_MS / (APERTURE_MS + span)
+        self._begun_rate = memory * self._begun_rate + (1 - memory) * self._begun / span
+        self._begun = 0
+        self._lay_out()
         half, seen = self.up // 2, 0
         self.mid = 1.0
         if self.up:
@@ -416,6 +454,34 @@
             heapify(self._warming)
             self._turn = len(cold)
 
+    def _lay_out(self) -> None:
+        """Lay the aperture: as many hosts from this gateway's place on the ring on as its traffic keeps warm.
+
+        Danger: a host in too few apertures idles, one in too many is flooded; by place in the order, not by
+        angle, each is in as many as the next, whatever its name. Hurts: a host that comes or goes moves the
+        ends of the others' apertures by one. Lists that differ for a while do no more than that.
+        """
+        wide = max(APERTURE_MIN, COVER * self.up / self.s.fleet_size, APERTURE_MS * self._begun_rate)
+        size = int(wide) if wide * RESIZE < self.up else 0
+        if self._aperture and size and 1 / RESIZE < size / self._aperture < RESIZE:
+            size = self._aperture
+        if size == self._aperture and not (size and self._ring_stale):
+            return
+        self._aperture, self._ring_stale = size, False
+        ring = sorted((h for h in self.hosts.values() if h.group != OUT), key=lambda h: h.place)
+        first = len(ring) * self.s.me // self.s.fleet_size
+        for at, host in enumerate(chain(ring[first:], ring[:first])):
+            near = at < size or not size
+            if near != host.near:
+                host.near = near
+                home, ranked = host.home, host.rank >= 0
+                assert home is not None
+                if ranked:
+                    self._leave(host)
+                host.tier = home.near if near else home.far
+                if ranked:
+                    self.place(host)
+
     # --- Choice ---
 
     def cold_room(self, host: Host, warmth: float, work: float) -> bool:
@@ -455,7 +521,7 @@
         if home.failing.hosts:
             home.trials = min(home.trials + TRIAL_SHARE, TRIAL_BANK)
             # Danger: where most of a large fleet fails, trials would take all requests from the hosts left.
-            if safe and (home.trials >= 1 or not home.mask):
+            if safe and (home.trials >= 1 or not (home.near.mask or home.far.mask)):
                 for host in home.failing.look(LOOKS, self.rng):
                     if self._on_trial(host, work) and host not in tried:
                         home.trials = max(home.trials - 1, 0.0)
@@ -464,19 +530,31 @@
             for host in home.cold.look(LOOKS, self.rng):
                 if self.cold_room(host, self.warmth(host), work):
                     return host
-        best = self._least_ranked(home, tried)
+        best = self._nearest(home, tried) if home.far.mask else self._least_ranked(home, home.near, tried)
         return best if best is not None else self._rested(home.failing, work, tried)
 
-    def _least_ranked(self, home: _Pool, tried: list[Host]) -> Host | None:
+    def _nearest(self, home: _Pool, tried: list[Host]) -> Host | None:
+        """The least loaded of the aperture, unless one outside of it is far less so: a lost zone, or a burst,
+        must not jam the few."""
+        best = self._least_ranked(home, home.near, tried)
+        load = (best.open + 1) * best.load if best is not None and best not in tried else 0.0
+        lowest = home.far.mask & -home.far.mask
+        if not load or load > SPILL * LOWEST[lowest.bit_length() - 1]:
+            other = self._least_ranked(home, home.far, tried)
+            if other is not None and (not load or load > SPILL * (other.open + 1) * other.load):
+                return other
+        return best
+
+    def _least_ranked(self, home: _Pool, tier: _Tier, tried: list[Host]) -> Host | None:
         """The least loaded of some of the lowest ranks: all that could be it, where that is a few."""
         best, best_load, looks = None, 0.0, LOOKS
-        mask, random = home.mask, self.rng.random
+        mask, random = tier.mask, self.rng.random
         while mask and looks > 0:
             low = mask & -mask
             rank = low.bit_length() - 1
             if best is not None and LOWEST[rank] >= best_load:
                 break
-            held = home.ranks[rank]
+            held = tier.ranks[rank]
             count = len(held)
             at = int(random() * count) if count > looks else 0
             for i in range(at - count, at - count + min(count, looks)):
