hillmux lab: fleets of real gateways between stand-ins with faults, judged by their record

Need: what counts is how many processes behave together when parts fail, and nothing of ours could show it.

Change: yewstage/lab plays a scenario (TOML, checked whole): gateways as the platform starts them, a process with all hosts, counter and agents, one with the clients. Stand-ins speak the platform's protocol and behave by the models of virtual time; a fault acts in the stand-in's end of each link (cut either way, delay, throttle, reset in an answer, dials that hang).

--- /dev/null
+++ b/tests/lab/test_run.py
@@ -0,0 +1,134 @@
+"""The real program, several processes of it, between the lab's stand-ins, with faults between them."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from yewstage.lab import record
+from yewstage.lab.run import Result, play
+from yewstage.lab.scenario import Scenario
+
+ROOT = Path(__file__).resolve().parents[2]
+PLAN = {"name": "capped", "share": 1.0, "rate": 6.0, "burst": 12.0, "ceiling": 1.5, "width": 4}
+READ = {"name": "read", "share": 0.6, "work_ms": 15, "aim_ms": 2000, "deadline_ms": 3000, "worth": 3.0}
+BOOK = {"name": "book", "share": 0.4, "work_ms": 20, "aim_ms": 2000, "deadline_ms": 3000, "worth": 2.0,
+        "effect": "keyed", "window_ms": 4000}  # fmt: skip
+
+
+def day(*faults: dict[str, Any], rules: tuple[str, ...], length_s: float = 5.0, **fleet: Any) -> Scenario:
+    return Scenario.model_validate({
+        "name": "day", "seed": 5, "length_s": length_s,
+        "fleet": {"gateways": 4, "hosts": 6, "cold_ms": 3000, "list_late_ms": [10, 150], **fleet},
+        "traffic": {"per_s": 60, "heavy": 0.2, "heavy_x": 4.0, "plans": [PLAN], "classes": [READ, BOOK]},
+        "faults": faults, "hold": {"rules": rules},
+    })  # fmt: skip
+
+
+def held(result: Result) -> None:
+    """Every rule asked for was exercised and held; what broke is shown."""
+    said = {v.rule: (v.says(), v.chains[:1]) for v in result.verdicts}
+    assert all(says == "held" for says, _ in said.values()) and len(said) > 2, said
+
+
+def count(run: Result, ev: str, **fields: Any) -> int:
+    """Events of a kind in a run's record."""
+    return sum(e["ev"] == ev and fields.items() <= e.items() for e in record.read(run.folder))
+
+
+def test_gateways_killed_and_stopped_and_started_together_lose_no_answer_and_pass_no_ceiling(
+    tmp_path: Path,
+) -> None:
+    result = play(day(
+        {"at_s": 1.0, "what": "kill", "who": "75% of gateways", "name": "herd"},
+        {"at_s": 1.2, "what": "start", "who": "@herd", "over_s": 0.3},
+        {"at_s": 3.0, "what": "stop", "who": "gateway:0"},
+        {"at_s": 3.6, "what": "cont", "who": "gateway:0"},
+        rules=("answered", "effects", "ceilings", "units"),
+    ), tmp_path / "run")  # fmt: skip
+    held(result)
+    assert count(result, "ready") == 7 and count(result, "kill") == 3
+    assert count(result, "answer", result="served") > 100
+
+
+def test_hosts_that_crash_drain_leave_and_return_cold_while_a_zone_is_cut(tmp_path: Path) -> None:
+    result = play(day(
+        {"at_s": 1.0, "what": "drain", "who": "host:h0"},
+        {"at_s": 1.5, "what": "crash", "who": "host:h1"},
+        {"at_s": 1.8, "what": "restart", "who": "host:h1"},
+        {"at_s": 2.0, "what": "cut", "who": "gateways in a", "other": "hosts in b"},
+        {"at_s": 2.5, "what": "remove", "who": "host:h0"},
+        {"at_s": 3.2, "what": "heal", "who": "gateways in a", "other": "hosts in b"},
+        rules=("answered", "effects", "drains", "cold", "ceilings"),
+    ), tmp_path / "run")  # fmt: skip
+    held(result)
+    assert result.figures.fell == 0
+    assert count(result, "got", who="h1", cold=True) > 0  # it was given work while cold
+
+
+def test_a_counter_that_comes_back_empty_and_as_two_leaves_every_ceiling_as_it_is(tmp_path: Path) -> None:
+    result = play(day(
+        {"at_s": 1.0, "what": "counter_stop"},
+        {"at_s": 2.0, "what": "counter_start", "how": "nothing"},
+        {"at_s": 3.0, "what": "counter_split", "who": "gateways in a"},
+        {"at_s": 4.0, "what": "counter_join"},
+        {"at_s": 1.2, "what": "silence", "who": "gateway:*"},
+        {"at_s": 2.2, "what": "forget", "who": "gateway:*"},
+        {"at_s": 2.4, "what": "speak", "who": "gateway:*"},
+        rules=("answered", "effects", "ceilings"),
+    ), tmp_path / "run")  # fmt: skip
+    held(result)
+    assert result.figures.counter_calls > 50
+
+
+def test_a_run_that_is_broken_off_leaves_no_process(tmp_path: Path) -> None:
+    """Ctrl-C, and the lab killed outright while a gateway of it is stopped."""
+    for number in (signal.SIGINT, signal.SIGKILL):
+        out = tmp_path / number.name
+        with subprocess.Popen(
+            [sys.executable, "-m", "yewstage.cli", "lab", "run", str(ROOT / "examples/lab/herd.toml"),
+             "--out", str(out)], cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE,
+        ) as lab:  # fmt: skip
+            assert lab.stderr is not None
+            while b"playing" not in lab.stderr.readline():
+                assert lab.poll() is None
+            mine = children(lab.pid)
+            assert len(mine) == 22  # twenty gateways, the stand-ins, the load
+            os.kill(mine[0], signal.SIGSTOP)
+            lab.send_signal(number)
+            lab.wait(20)
+        left = time.monotonic() + 10
+        while alive := [pid for pid in mine if running(pid)]:
+            assert time.monotonic() < left, alive
+            time.sleep(0.02)
+
+
+def children(pid: int) -> list[int]:
+    """The processes that one has started."""
+    found = []
+    for task in Path(f"/proc/{pid}/task").iterdir():
+        found += [int(word) for word in (task / "children").read_text().split()]
+    return found
+
+
+def running(pid: int) -> bool:
+    """Whether a process is there and no zombie."""
+    try:
+        return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] != "Z"
+    except OSError:
+        return False
+
+
+def test_a_file_that_is_no_good_ends_with_2_and_starts_nothing(tmp_path: Path) -> None:
+    path = tmp_path / "bad.toml"
+    path.write_text('name = "x"\nlength_s = -1\n', encoding="utf-8")
+    done = subprocess.run(
+        [sys.executable, "-m", "yewstage.cli", "lab", "run", str(path), "--out", str(tmp_path / "o")],
+        cwd=ROOT, capture_output=True, text=True, check=False)  # fmt: skip
+    assert done.returncode == 2 and not (tmp_path / "o").exists()
+    assert "length_s: found -1" in done.stderr and "fleet: " in done.stderr
--- a/yewstage/cli.py
+++ b/yewstage/cli.py
@@ -10,6 +10,7 @@
 import click
 
 from yewstage.hosted.config import ConfigFaultsError
+from yewstage.lab.commands import lab
 
 FAULT = 2  # exit status for a configuration or an address that is no good
 
@@ -109,6 +110,9 @@
     sys.exit(uvloop.run(run(seconds, plain or not sys.stdout.isatty())))
 
 
+main.add_command(lab)
+
+
 async def _count(host: str, port: int, names: int) -> None:
     import signal
 
--- /dev/null
+++ b/yewstage/lab/checks.py
@@ -0,0 +1,208 @@
+"""The rules over a record: what was broken, by the shortest chain of events that shows it. Free of I/O.
+
+Each checker reads events in the order of their times. One that saw no event of its kind says `not exercised`,
+which does not count as held: a check that cannot fail shows nothing.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict, deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+Event = dict[str, Any]
+SLACK_MS = 50.0  # the protocol's, on sockets
+ANSWER_SLACK_MS = 500.0  # an answer so long after its client gave up is late, not lost
+MOST_SHOWN = 20
+TURNED_AWAY = frozenset(("full", "draining"))  # proves that a request did not run
+
+
+@dataclass(slots=True)
+class Verdict:
+    """What one checker found."""
+
+    rule: str
+    exercised: int = 0  # times that it had something to judge
+    broken: int = 0
+    chains: list[list[Event]] = field(default_factory=list)  # the first few
+
+    def says(self) -> str:
+        """held, broken or not exercised."""
+        return "broken" if self.broken else "held" if self.exercised else "not exercised"
+
+    def show(self, chain: Iterable[Event]) -> None:
+        """Note one violation with the events that show it."""
+        self.broken += 1
+        if len(self.chains) < MOST_SHOWN:
+            self.chains.append(list(chain))
+
+
+@dataclass(slots=True, frozen=True)
+class Terms:
+    """What the rules are judged by."""
+
+    drain_grace_ms: float
+    ceilings: dict[str, tuple[float, float, float]]  # by plan: rate in units a second, store, slack
+    quotas: dict[str, tuple[float, float]]  # by plan: rate, burst
+
+
+def answered(events: Iterable[Event]) -> Verdict:
+    """One final answer for each request that a running gateway took, and none after it.
+
+    A try whose connection broke under it is excused where its gateway died or was stopped meanwhile, and so
+    is one that was never written.
+    """
+    verdict = Verdict("answered")
+    wrote: dict[str, Event] = {}
+    down: dict[str, list[Event]] = defaultdict(list)  # what befell each gateway
+    for event in events:
+        match event["ev"]:
+            case "wrote":
+                wrote[event["rid"]] = event
+            case "kill" | "stop" | "ended" | "cont" | "start":
+                down[event["who"]].append(event)
+            case "second":
+                verdict.show([event])
+            case "answer" if event["rid"] in wrote:
+                verdict.exercised += 1
+                asked = wrote.pop(event["rid"])
+                if event["result"] in ("late", "reset"):
+                    befell = down[event["gw"]]
+                    dead = bool(befell) and befell[-1]["ev"] in ("stop", "kill", "ended")
+                    excused = dead or any(
+                        e["t"] >= asked["t"] - SLACK_MS and e["ev"] != "start" for e in befell
+                    )
+                    if not excused:
+                        verdict.show([asked, event])
+    for asked in wrote.values():
+        verdict.show([asked])
+    return verdict
+
+
+def effects(events: Iterable[Event]) -> Verdict:
+    """A request that might have run goes out again only within what its class allows."""
+    verdict = Verdict("effects")
+    out: dict[str, list[Event]] = {}  # what may have run, by request
+    for event in events:
+        if event["ev"] == "got" and event["kind"] != "safe":
+            verdict.exercised += 1
+            before = out.setdefault(event["rid"], [])
+            if before and event["kind"] == "unsafe":
+                verdict.show([*before, event])
+            elif before and event["t"] - before[0]["t"] > event["window"] + SLACK_MS:
+                verdict.show([before[0], event])
+            before.append(event)
+        elif event["ev"] == "end" and event["result"] in TURNED_AWAY and event["rid"] in out:
+            held = out[event["rid"]]
+            for i, sent in enumerate(held):
+                if sent["who"] == event["who"] and sent["gw"] == event["gw"]:
+                    del held[i]
+                    break
+    return verdict
+
+
+def drains(events: Iterable[Event], grace_ms: float) -> Verdict:
+    """Nothing new reaches a host later than the grace after its gateway's agent was told that it drains."""
+    verdict = Verdict("drains")
+    told: dict[tuple[str, str], Event] = {}
+    stopped: set[str] = set()
+    for event in events:
+        match event["ev"]:
+            case "told" if event["state"] == "ready":
+                told.pop((event["who"], event["host"]), None)
+            case "told":
+                told[event["who"], event["host"]] = event
+                verdict.exercised += 1
+            case "stop":
+                stopped.add(event["who"])
+            case "got":
+                word = told.get((event["gw"], event["who"]))
+                if word is not None and event["t"] > word["t"] + grace_ms + SLACK_MS:
+                    verdict.show([word, event])
+    return verdict
+
+
+def cold(events: Iterable[Event], span_ms: float = 1500.0) -> Verdict:
+    """No cold host falls by what gateways send it that were told of its start."""
+    verdict = Verdict("cold")
+    told: dict[str, set[str]] = defaultdict(set)
+    recent: dict[str, deque[Event]] = defaultdict(deque)
+    for event in events:
+        who = event["who"]
+        match event["ev"]:
+            case "up":
+                verdict.exercised += 1
+                told[who].clear()
+                recent[who].clear()
+            case "told" if event["state"] == "ready" and event["started"]:
+                told[event["host"]].add(who)
+            case "got" if event["cold"]:
+                recent[who].append(event)
+                while recent[who][0]["t"] < event["t"] - span_ms:
+                    recent[who].popleft()
+            case "fell":
+                pushed = recent[who]
+                knew = sum(e["gw"] in told[who] for e in pushed)
+                if 3 * knew > 2 * len(pushed):
+                    verdict.show([*list(pushed)[-5:], event])
+    return verdict
+
+
+def ceilings(events: Iterable[Event], terms: dict[str, tuple[float, float, float]]) -> Verdict:
+    """What all gateways first send on for a customer stays within its plan's ceiling and slack."""
+    verdict = Verdict("ceilings")
+    stores: dict[str, tuple[float, float]] = {}  # by customer: left, as of when
+    sent: set[str] = set()
+    last: dict[str, deque[Event]] = defaultdict(lambda: deque(maxlen=5))
+    for event in events:
+        if event["ev"] != "got" or event["plan"] not in terms or event["rid"] in sent:
+            continue
+        sent.add(event["rid"])
+        verdict.exercised += 1
+        rate, most, slack = terms[event["plan"]]
+        left, at = stores.get(event["customer"], (most, event["t"]))
+        left = min(most, left + rate * (event["t"] - at) / 1000) - event["units"]
+        stores[event["customer"]] = left, event["t"]
+        last[event["customer"]].append(event)
+        if left < -slack - 0.15 * rate:
+            verdict.show(last[event["customer"]])
+    return verdict
+
+
+def units(events: Iterable[Event]) -> Verdict:
+    """What the counter was told stays within what gateways sent on: no unit is told twice.
+
+    Told more than was sent by a quarter is taken for a count that was added again and again.
+    """
+    verdict = Verdict("units")
+    told = sent = 0.0
+    seen: set[str] = set()
+    lost = False
+    for event in events:
+        if event["ev"] == "count" and event["result"] == "ok":
+            told += event["amount"]
+            verdict.exercised += 1
+        elif event["ev"] == "got" and event["rid"] not in seen:
+            seen.add(event["rid"])
+            sent += event["units"]
+        elif event["ev"] == "fault" and event["what"] in ("counter_stop", "counter_split", "cut", "cut_out"):
+            lost = True  # calls that were added and never answered may be told anew
+    if verdict.exercised and not lost and told > 1.25 * sent + 20:
+        verdict.show([{"ev": "units", "told": told, "sent": sent}])
+    return verdict
+
+
+def judge(events: list[Event], terms: Terms, rules: Iterable[str]) -> list[Verdict]:
+    """The verdicts of the named rules."""
+    return [
+        {
+            "answered": lambda: answered(events),
+            "effects": lambda: effects(events),
+            "drains": lambda: drains(events, terms.drain_grace_ms),
+            "cold": lambda: cold(events),
+            "ceilings": lambda: ceilings(events, terms.ceilings),
+            "units": lambda: units(events),
+        }[rule]()
+        for rule in rules
+    ]
--- /dev/null
+++ b/yewstage/lab/commands.py
@@ -0,0 +1,167 @@
+"""`hillmux lab`: scenarios of many processes with faults between them."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import click
+
+if TYPE_CHECKING:
+    from yewstage.lab.run import Result
+    from yewstage.lab.scenario import Scenario
+
+FAULT = 2  # exit status for a file that is no good, or a run that did not come about
+SHIPPED = Path("examples/lab")
+
+
+@click.group()
+def lab() -> None:
+    """Play fleets of gateways between stand-ins, with faults, and judge what they did."""
+
+
+def _scenario(path: Path) -> Scenario:
+    from yewstage.lab.scenario import ScenarioError, load
+
+    try:
+        return load(path)
+    except ScenarioError as error:
+        click.echo(str(error), err=True)
+        sys.exit(FAULT)
+
+
+@lab.command(epilog="Example: hillmux lab run examples/lab/herd.toml")
+@click.argument("path", type=click.Path(path_type=Path), metavar="FILE")
+@click.option("--seed", type=click.IntRange(min=0), help="In place of the file's.")
+@click.option(
+    "--out",
+    type=click.Path(path_type=Path),
+    default=Path("lab-runs"),
+    show_default=True,
+    help="Where the run's folder goes.",
+)
+@click.option(
+    "--tree",
+    type=click.Path(path_type=Path, exists=True),
+    help="The checkout whose gateways are played, if not this one.",
+)
+def run(path: Path, seed: int | None, out: Path, tree: Path | None) -> None:
+    """Play a scenario. Ends with 1 where something does not hold, or was not exercised."""
+    from yewstage.lab.processes import ROOT, NotReadyError
+    from yewstage.lab.run import RunError, play
+
+    scenario = _scenario(path)
+    if seed is not None:
+        scenario = scenario.model_copy(update={"seed": seed})
+    folder = _folder(out, f"{scenario.name}-{scenario.seed}")
+    try:
+        result = play(scenario, folder, (tree or ROOT).resolve(), lambda text: click.echo(text, err=True))
+    except (RunError, NotReadyError, TimeoutError) as error:
+        click.echo(f"{path}: {error or 'the run did not end in its time'}", err=True)
+        sys.exit(FAULT)
+    show(result)
+    sys.exit(0 if result.holds() else 1)
+
+
+def _folder(out: Path, name: str) -> Path:
+    serial = 1
+    while (out / f"{name}-{serial}").exists():
+        serial += 1
+    return out / f"{name}-{serial}"
+
+
+def show(result: Result) -> None:
+    """A run as tables."""
+    from rich.console import Console
+    from rich.table import Table
+
+    console = Console()
+    table = Table(
+        "rule", "says", "judged", "broken", title=f"{result.scenario.name}, seed {result.scenario.seed}"
+    )
+    for verdict in result.verdicts:
+        table.add_row(verdict.rule, verdict.says(), str(verdict.exercised), str(verdict.broken))
+    console.print(table)
+    f = result.figures
+    back = "-" if f.full_service_s is None else f"{f.full_service_s:.0f} s"
+    for line in (
+        f"worth served in time: {f.served_share:.3f}; latency p50 {f.p50_ms:.0f} ms, p99 {f.p99_ms:.0f} ms",
+        f"first tries {f.first}, tries {f.tries}, attempts {f.attempts} ({f.attempts_a_try():.2f} a first)",
+        f"tries ended: {', '.join(f'{k} {n}' for k, n in sorted(f.results.items()))}",
+        f"dials {f.dials}, at a host in 1 s at most {f.most_dials_s} (before: {f.usual_dials_s:g})",
+        f"counter calls {f.counter_calls}, {f.most_counter_s} a second at most, turned away {f.turned_away}",
+        f"hosts that fell: {f.fell}; full service after the last fault: {back}",
+        f"the load's own lateness, ms: p50 {result.late_ms[0]:.1f}, p99 {result.late_ms[1]:.1f}",
+    ):
+        console.print(line, highlight=False)
+    for text in result.unmet:
+        console.print(f"not met: {text}", style="red")
+    console.print(f"record: {result.folder}", highlight=False)
+
+
+@lab.command(epilog="Example: hillmux lab check examples/lab/herd.toml")
+@click.argument("path", type=click.Path(path_type=Path), metavar="FILE")
+def check(path: Path) -> None:
+    """Tell every fault of a scenario's file, and what playing it takes, without starting anything."""
+    from yewstage.lab.scenario import needs, schedule
+
+    scenario = _scenario(path)
+    processes, megabytes, files = needs(scenario)
+    click.echo(
+        f"{path}: sound: {len(schedule(scenario))} strikes in {scenario.length_s:g} s; takes "
+        f"{processes} processes, {megabytes} MB, {files} descriptors"
+    )
+
+
+@lab.command(name="list")
+def list_() -> None:
+    """The scenarios that come with the program."""
+    for path in sorted(SHIPPED.glob("*.toml")):
+        scenario = _scenario(path)
+        click.echo(f"{path}: {scenario.about}")
+
+
+@lab.command(epilog="Example: hillmux lab explain lab-runs/herd-1-1")
+@click.argument("folder", type=click.Path(path_type=Path, exists=True), metavar="RUN")
+def explain(folder: Path) -> None:
+    """The events that show what a run broke: the shortest chain for each violation."""
+    import orjson
+
+    from yewstage.lab.run import judge
+    from yewstage.lab.scenario import Scenario
+
+    scenario = Scenario.model_validate(orjson.loads((folder / "scenario.json").read_bytes()))
+    said = orjson.loads((folder / "verdict.json").read_bytes())
+    result = judge(scenario, folder, said["t0"], said["late_ms"])
+    for verdict in result.verdicts:
+        click.echo(f"{verdict.rule}: {verdict.says()} ({verdict.exercised} judged, {verdict.broken} broken)")
+        for chain in verdict.chains:
+            for event in chain:
+                click.echo("  " + _line(event, result.t0))
+            click.echo("")
+
+
+@lab.command(epilog="Example: hillmux lab follow lab-runs/herd-1-1 9b1f000000000010")
+@click.argument("folder", type=click.Path(path_type=Path, exists=True), metavar="RUN")
+@click.argument("rid", metavar="ID")
+def follow(folder: Path, rid: str) -> None:
+    """What happened to one request, through client, gateways and hosts."""
+    import orjson
+
+    from yewstage.lab import record
+
+    t0 = orjson.loads((folder / "verdict.json").read_bytes())["t0"]
+    events = record.follow(record.read(folder), rid)
+    if not events:
+        click.echo(f"ID: found {rid!r}, expected the id of a request in {folder}", err=True)
+        sys.exit(FAULT)
+    for event in events:
+        click.echo(_line(event, t0))
+
+
+def _line(event: dict[str, object], t0: float) -> str:
+    rest = " ".join(f"{k}={v}" for k, v in event.items() if k not in ("t", "who", "ev"))
+    at = event.get("t")
+    when = f"{(at - t0) / 1000:8.3f} s" if isinstance(at, float) else " " * 10
+    return f"{when}  {event.get('who', '')!s:8} {event['ev']!s:8} {rest}"
--- /dev/null
+++ b/yewstage/lab/processes.py
@@ -0,0 +1,217 @@
+"""The gateways' processes: started, signalled, killed, started again under their names; none left behind."""
+
+from __future__ import annotations
+
+import asyncio
+import ctypes
+import os
+import shutil
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from yewstage.lab.record import Recorder
+from yewstage.lab.scenario import Scenario, zone_of
+from yewstage.lab.streams import generator
+
+READY_S = 20.0
+LAST_LINES = 40
+SIGNALS = {
+    "kill": signal.SIGKILL,
+    "term": signal.SIGTERM,
+    "hup": signal.SIGHUP,
+    "stop": signal.SIGSTOP,
+    "cont": signal.SIGCONT,
+}
+ROOT = Path(__file__).resolve().parents[2]
+
+
+PR_SET_PDEATHSIG = 1
+
+
+def die_with_parent() -> None:
+    """Run in a child: it is killed when the lab is gone, however that ended (prctl(2))."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class NotReadyError(RuntimeError):
+    """A gateway that does not start; the text has its last lines."""
+
+
+class GatewayProcess:
+    """One gateway: its name, its port and its folder outlive its processes."""
+
+    def __init__(
+        self, number: int, scenario: Scenario, folder: Path, note: Recorder, tree: Path, told: dict[str, Any]
+    ) -> None:
+        self.name, self.number = f"g{number}", number
+        # Its port, held while it is dead, too: a client's connection would be given it by the system else.
+        self._held = socket.socket()
+        self._held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._held.bind(("127.0.0.1", 0))
+        self.port = int(self._held.getsockname()[1])
+        self._scenario, self._note, self._tree, self._told = scenario, note, tree, told
+        self._folder = folder / self.name
+        self._folder.mkdir()
+        self._starts = 0
+        self.process: asyncio.subprocess.Process | None = None
+        self._reading: asyncio.Task[None] | None = None
+        self.lines: list[str] = []
+        self.stopped = False
+
+    def _config(self) -> dict[str, Any]:
+        scenario, fleet = self._scenario, self._scenario.fleet
+        seed = int(generator(scenario.seed, f"gateway.{self.number}.{self._starts}").integers(1 << 61))
+        traffic = scenario.traffic
+        return {
+            "name": self.name,
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": f"127.0.0.1:{self._told['discovery']}",
+            "counter": f"127.0.0.1:{self._told['counter']}",
+            "seed": f"{seed:x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": self._told["known"],
+            "settings": {
+                "grades": [
+                    {
+                        "name": c.name,
+                        "objective_ms": c.aim_ms,
+                        "deadline_ms": c.deadline_ms,
+                        "worth": c.worth,
+                        "effect": c.effect,
+                        "key_scope": "all",
+                        "window_ms": c.window_ms,
+                    }
+                    for c in traffic.classes
+                ],
+                "packages": [
+                    {
+                        "name": p.name,
+                        "refill": p.rate,
+                        "burst": p.burst,
+                        "worth_factor": p.worth,
+                        "over_worth": p.over_worth,
+                        "over_cost": p.over_cost,
+                        "ceiling_rate": p.ceiling * p.rate,
+                        "hard_burst": p.ceiling * p.burst,
+                        "tolerance": slack(p.ceiling * p.burst),
+                    }
+                    for p in traffic.plans
+                ],
+                "fleet_size": fleet.gateways,
+                "me": self.number,
+                "zone": zone_of(self.number, fleet.zones),
+                "tick_ms": 4.0,
+                "bounds": {
+                    "try_limit": 4,
+                    "cancel": True,
+                    "retry_after": True,
+                    "max_retry_after_ms": 2000.0,
+                    "dial_timeout_ms": 250.0,
+                    "conn_idle_ms": 15000.0,
+                },
+                "rules": {
+                    "stop_sending_within_ms": fleet.drain_grace_ms,
+                    "cold_from": fleet.cold_from,
+                    "cold_ms": fleet.cold_ms,
+                    "fall_multiple": fleet.fall_multiple,
+                    "tip_after_ms": fleet.fall_ms,
+                },
+                "family_info": {
+                    "may_count": True,
+                    "count_wait_ms": fleet.counter_wait_ms,
+                    "trued_up": True,
+                    "most_units": MOST_UNITS,
+                },
+            },
+        }
+
+    async def start(self, empty: bool = True) -> None:
+        """Start it, with an empty or a kept folder, and wait until it listens."""
+        if self.process is not None and self.process.returncode is None:
+            return
+        own = self._folder / "tmp"
+        if empty:
+            shutil.rmtree(own, ignore_errors=True)
+        own.mkdir(exist_ok=True)
+        path = self._folder / "config.json"
+        path.write_bytes(orjson.dumps(self._config()))
+        self._starts += 1
+        self._note(self.name, "start")
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-P",
+            "-m",
+            "yewstage",
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE,
+            preexec_fn=die_with_parent,
+            env={**os.environ, "PYTHONPATH": str(self._tree), "ROUTER_CONFIG": str(path), "TMPDIR": str(own)},
+        )
+        listening = asyncio.get_running_loop().create_future()
+        self._reading = asyncio.create_task(self._read(self.process, listening))
+        try:
+            await asyncio.wait_for(listening, READY_S)
+        except (TimeoutError, NotReadyError):
+            raise NotReadyError(f"{self.name} did not start: {' / '.join(self.lines[-3:])}") from None
+        self._note(self.name, "listens")
+
+    async def _read(self, process: asyncio.subprocess.Process, listening: asyncio.Future[int]) -> None:
+        assert process.stderr is not None
+        with (self._folder / "log").open("ab") as log:
+            while line := await process.stderr.readline():
+                log.write(line)
+                text = line.decode(errors="replace").strip()
+                self.lines = [*self.lines[1 - LAST_LINES :], text]
+                if "listening on" in text and not listening.done():
+                    listening.set_result(int(text.rsplit(":", 1)[1]))
+        code = await process.wait()
+        self._note(self.name, "ended", code=code)
+        if not listening.done():
+            listening.set_exception(NotReadyError())
+
+    async def ready(self) -> None:
+        """Wait until it says that it is ready."""
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                writer.write(b"GET /ready HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+                if line.split()[1:2] == [b"200"]:
+                    self._note(self.name, "ready")
+                    return
+            except OSError:
+                pass
+            if self.process is None or self.process.returncode is not None:
+                raise NotReadyError(f"{self.name} ended before it was ready: {' / '.join(self.lines[-3:])}")
+            await asyncio.sleep(0.02)
+
+    def signal(self, what: str) -> None:
+        """A signal, by its name in a scenario."""
+        if self.process is not None and self.process.returncode is None:
+            self._note(self.name, what)
+            self.stopped = what == "stop" or (self.stopped and what != "cont")
+            self.process.send_signal(SIGNALS[what])
+
+    async def end(self) -> None:
+        """End it whatever it does, and wait for that."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        if self._reading is not None:
+            await self._reading
+        self._held.close()
+
+
+MOST_UNITS = 4
+
+
+def slack(most: float) -> float:
+    """A ceiling's slack in units: a tenth of its store, or one of the largest requests."""
+    return max(0.1 * most, float(MOST_UNITS))
--- /dev/null
+++ b/yewstage/lab/record.py
@@ -0,0 +1,74 @@
+"""The record of a run: what each actor saw, as JSON lines with one clock, a file for each process.
+
+An event is an object with `t` (milliseconds of the machine's monotonic clock), `who` (the actor), `ev` (what
+happened) and fields of its kind, which `checks` names where it reads them.
+"""
+
+from __future__ import annotations
+
+import heapq
+import os
+from collections.abc import Callable, Iterable, Iterator
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+Event = dict[str, Any]
+AT_ONCE = 1 << 16  # bytes held back before a write: a write for each event would slow the actors
+MOST_BYTES = 1 << 30  # a run that would fill the disk stops being recorded, and says so
+
+
+class Recorder:
+    """One process's part of a record."""
+
+    def __init__(self, path: Path, clock: Callable[[], float]) -> None:
+        self._file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o644)
+        self._clock, self._held, self._written = clock, bytearray(), 0
+        self.full = False
+
+    def __call__(self, who: str, ev: str, **fields: Any) -> None:
+        """Note one event, now."""
+        if self.full:
+            return
+        self._held += orjson.dumps({"t": self._clock(), "who": who, "ev": ev, **fields}) + b"\n"
+        if len(self._held) >= AT_ONCE:
+            self.flush()
+
+    def flush(self) -> None:
+        """Write what is held back."""
+        if self._written + len(self._held) > MOST_BYTES:
+            self.full = True
+            self._held = bytearray(orjson.dumps({"t": self._clock(), "who": "record", "ev": "cut"}) + b"\n")
+        while self._held:
+            count = os.write(self._file, self._held)
+            self._written += count
+            del self._held[:count]
+
+    def close(self) -> None:
+        """Write the rest."""
+        self.flush()
+        os.close(self._file)
+
+
+def _lines(path: Path) -> Iterator[Event]:
+    with path.open("rb") as file:
+        for line in file:
+            if line.endswith(b"\n"):  # the last one of a process that was killed may be torn
+                yield orjson.loads(line)
+
+
+def read(folder: Path) -> Iterator[Event]:
+    """All events of a run, in the order of their times."""
+    return merge(_lines(path) for path in sorted(folder.glob("*.jsonl")))
+
+
+def merge(parts: Iterable[Iterable[Event]]) -> Iterator[Event]:
+    """Parts that are each in order, as one that is."""
+    return heapq.merge(*parts, key=lambda event: event["t"])
+
+
+def follow(events: Iterable[Event], rid: str) -> list[Event]:
+    """What happened to one request: events that name it, or the first try that it belongs to."""
+    found = [e for e in events if e.get("rid") == rid or e.get("first") == rid]
+    return found
--- /dev/null
+++ b/yewstage/lab/run.py
@@ -0,0 +1,244 @@
+"""Playing a scenario: processes started, faults at their times, the record judged, nothing left behind."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import resource
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from yewstage.lab import checks, record
+from yewstage.lab.measures import Figures, measure
+from yewstage.lab.processes import ROOT, GatewayProcess, NotReadyError, die_with_parent, slack
+from yewstage.lab.record import Recorder
+from yewstage.lab.scenario import GATEWAY_FAULTS, Scenario, Strike, free_mb, schedule, too_much
+
+LEAD_S = 0.5  # between the last gateway's readiness and the first try
+OVER_S = 30.0  # how long after its length a run may take to end
+LATE_MS = 5.0  # p99 of the load's own lateness up to which times are judged
+AT_ONCE = 8  # gateways that are started at once before the run
+
+
+class RunError(RuntimeError):
+    """A run that did not come about; nothing of it is left running."""
+
+
+@dataclass(slots=True)
+class Result:
+    """What a run came to."""
+
+    scenario: Scenario
+    folder: Path
+    t0: float
+    verdicts: list[checks.Verdict]
+    figures: Figures
+    late_ms: list[float]
+    unmet: list[str]
+
+    def holds(self) -> bool:
+        """Whether every rule was exercised and held, and every figure asked for was met."""
+        return not self.unmet and all(v.says() == "held" for v in self.verdicts)
+
+
+class _Helper:
+    """The stand-ins' process, or the load's: lines of JSON both ways; it ends with its input."""
+
+    def __init__(self, module: str) -> None:
+        self._module = module
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def start(self, first: dict[str, Any]) -> dict[str, Any]:
+        """Start it, tell it the first line, and wait for its first one."""
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-P",
+            "-m",
+            self._module,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            limit=1 << 24,
+            preexec_fn=die_with_parent,
+            env={**os.environ, "PYTHONPATH": str(ROOT)},
+        )
+        self.tell(first)
+        return await self.hear()
+
+    def tell(self, line: dict[str, Any]) -> None:
+        """Write a line to it."""
+        assert self._process is not None and self._process.stdin is not None
+        self._process.stdin.write(orjson.dumps(line) + b"\n")
+
+    async def hear(self) -> dict[str, Any]:
+        """Its next line."""
+        assert self._process is not None and self._process.stdout is not None
+        line = await self._process.stdout.readline()
+        if not line:
+            raise RunError(f"{self._module}: ended early")
+        found: dict[str, Any] = orjson.loads(line)
+        return found
+
+    async def end(self, within_s: float = 10.0) -> None:
+        """Close its input and wait; kill it where that does not end it."""
+        if self._process is None or self._process.returncode is not None:
+            return
+        assert self._process.stdin is not None
+        self._process.stdin.close()
+        try:
+            await asyncio.wait_for(self._process.wait(), within_s)
+        except TimeoutError:
+            self._process.kill()
+            await self._process.wait()
+
+
+def terms(scenario: Scenario) -> checks.Terms:
+    """What a scenario's record is judged by."""
+    plans = scenario.traffic.plans
+    return checks.Terms(
+        scenario.fleet.drain_grace_ms,
+        {
+            p.name: (p.ceiling * p.rate, p.ceiling * p.burst, slack(p.ceiling * p.burst))
+            for p in plans
+            if p.ceiling
+        },
+        {p.name: (p.rate, p.burst) for p in plans},
+    )
+
+
+class Run:
+    """One run, from its start to its end."""
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        folder: Path,
+        tree: Path = ROOT,
+        say: Callable[[str], None] = lambda text: None,
+    ) -> None:
+        self.scenario, self.folder, self.tree, self._say = scenario, folder, tree, say
+        self._world, self._load = _Helper("yewstage.lab.world"), _Helper("yewstage.lab.load")
+        self.gateways: dict[str, GatewayProcess] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._failed: list[str] = []
+
+    async def play(self) -> Result:
+        """Play it whole; RunError where it can't be. Ctrl-C ends all that was started, too."""
+        files = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (files[1], files[1]))
+        wrong = too_much(self.scenario, free_mb(), files[1])
+        if wrong:
+            raise RunError("\n".join(wrong))
+        self.folder.mkdir(parents=True)
+        (self.folder / "scenario.json").write_bytes(orjson.dumps(self.scenario.model_dump()))
+        self.note = Recorder(self.folder / "lab.jsonl", lambda: time.monotonic() * 1000)
+        try:
+            t0, late = await self._play()
+        finally:
+            await self._end()
+        if self._failed:
+            raise RunError("\n".join(self._failed))
+        return judge(self.scenario, self.folder, t0, late)
+
+    async def _play(self) -> tuple[float, list[float]]:
+        scenario = self.scenario
+        raw = scenario.model_dump(mode="json")
+        told = await self._world.start({"scenario": raw, "folder": str(self.folder)})
+        for number in range(scenario.fleet.gateways):
+            name = f"g{number}"
+            self.gateways[name] = GatewayProcess(
+                number, scenario, self.folder, self.note, self.tree, told["ports"][name]
+            )
+        self._say(f"starting {len(self.gateways)} gateways")
+        names = list(self.gateways)
+        for at in range(0, len(names), AT_ONCE):
+            await asyncio.gather(*(self._up(self.gateways[name]) for name in names[at : at + AT_ONCE]))
+        ports = {name: gateway.port for name, gateway in self.gateways.items()}
+        await self._load.start({"scenario": raw, "folder": str(self.folder), "ports": ports})
+        t0 = 1000 * (time.monotonic() + LEAD_S)
+        self._world.tell({"t0": t0})
+        self._load.tell({"t0": t0})
+        self._say("playing")
+        loop = asyncio.get_running_loop()
+        for strike in schedule(scenario):
+            if strike.fault.what in GATEWAY_FAULTS:
+                loop.call_later((t0 + strike.at_ms) / 1000 - time.monotonic(), self._strike, strike)
+        over = await asyncio.wait_for(self._load.hear(), scenario.length_s + LEAD_S + OVER_S)
+        return t0, over["late_ms"]
+
+    async def _up(self, gateway: GatewayProcess) -> None:
+        await gateway.start()
+        await gateway.ready()
+
+    def _strike(self, strike: Strike) -> None:
+        gateway, what = self.gateways[strike.target], strike.fault.what
+        if what == "start":
+            task = asyncio.get_running_loop().create_task(self._again(gateway))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        else:
+            gateway.signal(what)
+
+    async def _again(self, gateway: GatewayProcess) -> None:
+        try:
+            if gateway.process is not None and gateway.process.returncode is None:
+                await gateway.process.wait()
+            await self._up(gateway)
+        except NotReadyError as error:
+            self._failed.append(str(error))
+
+    async def _end(self) -> None:
+        """End what was started, and only that."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._load.end()
+        await asyncio.gather(*(gateway.end() for gateway in self.gateways.values()))
+        await self._world.end()
+        self.note.close()
+
+
+def judge(scenario: Scenario, folder: Path, t0: float, late_ms: list[float]) -> Result:
+    """The verdicts and figures of a record."""
+    events = list(record.read(folder))
+    given = terms(scenario)
+    verdicts = checks.judge(events, given, scenario.hold.rules)
+    figures = measure(events, t0, scenario.length_s, given)
+    result = Result(scenario, folder, t0, verdicts, figures, late_ms, _unmet(scenario, figures, late_ms))
+    said = {
+        "t0": t0,
+        "late_ms": late_ms,
+        "unmet": result.unmet,
+        "verdicts": {v.rule: [v.says(), v.exercised, v.broken] for v in verdicts},
+        "figures": asdict(figures) | {"windows": [[w.asked, w.served] for w in figures.windows]},
+    }
+    (folder / "verdict.json").write_bytes(orjson.dumps(said, option=orjson.OPT_INDENT_2))
+    return result
+
+
+def _unmet(scenario: Scenario, figures: Figures, late_ms: list[float]) -> list[str]:
+    """What a scenario asks for and the run did not show. Times are judged only by a load that was in time."""
+    hold, unmet = scenario.hold, []
+    if hold.full_service_s:
+        if late_ms[1] > LATE_MS:
+            unmet.append(f"full service: not judged: the load itself was {late_ms[1]:.1f} ms late at p99")
+        elif figures.full_service_s is None or figures.full_service_s > hold.full_service_s:
+            seen = "never" if figures.full_service_s is None else f"after {figures.full_service_s:.0f} s"
+            unmet.append(f"full service: {seen}, {hold.full_service_s:g} s were asked for")
+    if hold.attempts_a_try and figures.attempts_a_try() > hold.attempts_a_try:
+        unmet.append(f"attempts a first try: {figures.attempts_a_try():.2f}, at most {hold.attempts_a_try:g}")
+    if hold.served and figures.served_share < hold.served:
+        unmet.append(f"served: {figures.served_share:.3f} of the worth, at least {hold.served:g}")
+    return unmet
+
+
+def play(
+    scenario: Scenario, folder: Path, tree: Path = ROOT, say: Callable[[str], None] = lambda text: None
+) -> Result:
+    """Play a scenario; RunError where it does not come about."""
+    return asyncio.run(Run(scenario, folder, tree, say).play())
--- /dev/null
+++ b/yewstage/lab/standins/http.py
@@ -0,0 +1,101 @@
+"""HTTP/1.1 as the stand-ins read it: httptools behind a wire, requests one behind another."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Any
+
+import httptools
+
+from yewstage.lab.links import Receiver, Wire
+
+REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 500: b"Error", 503: b"Unavailable"}
+
+
+def message(status: int, body: bytes = b"", more: bytes = b"") -> bytes:
+    """An answer as bytes; `more` are further header lines."""
+    return b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n\r\n%b" % (
+        status,
+        REASONS[status],
+        more,
+        len(body),
+        body,
+    )
+
+
+class Asked:
+    """One request that has come whole, and the place of its answer."""
+
+    __slots__ = ("method", "path", "query", "headers", "line", "answer")
+
+    def __init__(self, method: str, url: Any, headers: dict[str, str], line: Line) -> None:
+        self.method, self.headers, self.line = method, headers, line
+        self.path = (url.path or b"").decode()
+        pairs = (p.partition("=") for p in (url.query or b"").decode().split("&") if p)
+        self.query = {name: value for name, _, value in pairs}
+        self.answer: bytes | None = None
+
+    def reply(self, data: bytes) -> None:
+        """Answer; answers of a connection go out in the order of its requests."""
+        self.answer = data
+        self.line.write_ready()
+
+
+class Line(Receiver):
+    """One connection of a gateway at a stand-in."""
+
+    def __init__(self, wire: Wire, owner: Owner) -> None:
+        self.wire, self.owner = wire, owner
+        self.over = False
+        self.waiting: deque[Asked] = deque()
+        self._parser = httptools.HttpRequestParser(self)
+        self._url = b""
+        self._headers: dict[str, str] = {}
+
+    def received(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.owner.garbled(self)
+            self.wire.reset()
+
+    def ended(self) -> None:
+        if not self.over:
+            self.over = True
+            self.owner.gone(self)
+            if not self.wire.closing:
+                self.wire.reset()
+
+    def write_ready(self) -> None:
+        """Write what is answered, in order."""
+        while self.waiting and (data := self.waiting[0].answer) is not None:
+            self.waiting.popleft()
+            self.wire.write(data)
+
+    def on_message_begin(self) -> None:
+        self._url, self._headers = b"", {}
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_message_complete(self) -> None:
+        asked = Asked(self._parser.get_method().decode(), httptools.parse_url(self._url), self._headers, self)
+        self.waiting.append(asked)
+        self.owner.asked(asked)
+
+
+class Owner:
+    """A stand-in that takes requests."""
+
+    def asked(self, asked: Asked) -> None:
+        """A request has come whole."""
+        raise NotImplementedError
+
+    def gone(self, line: Line) -> None:
+        """A connection is over."""
+
+    def garbled(self, line: Line) -> None:
+        """A connection brought what is no request."""
--- a/yewstage/lab/virtual/counter.py
+++ b/yewstage/lab/virtual/counter.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from yewstage.lab.virtual.loop import Loop
+from yewstage.lab.clock import Clock
 
 Answer = Callable[[str, float], object]  # a result (`ok`, `full`), and the total
 
@@ -26,7 +26,7 @@
 class CounterService:
     """Works on calls in their order, also on those that nobody waits for any more."""
 
-    def __init__(self, loop: Loop, model: CounterModel) -> None:
+    def __init__(self, loop: Clock, model: CounterModel) -> None:
         self.loop, self.model = loop, model
         self.service_ms = 1000.0 * model.parts / model.per_s
         self._free_at = [0.0] * model.parts
--- a/yewstage/lab/virtual/hosts.py
+++ b/yewstage/lab/virtual/hosts.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from yewstage.lab.virtual.loop import Loop
+from yewstage.lab.clock import Clock
 
 READY, DRAINING = "ready", "draining"
 
@@ -38,7 +38,7 @@
 class Host:
     """Serves jobs in their order, `cores` at a time. The capacity at a job's start holds for all of it."""
 
-    def __init__(self, loop: Loop, name: str, zone: str, model: HostModel, started_ms: float = 0.0) -> None:
+    def __init__(self, loop: Clock, name: str, zone: str, model: HostModel, started_ms: float = 0.0) -> None:
         self.loop, self.name, self.zone, self.model = loop, name, zone, model
         self.state = READY
         self.alive = self.reachable = True
--- /dev/null
+++ b/yewstage/lab/world.py
@@ -0,0 +1,213 @@
+"""The process of the stand-ins: all hosts, the counter, an agent for each gateway, and the links to them.
+
+    python -m yewstage.lab.world
+
+Takes lines of JSON: `{"scenario": ..., "folder": ...}`, then `{"t0": ...}` once the gateways are ready, and
+ends with its standard input. Says `{"ports": ...}` when all of it listens.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import orjson
+import uvloop
+
+from yewstage.lab.clock import RealClock
+from yewstage.lab.links import Link
+from yewstage.lab.record import Recorder
+from yewstage.lab.scenario import (
+    COUNTER_FAULTS,
+    GATEWAY_FAULTS,
+    LINK_FAULTS,
+    Scenario,
+    Strike,
+    schedule,
+    zone_of,
+)
+from yewstage.lab.standins.counter import CounterStandIn
+from yewstage.lab.standins.discovery import Agent
+from yewstage.lab.standins.host import BookingNode, Keys
+from yewstage.lab.streams import Stream, generator
+from yewstage.lab.virtual.counter import CounterModel
+from yewstage.lab.virtual.hosts import DRAINING, READY, HostModel
+
+
+class World:
+    """Everything around the gateways, and the faults in it."""
+
+    def __init__(self, scenario: Scenario, note: Recorder, loop: asyncio.AbstractEventLoop) -> None:
+        fleet = scenario.fleet
+        self.scenario, self.note, self.clock = scenario, note, RealClock(loop)
+        self.links = {
+            (f"g{i}", far): Link(f"g{i}", far)
+            for i in range(fleet.gateways)
+            for far in [*(f"h{j}" for j in range(fleet.hosts)), "counter", "discovery"]
+        }
+        gateways = [f"g{i}" for i in range(fleet.gateways)]
+        speeds = generator(scenario.seed, "hosts").lognormal(0.0, fleet.speed_spread, size=fleet.hosts)
+        keys = Keys()
+        self.hosts = {}
+        for j in range(fleet.hosts):
+            name = f"h{j}"
+            model = HostModel(
+                fleet.cores,
+                float(speeds[j]),
+                60,
+                fleet.cold_from,
+                fleet.cold_ms,
+                fleet.fall_multiple,
+                fleet.fall_ms,
+            )
+            self.hosts[name] = BookingNode(
+                self.clock,
+                loop,
+                name,
+                zone_of(j, fleet.zones),
+                model,
+                keys,
+                [self.links[g, name] for g in gateways],
+                note,
+                Stream(scenario.seed, f"host.{j}"),
+                fleet.connections,
+            )
+        self.counter = CounterStandIn(
+            self.clock,
+            loop,
+            CounterModel(fleet.counter_per_s, fleet.counter_parts, 2 * fleet.counter_wait_ms),
+            [self.links[g, "counter"] for g in gateways],
+            note,
+        )
+        for host in self.hosts.values():
+            host.open()
+        self.counter.open()
+        self.agents = {}
+        for g in gateways:
+            entries = [self._entry(host, g, "ready") for host in self.hosts.values()]
+            self.agents[g] = Agent(self.clock, loop, self.links[g, "discovery"], note, entries)
+            self.agents[g].door.open()
+        self._late = Stream(scenario.seed, "lists")
+
+    def ports(self) -> dict[str, Any]:
+        """What each gateway is told of: its discovery, its counter, its list."""
+        return {
+            name: {
+                "discovery": agent.door.port,
+                "counter": self.counter.doors[name].port,
+                "known": agent.listing(list(agent.entries.values()), True),
+            }
+            for name, agent in self.agents.items()
+        }
+
+    def _entry(self, host: BookingNode, gateway: str, state: str, started: float = 0.0) -> dict[str, Any]:
+        return {
+            "instanceId": host.name,
+            "hostPort": f"127.0.0.1:{host.doors[gateway].port}",
+            "zone": host.zone,
+            "machineType": "m1",
+            "cell": 0,
+            "lifecycle": state,
+            "weight": 1.0,
+            "startedAtMs": round(started),
+        }
+
+    def _tell(self, host: BookingNode, state: str, started: float = 0.0) -> None:
+        for name, agent in self.agents.items():
+            agent.send(
+                self._entry(host, name, state, started), self._late.uniform(*self.scenario.fleet.list_late_ms)
+            )
+
+    def play(self, t0_ms: float) -> None:
+        """Let all that is to happen here happen, reckoned from a moment of the shared clock."""
+        for strike in schedule(self.scenario):
+            if strike.fault.what not in GATEWAY_FAULTS:
+                self.clock.at(t0_ms + strike.at_ms, self.strike, strike)
+
+    def strike(self, strike: Strike) -> None:
+        """One fault, now."""
+        fault, what = strike.fault, strike.fault.what
+        self.note("lab", "fault", what=what, target=strike.target, value=fault.value)
+        if what in LINK_FAULTS:
+            a, _, b = strike.target.partition(">")
+            self._strike_link(self.links[a, b], what, fault.value)
+        elif what in COUNTER_FAULTS:
+            self._strike_counter(what, fault.how, strike.target)
+        elif strike.target in self.hosts:
+            self._strike_host(self.hosts[strike.target], what, fault.value)
+        else:
+            agent = self.agents[strike.target]
+            if what == "forget":
+                agent.forget()
+            else:
+                agent.silence(what == "silence")
+
+    @staticmethod
+    def _strike_link(link: Link, what: str, value: float) -> None:
+        if what in ("cut", "cut_in", "cut_out"):
+            link.cut(what != "cut_out", what != "cut_in")
+        elif what == "heal":
+            link.cut(False, False)
+            link.delay_ms, link.bytes_per_s, link.reset_after = 0.0, 0.0, 0
+        elif what == "delay":
+            link.delay_ms = value
+        elif what == "throttle":
+            link.bytes_per_s = value
+        else:
+            link.reset_after = int(value)
+
+    def _strike_counter(self, what: str, how: str, target: str) -> None:
+        counter = self.counter
+        if what == "counter_stop":
+            counter.stop()
+        elif what == "counter_keep":
+            counter.keep()
+        elif what == "counter_start":
+            counter.start(how or "all")
+        else:
+            counter.split(set(target.split(",")) if what == "counter_split" else set())
+
+    def _strike_host(self, host: BookingNode, what: str, value: float) -> None:
+        if what in ("crash", "remove"):
+            host.crash()
+            if what == "remove":
+                self._tell(host, "gone")
+        elif what == "restart":
+            host.host.state = READY
+            host.restart()
+            self._tell(host, "ready", time.time() * 1000)
+        elif what == "drain":
+            host.host.state = DRAINING
+            self._tell(host, "draining")
+        elif what == "ready":
+            host.host.state = READY
+            self._tell(host, "ready")
+        elif what == "hang":
+            host.hung = True
+        elif what == "slow":
+            host.host.slow = value
+        elif what == "failing":
+            host.failing = value
+        else:
+            host.hung, host.failing, host.host.slow = False, 0.0, 1.0
+
+
+async def _main() -> None:
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader(limit=1 << 24)
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    first = orjson.loads(await reader.readline())
+    clock = RealClock(loop)
+    note = Recorder(Path(first["folder"]) / "world.jsonl", lambda: clock.now)
+    world = World(Scenario.model_validate(first["scenario"]), note, loop)
+    print(orjson.dumps({"ports": world.ports()}).decode(), flush=True)
+    while line := await reader.readline():
+        world.play(orjson.loads(line)["t0"])
+    note.close()
+
+
+if __name__ == "__main__":
+    uvloop.run(_main())
