--- /dev/null
+++ b/benchmarks/mutations.py
@@ -0,0 +1,207 @@
+"""Planted faults: for each, a copy of the tree with one line changed, played in the lab; its checker tells.
+
+    python benchmarks/mutations.py [--only NAME] [--out FOLDER]
+
+Ends with 1 where a planted fault was not found, or a scenario does not hold for the tree as it is. A scenario
+is judged on the tree as it is first: a checker that always tells shows nothing.
+"""
+
+from __future__ import annotations
+
+import argparse
+import shutil
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parents[1]
+sys.path.insert(0, str(ROOT))
+
+from yewstage.lab.run import play  # noqa: E402
+from yewstage.lab.scenario import Scenario  # noqa: E402
+
+PLAN = {"name": "capped", "share": 1.0, "rate": 6.0, "burst": 12.0, "ceiling": 1.5, "width": 4}
+READ = {"name": "read", "share": 0.5, "work_ms": 20, "aim_ms": 2000, "deadline_ms": 3000, "worth": 3.0}
+BOOK = {"name": "book", "share": 0.5, "work_ms": 20, "aim_ms": 2000, "deadline_ms": 3000, "worth": 2.0}
+KEYED = {**BOOK, "effect": "keyed", "window_ms": 400}
+UNSAFE = {**BOOK, "effect": "unsafe"}
+
+
+def day(
+    *faults: dict[str, Any],
+    booking: dict[str, Any] = UNSAFE,
+    plan: dict[str, Any] = PLAN,
+    heavy: float = 0.2,
+    per_s: float = 80,
+    **fleet: Any,
+) -> Scenario:
+    """Six seconds of four gateways and six hosts."""
+    return Scenario.model_validate(
+        {
+            "name": "planted",
+            "seed": 3,
+            "length_s": 6.0,
+            "fleet": {"gateways": 4, "hosts": 6, "cold_ms": 4000, "list_late_ms": [10, 150], **fleet},
+            "traffic": {
+                "per_s": per_s,
+                "heavy": heavy,
+                "heavy_x": 5.0,
+                "plans": [plan],
+                "classes": [READ, booking],
+            },
+            "faults": faults,
+        }
+    )
+
+
+@dataclass(frozen=True)
+class Planted:
+    """One fault: where it is planted, who ought to tell, and the day that shows it."""
+
+    name: str
+    file: str
+    line: str
+    instead: str
+    rule: str
+    scenario: Scenario
+
+
+FAILING = ({"at_s": 1.0, "what": "failing", "who": "50% of hosts", "value": 0.4},)
+SLOW = ({"at_s": 0.5, "what": "slow", "who": "host:*", "value": 40},)
+DRAIN = ({"at_s": 1.0, "what": "drain", "who": "33% of hosts"},)
+COLD = (
+    {"at_s": 1.0, "what": "crash", "who": "33% of hosts", "name": "lost"},
+    {"at_s": 1.5, "what": "restart", "who": "@lost"},
+)
+HERDS = tuple(
+    {"at_s": at + step, "what": what, "who": "gateway:*"}
+    for at in (1.5, 2.5, 3.5, 4.5)
+    for step, what in ((0.0, "kill"), (0.1, "start"))
+)
+ROLL = (
+    {"at_s": 1.5, "what": "term", "who": "gateway:*", "over_s": 2.0},
+    {"at_s": 3.0, "what": "start", "who": "gateway:*", "over_s": 2.0},
+)
+CALM = ({"at_s": 1.0, "what": "slow", "who": "host:h0", "value": 1.5},)
+TIGHT = {**PLAN, "ceiling": 0.5}  # it binds before the quota does
+QUOTAS, POLICY = "yewstage/limits/quotas.py", "yewstage/policy.py"
+PLANTED = (
+    Planted(
+        "an unsafe request is sent again",
+        POLICY,
+        'if risky and held.cls.effect != "safe":',
+        'if risky and held.cls.effect == "keyed":',
+        "effects",
+        day(*FAILING),
+    ),
+    Planted(
+        "a keyed request is sent again after its window",
+        POLICY,
+        "if self.now - risky[0].sent > held.cls.window_ms - 2 * self.s.tick_ms:",
+        "if False:",
+        "effects",
+        day(*SLOW, *FAILING, booking=KEYED),
+    ),
+    Planted(
+        "a host that drains goes on being used",
+        "yewstage/fleet.py",
+        'self.up = server.status == "up"',
+        'self.up = server.status != "removed"',
+        "drains",
+        day(*DRAIN),
+    ),
+    Planted(
+        "a cold host is taken for warm",
+        "yewstage/fleet.py",
+        "        if not host.cold_from_ms or self.s.cold_ms <= 0:",
+        "        if True:",
+        "cold",
+        day(*COLD, per_s=200, cores=1, cold_from=0.1, fall_multiple=1.0, fall_ms=1000),
+    ),
+    Planted(
+        "a cold host's budget is not divided by the gateways",
+        "yewstage/fleet.py",
+        "        return host.credit >= work",
+        "        return True",
+        "cold",
+        day(*COLD, per_s=200, cores=1, cold_from=0.1, fall_multiple=1.0, fall_ms=1000),
+    ),
+    Planted(
+        "each gateway takes the whole ceiling for its own",
+        QUOTAS,
+        "        gained = (self.now - use.ceiling_at) * plan.ceiling_rate / 1000 / use.width",
+        "        full = plan.ceiling_burst\n"
+        "        gained = (self.now - use.ceiling_at) * plan.ceiling_rate / 1000",
+        "ceilings",
+        day(*CALM, heavy=0.9, plan=TIGHT),
+    ),
+    Planted(
+        "a ceiling is full at a start",
+        QUOTAS,
+        "use.ceiling_at = max(self.born or 0.0, self.shadow.at(use.digest))",
+        "use.ceiling_at = -1e9",
+        "ceilings",
+        day(*HERDS, heavy=0.9, plan={**TIGHT, "burst": 48.0, "ceiling": 0.25}),
+    ),
+    Planted(
+        "a gateway that is told to end does so at once",
+        "yewstage/net/life.py",
+        "        self._loop.call_later(ACCEPT_S, self._stop_accepting)",
+        "        self.done.set()",
+        "answered",
+        day(*ROLL, booking={**BOOK, "work_ms": 200}),
+    ),
+    Planted(
+        "a count is told again at each reply",
+        QUOTAS,
+        "        use.added += newer\n        use.in_call",
+        "        use.in_call",
+        "units",
+        day(*CALM),
+    ),
+)
+
+
+def tree_with(planted: Planted, folder: Path) -> Path:
+    """A copy of the program with one fault in it."""
+    shutil.copytree(ROOT / "yewstage", folder / "yewstage", ignore=shutil.ignore_patterns("__pycache__"))
+    path = folder / planted.file
+    text = path.read_text(encoding="utf-8")
+    if text.count(planted.line) != 1:
+        raise SystemExit(
+            f"{planted.name}: {planted.file} has the line {text.count(planted.line)} times, not once"
+        )
+    path.write_text(text.replace(planted.line, planted.instead), encoding="utf-8")
+    return folder
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__.split("\n", maxsplit=1)[0])
+    parser.add_argument("--only", default="", help="play only what has this in its name")
+    args = parser.parse_args()
+    missed = 0
+    with tempfile.TemporaryDirectory() as out:
+        for number, planted in enumerate(p for p in PLANTED if args.only in p.name):
+            said = {}
+            for which in ("as it is", "planted"):
+                folder = Path(out) / f"{number}-{which.replace(' ', '-')}"
+                tree = ROOT if which == "as it is" else tree_with(planted, Path(out) / f"tree-{number}")
+                scenario = planted.scenario.model_copy(
+                    update={"hold": planted.scenario.hold.model_copy(update={"rules": (planted.rule,)})}
+                )
+                said[which] = play(scenario, folder, tree).verdicts[0]
+            found = said["planted"].says() == "broken" and said["as it is"].says() == "held"
+            missed += not found
+            print(
+                f"{'found ' if found else 'MISSED'}  {planted.rule:9} {planted.name}: "
+                f"{said['as it is'].says()} of {said['as it is'].exercised}, "
+                f"planted: {said['planted'].broken} broken of {said['planted'].exercised}",
+                flush=True,
+            )
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/yewstage/lab/checks.py
+++ b/yewstage/lab/checks.py
@@ -50,8 +50,9 @@
 def answered(events: Iterable[Event]) -> Verdict:
     """One final answer for each request that a running gateway took, and none after it.
 
-    A try whose connection broke under it is excused where its gateway died or was stopped meanwhile, and so
-    is one that was never written.
+    A try whose connection broke under it, or that came too late, is excused where its gateway was killed or
+    stopped meanwhile, and so is one that was never written. A gateway that ended by itself, or in its drain,
+    has lost what it had taken.
     """
     verdict = Verdict("answered")
     wrote: dict[str, Event] = {}
@@ -60,7 +61,7 @@
         match event["ev"]:
             case "wrote":
                 wrote[event["rid"]] = event
-            case "kill" | "stop" | "ended" | "cont" | "start":
+            case "kill" | "stop" | "cont" | "start":
                 down[event["who"]].append(event)
             case "second":
                 verdict.show([event])
@@ -69,7 +70,7 @@
                 asked = wrote.pop(event["rid"])
                 if event["result"] in ("late", "reset"):
                     befell = down[event["gw"]]
-                    dead = bool(befell) and befell[-1]["ev"] in ("stop", "kill", "ended")
+                    dead = bool(befell) and befell[-1]["ev"] in ("stop", "kill")
                     excused = dead or any(
                         e["t"] >= asked["t"] - SLACK_MS and e["ev"] != "start" for e in befell
                     )
--- a/yewstage/lab/commands.py
+++ b/yewstage/lab/commands.py
@@ -165,3 +165,47 @@
     at = event.get("t")
     when = f"{(at - t0) / 1000:8.3f} s" if isinstance(at, float) else " " * 10
     return f"{when}  {event.get('who', '')!s:8} {event['ev']!s:8} {rest}"
+
+
+@lab.command(epilog="Example: hillmux lab compare HEAD~3 . examples/lab/herd.toml --pairs 5")
+@click.argument("base")
+@click.argument("head")
+@click.argument("path", type=click.Path(path_type=Path), metavar="FILE")
+@click.option(
+    "--pairs", default=3, show_default=True, type=click.IntRange(1, 1000), help="Seeds, from the file's on."
+)
+@click.option("--out", type=click.Path(path_type=Path), default=Path("lab-runs"), show_default=True)
+def compare(base: str, head: str, path: Path, pairs: int, out: Path) -> None:
+    """Play two trees in turn, BASE and HEAD (folders or revisions), and show the paired differences."""
+    from rich.console import Console
+    from rich.table import Table
+
+    from yewstage.lab.compare import TreeError
+    from yewstage.lab.compare import compare as compared
+    from yewstage.lab.processes import NotReadyError
+    from yewstage.lab.run import RunError
+
+    scenario = _scenario(path)
+    folder = _folder(out, f"compare-{scenario.name}")
+    try:
+        rows, results = compared(base, head, scenario, pairs, folder, lambda text: click.echo(text, err=True))
+    except (RunError, NotReadyError, TreeError, TimeoutError) as error:
+        click.echo(f"{path}: {error or 'a run did not end in its time'}", err=True)
+        sys.exit(FAULT)
+    table = Table(
+        "figure", "base", "head", "head less base, 95%", "pairs", title=f"{scenario.name}, {pairs} seeds"
+    )
+    for row in rows:
+        table.add_row(
+            row.name,
+            f"{row.base:.3f}",
+            f"{row.head:.3f}",
+            f"{row.low:+.3f} .. {row.high:+.3f}",
+            str(row.pairs),
+        )
+    console = Console()
+    console.print(table)
+    broken = [(r.folder.name, v.rule) for r in results for v in r.verdicts if v.broken]
+    for name, rule in broken:
+        console.print(f"{name}: {rule} broken", style="red")
+    sys.exit(1 if broken else 0)
--- a/yewstage/lab/links.py
+++ b/yewstage/lab/links.py
@@ -15,6 +15,7 @@
 import asyncio
 import socket
 import struct
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -54,7 +55,11 @@
         self.link, self._made, self._loop = link, made, loop
         self.lost = self.closing = False
         self._transport: Any = None
-        self._in_free = self._out_free = 0.0  # when the last byte each way is through: order is kept
+        # What is on its way, and when the last of it is through. Bytes go in their order: two timers that
+        # are due at one moment may be called in any.
+        self._coming: deque[bytes] = deque()
+        self._going: deque[bytes] = deque()
+        self._in_free = self._out_free = 0.0
         self._answered = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -68,13 +73,15 @@
             self.lost = True
             return
         due = max(self._loop.time() + link.delay_ms / 1000, self._in_free)
-        if link.delay_ms <= 0 and due <= self._loop.time():
+        if not self._coming and due <= self._loop.time():
             self._receiver.received(data)
             return
         self._in_free = due
-        self._loop.call_at(due, self._receive, data)
+        self._coming.append(data)
+        self._loop.call_at(due, self._receive)
 
-    def _receive(self, data: bytes) -> None:
+    def _receive(self) -> None:
+        data = self._coming.popleft()
         if not self.lost and not self.closing:
             self._receiver.received(data)
 
@@ -96,13 +103,15 @@
         due = max(self._loop.time() + link.delay_ms / 1000, self._out_free)
         if link.bytes_per_s > 0:
             due += len(data) / link.bytes_per_s
-        if due <= self._loop.time():
+        if not self._going and due <= self._loop.time():
             self._transport.write(data)
             return
         self._out_free = due
-        self._loop.call_at(due, self._send, data)
+        self._going.append(data)
+        self._loop.call_at(due, self._send)
 
-    def _send(self, data: bytes) -> None:
+    def _send(self) -> None:
+        data = self._going.popleft()
         if not self.lost and not self.closing:
             self._transport.write(data)
 
--- a/yewstage/lab/measures.py
+++ b/yewstage/lab/measures.py
@@ -32,6 +32,7 @@
     most_counter_s: int = 0
     turned_away: int = 0  # of the counter's calls
     fell: int = 0
+    memory_mb: float = 0.0  # the most that a gateway held
     faults_s: list[float] = field(default_factory=list)
     full_service_s: float | None = None  # after the last fault; None: not seen
     full_after_ready_s: float | None = None  # after the last gateway was ready
@@ -94,6 +95,8 @@
                 calls[second] += 1
             case "fell":
                 figures.fell += 1
+            case "memory":
+                figures.memory_mb = max(figures.memory_mb, event["kb"] / 1024)
             case "fault" | "kill" | "term" | "stop":
                 at = (event["t"] - t0) / 1000
                 if at >= 0:
--- a/yewstage/lab/processes.py
+++ b/yewstage/lab/processes.py
@@ -57,7 +57,7 @@
         self._scenario, self._note, self._tree, self._told = scenario, note, tree, told
         self._folder = folder / self.name
         self._folder.mkdir()
-        self._starts = 0
+        self._starts = self._moves = 0
         self.process: asyncio.subprocess.Process | None = None
         self._reading: asyncio.Task[None] | None = None
         self.lines: list[str] = []
@@ -70,7 +70,7 @@
         return {
             "name": self.name,
             "listen": f"127.0.0.1:{self.port}",
-            "discovery": f"127.0.0.1:{self._told['discovery']}",
+            "discovery": f"127.0.0.1:{self._told['discovery'][self._moves % 2]}",
             "counter": f"127.0.0.1:{self._told['counter']}",
             "seed": f"{seed:x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -130,6 +130,26 @@
             },
         }
 
+    def _write_config(self) -> Path:
+        path = self._folder / "config.json"
+        path.write_bytes(orjson.dumps(self._config()))
+        return path
+
+    def moved(self) -> None:
+        """Its discovery has gone to the other address: the file says so from now on."""
+        self._moves += 1
+        self._write_config()
+
+    def memory_kb(self) -> int:
+        """What it holds now; 0 while it is dead."""
+        if self.process is None or self.process.returncode is not None:
+            return 0
+        try:
+            pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+        except (OSError, IndexError):
+            return 0
+        return pages * os.sysconf("SC_PAGE_SIZE") // 1024
+
     async def start(self, empty: bool = True) -> None:
         """Start it, with an empty or a kept folder, and wait until it listens."""
         if self.process is not None and self.process.returncode is None:
@@ -138,8 +158,7 @@
         if empty:
             shutil.rmtree(own, ignore_errors=True)
         own.mkdir(exist_ok=True)
-        path = self._folder / "config.json"
-        path.write_bytes(orjson.dumps(self._config()))
+        path = self._write_config()
         self._starts += 1
         self._note(self.name, "start")
         self.process = await asyncio.create_subprocess_exec(
--- a/yewstage/lab/run.py
+++ b/yewstage/lab/run.py
@@ -23,6 +23,7 @@
 LEAD_S = 0.5  # between the last gateway's readiness and the first try
 OVER_S = 30.0  # how long after its length a run may take to end
 LATE_MS = 5.0  # p99 of the load's own lateness up to which times are judged
+SAMPLE_S = 1.0  # between looks at the gateways' memory
 AT_ONCE = 8  # gateways that are started at once before the run
 
 
@@ -168,6 +169,7 @@
         for strike in schedule(scenario):
             if strike.fault.what in GATEWAY_FAULTS:
                 loop.call_later((t0 + strike.at_ms) / 1000 - time.monotonic(), self._strike, strike)
+        self._sample()
         over = await asyncio.wait_for(self._load.hear(), scenario.length_s + LEAD_S + OVER_S)
         return t0, over["late_ms"]
 
@@ -175,6 +177,12 @@
         await gateway.start()
         await gateway.ready()
 
+    def _sample(self) -> None:
+        for gateway in self.gateways.values():
+            if memory := gateway.memory_kb():
+                self.note(gateway.name, "memory", kb=memory)
+        asyncio.get_running_loop().call_later(SAMPLE_S, self._sample)
+
     def _strike(self, strike: Strike) -> None:
         gateway, what = self.gateways[strike.target], strike.fault.what
         if what == "start":
@@ -182,6 +190,8 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         else:
+            if strike.fault.how == "moved":
+                gateway.moved()
             gateway.signal(what)
 
     async def _again(self, gateway: GatewayProcess) -> None:
--- a/yewstage/lab/scenario.py
+++ b/yewstage/lab/scenario.py
@@ -169,7 +169,8 @@
     name: str = ""  # so that a later fault can aim at the same ones, as `@name`
     over_s: NotNegative = 0.0  # one after another, evenly over so long
     value: NotNegative = 0.0  # times slower, share that fails, milliseconds, bytes (a second)
-    how: Literal["all", "nothing", "old", ""] = ""  # what a counter comes back with, or a gateway's list
+    # What a counter comes back with; `moved`: a SIGHUP with which discovery goes to another address.
+    how: Literal["all", "nothing", "old", "moved", ""] = ""
 
 
 class Hold(_Model):
--- a/yewstage/lab/standins/discovery.py
+++ b/yewstage/lab/standins/discovery.py
@@ -9,13 +9,14 @@
 import orjson
 
 from yewstage.lab.clock import Clock
-from yewstage.lab.links import Door, Link
+from yewstage.lab.links import Door, Link, Wire
 from yewstage.lab.record import Recorder
 from yewstage.lab.standins.http import Asked, Line, Owner, message
 
 MOST_KEPT = 4096  # changes that a watch may ask for; an older one gets the whole list
 LONGEST_MS = 60_000.0
 SILENT_TOLD_MS = 6000.0
+MOVED_MS = 500.0
 Entry = dict[str, Any]
 
 
@@ -40,7 +41,31 @@
         self._silent_at = 0.0
         self._untold: list[Entry] = []
         self._sent_until = 0.0
-        self.door = Door(link, lambda wire: Line(wire, self), loop)
+        self.doors = [Door(link, self._came_up, loop) for _ in range(2)]  # two addresses, one open
+        self._lines: dict[Line, Door] = {}
+        self._at = 0
+
+    @property
+    def door(self) -> Door:
+        """Where it listens."""
+        return self.doors[self._at]
+
+    def _came_up(self, wire: Wire) -> Line:
+        line = Line(wire, self)
+        self._lines[line] = self.door
+        return line
+
+    def move(self) -> None:
+        """Listen at the other address from now on; the old one ends when its callers have been told."""
+        old = self.door
+        self._at = 1 - self._at
+        self.door.open()
+        self._clock.after(MOVED_MS, self._leave, old)
+
+    def _leave(self, old: Door) -> None:
+        old.close()
+        for line in [line for line, door in self._lines.items() if door is old]:
+            line.wire.reset()
 
     def listing(self, entries: list[Entry], whole: bool) -> Entry:
         """A list in discovery's form."""
@@ -117,6 +142,7 @@
             self._clock.after(wait_ms, self._waited, asked)
 
     def gone(self, line: Line) -> None:
+        self._lines.pop(line, None)
         self._watches = [(a, after) for a, after in self._watches if a.line is not line]
         self._held = [a for a in self._held if a.line is not line]
 
--- a/yewstage/lab/traffic.py
+++ b/yewstage/lab/traffic.py
@@ -55,6 +55,7 @@
     heavy: float = 0.1  # part that ask for `heavy_x` times their rate
     heavy_x: float = 3.5
     skew: float = 0.6  # spread of a customer's weights over its gateways (sigma of a lognormal)
+    busy: float = 0.0  # part of the tries of customers with the widest sets that come through gateway 0
     shift_s: float = 15.0  # the weights are drawn anew so often
     work_cv: float = 0.8
     guess_cv: float = 0.5  # of the units that an answer reveals, against the guess
@@ -134,9 +135,12 @@
         weights = np.exp(model.skew * draw.standard_normal((spells, customer.width)))
         sums = np.cumsum(weights / weights.sum(axis=1, keepdims=True), axis=1)
         picks = draw.random(count)
+        busy = draw.random(count) < model.busy if model.busy and customer.width == gateways else None
         for i in range(count):
             cls = model.classes[int(classes[i])]
             at = min(int(np.searchsorted(sums[int(times[i] / model.shift_s)], picks[i])), customer.width - 1)
+            if busy is not None and busy[i]:
+                at = -customer.first % gateways
             found.append(Try(1000 * float(times[i]), customer, cls, float(units[i]),
                              min(float(true[i]), 4.0 * model.most_units), cls.work_ms * float(work[i]),
                              (customer.first + at) % gateways, float(luck[i])))
--- /dev/null
+++ b/yewstage/lab/virtual/play.py
@@ -0,0 +1,77 @@
+"""A scenario in virtual time: the same file, seed, traffic and strikes, with modelled sockets.
+
+What virtual time has no model of is named by `not_modelled` and left out of the day: signals but for kill,
+term and start, faults of single links, a second counter, silence of discovery.
+"""
+
+from __future__ import annotations
+
+from yewstage.lab.scenario import Scenario, Strike, schedule
+from yewstage.lab.virtual.counter import CounterModel
+from yewstage.lab.virtual.hosts import READY, HostModel
+from yewstage.lab.virtual.world import DayModel, Figures, World
+
+MODELLED = frozenset((
+    "kill", "term", "start", "crash", "restart", "drain", "remove", "ready", "slow", "well",
+    "counter_stop", "counter_keep", "counter_start",
+))  # fmt: skip
+OVER_S = 12.0  # what is under way at the end of the traffic ends in it
+
+
+def not_modelled(scenario: Scenario) -> list[str]:
+    """Kinds of faults in a scenario that virtual time leaves out."""
+    return sorted({f.what for f in scenario.faults} - MODELLED)
+
+
+def world(scenario: Scenario) -> World:
+    """A scenario's day, at its start."""
+    fleet, traffic = scenario.fleet, scenario.traffic
+    day = DayModel(
+        fleet.gateways, fleet.hosts, traffic.model(scenario.length_s), fleet.zones,
+        HostModel(fleet.cores, 1.0, 60, fleet.cold_from, fleet.cold_ms, fleet.fall_multiple, fleet.fall_ms),
+        CounterModel(fleet.counter_per_s, fleet.counter_parts, 2 * fleet.counter_wait_ms),
+        count_wait_ms=3 * fleet.counter_wait_ms, retries=traffic.retries, backoff_ms=traffic.backoff_ms,
+        honour=traffic.honour, notice_ms=fleet.notice_ms, list_ms=fleet.list_late_ms)  # fmt: skip
+    return World(day, scenario.seed)
+
+
+def play(scenario: Scenario) -> tuple[World, Figures]:
+    """Play it to its end; two plays of a seed are the same to the last figure."""
+    played = world(scenario)
+    kept = played.counter.copy()
+    for strike in schedule(scenario):
+        played.run(strike.at_ms / 1000)
+        if strike.fault.what == "counter_keep":
+            kept = played.counter.copy()
+        elif strike.fault.what == "counter_start":
+            known = {"all": played.counter.copy(), "old": kept}.get(strike.fault.how)
+            played.counter.start(known)
+        elif strike.fault.what in MODELLED:
+            _strike(played, strike)
+    return played, played.run(scenario.length_s + OVER_S)
+
+
+def _strike(played: World, strike: Strike) -> None:
+    what, target = strike.fault.what, strike.target
+    match what:
+        case "kill" | "term":  # a drain that goes well ends what is open; here it is reset
+            if played.gateways[int(target[1:])].alive:
+                played.kill(int(target[1:]))
+        case "start":
+            if not played.gateways[int(target[1:])].alive:
+                played.start(int(target[1:]))
+        case "crash":
+            played.hosts[target].stop()
+        case "remove":
+            played.remove_host(target)
+        case "restart":
+            played.restart_host(target)
+        case "drain":
+            played.drain_host(target)
+        case "ready":
+            played.hosts[target].state = READY
+            played.list_host(target)
+        case "slow" | "well":
+            played.hosts[target].slow = strike.fault.value if what == "slow" else 1.0
+        case "counter_stop":
+            played.counter.stop()
--- a/yewstage/lab/virtual/world.py
+++ b/yewstage/lab/virtual/world.py
@@ -171,6 +171,10 @@
         self.hosts[name].state = DRAINING
         self._tell(self._line(self.hosts[name], "draining"))
 
+    def list_host(self, name: str) -> None:
+        """The lists tell of it as it is, up."""
+        self._tell(self._line(self.hosts[name], "up"))
+
     def remove_host(self, name: str) -> None:
         """Its process ends, and it leaves the list."""
         self.hosts[name].stop()
--- a/yewstage/lab/world.py
+++ b/yewstage/lab/world.py
@@ -96,7 +96,7 @@
         """What each gateway is told of: its discovery, its counter, its list."""
         return {
             name: {
-                "discovery": agent.door.port,
+                "discovery": [door.port for door in agent.doors],
                 "counter": self.counter.doors[name].port,
                 "known": agent.listing(list(agent.entries.values()), True),
             }
@@ -124,7 +124,8 @@
     def play(self, t0_ms: float) -> None:
         """Let all that is to happen here happen, reckoned from a moment of the shared clock."""
         for strike in schedule(self.scenario):
-            if strike.fault.what not in GATEWAY_FAULTS:
+            moved = strike.fault.what == "hup" and strike.fault.how == "moved"
+            if moved or strike.fault.what not in GATEWAY_FAULTS:
                 self.clock.at(t0_ms + strike.at_ms, self.strike, strike)
 
     def strike(self, strike: Strike) -> None:
@@ -142,6 +143,8 @@
             agent = self.agents[strike.target]
             if what == "forget":
                 agent.forget()
+            elif what == "hup":
+                agent.move()
             else:
                 agent.silence(what == "silence")
 
