--- a/benchmarks/thousand.py
+++ b/benchmarks/thousand.py
@@ -88,7 +88,7 @@
         at = back(figures, round(args.seconds / 2), args.seconds)
         print(f"seed {seed}: {took:.0f} s of CPU for {args.seconds:g} s; {figures.first} first tries, "
               f"{figures.tries} tries, worth served {figures.served / figures.worth:.3f}, counter calls "
-              f"{world.counter_calls} ({world.counter_unheard / max(world.counter_calls, 1):.0%} unanswered), "
+              f"{world.counter_calls} ({world.counter_unheard / max(world.counter_calls, 1):.0%} unheard), "
               f"dials {world.dials}, full service {'not seen' if at is None else f'after {at:.0f} s'}"
               f"{'' if sound else '; NOT SOUND'}{', twice the same' if args.twice and same else ''}",
               flush=True)  # fmt: skip
