hillmux lab report: a run as one page, curves with the faults as bands

Need: verdicts say that a rule held, not what service looked like meanwhile.

Change: tries by result, worth served in time, served by gateway, latency, dials, counter calls and work to cold hosts by the second; faults as bands; verdicts and the shortest chain of what was broken. The same record gives the same page.

--- /dev/null
+++ b/tests/lab/test_report.py
@@ -0,0 +1,62 @@
+"""The page of a run: whole in itself, the same for the same record, with what was broken."""
+
+from __future__ import annotations
+
+from html.parser import HTMLParser
+from typing import Any
+
+from yewstage.lab.checks import Terms, Verdict, answered
+from yewstage.lab.measures import measure
+from yewstage.lab.report import Series, page
+
+TERMS = Terms(1000.0, {}, {"p": (10.0, 100.0)})
+
+
+def record() -> list[dict[str, Any]]:
+    events: list[dict[str, Any]] = []
+    for i in range(40):
+        t, rid = 100.0 * i, f"r{i}"
+        first = {"due": t, "plan": "p", "customer": "c", "units": 1.0, "true": 1.0, "worth": 1.0}
+        events += [
+            {"t": t, "who": "client", "ev": "first", "rid": rid, "aim": 500.0, **first},
+            {"t": t, "who": "client", "ev": "wrote", "rid": rid, "gw": "g0"},
+            {"t": t + 1, "who": "h0", "ev": "got", "rid": rid, "cold": i > 20, "gw": "g0"},
+        ]
+        if i != 30:
+            took = {"took": 50.0, "total": 50.0, "status": 200, "wait": 0.0}
+            events.append({"t": t + 50, "who": "client", "ev": "answer", "rid": rid, "first": rid, "gw": "g0",
+                           "result": "served", **took})  # fmt: skip
+    events.append({"t": 2000.0, "who": "lab", "ev": "fault", "what": "<cut>", "target": "g0>h0", "value": 0})
+    return sorted(events, key=lambda e: e["t"])
+
+
+class Outside(HTMLParser):
+    """What a page would fetch."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.found: list[str] = []
+
+    def handle_starttag(self, tag: str, attrs: list[tuple[str, str | None]]) -> None:
+        named = [str(v) for k, v in attrs if k in ("src", "href", "data")]
+        self.found += [value for value in named if not value.startswith("#")]
+
+
+def test_a_page_is_whole_and_tells_what_was_broken() -> None:
+    events = record()
+    figures = measure(events, 0.0, 5.0, TERMS)
+    verdicts: list[Verdict] = [answered(events)]
+    text = page("day <1>", "x", Series(events, 0.0, 5.0), figures, verdicts, ["served: too little"])
+    outside = Outside()
+    outside.feed(text)
+    assert outside.found == []
+    assert "day &lt;1&gt;" in text and "&lt;cut&gt; (1)" in text and "served: too little" in text
+    assert "r30" in text.partition("What was broken")[2]
+    assert text == page("day <1>", "x", Series(events, 0.0, 5.0), figures, verdicts, ["served: too little"])
+
+
+def test_figures_of_the_record() -> None:
+    figures = measure(record(), 0.0, 5.0, TERMS)
+    assert (figures.first, figures.attempts, figures.results) == (40, 40, {"served": 39})
+    assert figures.served_share == 39 / 40
+    assert [w.asked for w in figures.windows] == [10, 10, 10, 10, 0]
--- a/yewstage/lab/commands.py
+++ b/yewstage/lab/commands.py
@@ -209,3 +209,24 @@
     for name, rule in broken:
         console.print(f"{name}: {rule} broken", style="red")
     sys.exit(1 if broken else 0)
+
+
+@lab.command(epilog="Example: hillmux lab report lab-runs/herd-1-1")
+@click.argument("folder", type=click.Path(path_type=Path, exists=True), metavar="RUN")
+def report(folder: Path) -> None:
+    """Write a run as one self-contained page, RUN/report.html."""
+    import orjson
+
+    from yewstage.lab import record
+    from yewstage.lab.report import Series, page
+    from yewstage.lab.run import judge
+    from yewstage.lab.scenario import Scenario
+
+    scenario = Scenario.model_validate(orjson.loads((folder / "scenario.json").read_bytes()))
+    said = orjson.loads((folder / "verdict.json").read_bytes())
+    result = judge(scenario, folder, said["t0"], said["late_ms"])
+    series = Series(record.read(folder), said["t0"], scenario.length_s)
+    title = f"{scenario.name}, seed {scenario.seed}"
+    text = page(title, scenario.about, series, result.figures, result.verdicts, result.unmet)
+    (folder / "report.html").write_text(text, encoding="utf-8")
+    click.echo(folder / "report.html")
