--- a/yewstage/lab/commands.py
+++ b/yewstage/lab/commands.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import sys
+from collections import deque
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -14,6 +17,8 @@
 
 FAULT = 2  # exit status for a file that is no good, or a run that did not come about
 SHIPPED = Path("examples/lab")
+SHOWN = ("served", "refused", "failed", "reset", "late")
+LAST_SECONDS = 15
 
 
 @click.group()
@@ -56,7 +61,10 @@
         scenario = scenario.model_copy(update={"seed": seed})
     folder = _folder(out, f"{scenario.name}-{scenario.seed}")
     try:
-        result = play(scenario, folder, (tree or ROOT).resolve(), lambda text: click.echo(text, err=True))
+        with _live(scenario) as shown:
+            result = play(
+                scenario, folder, (tree or ROOT).resolve(), lambda t: click.echo(t, err=True), shown
+            )
     except (RunError, NotReadyError, TimeoutError) as error:
         click.echo(f"{path}: {error or 'the run did not end in its time'}", err=True)
         sys.exit(FAULT)
@@ -64,6 +72,35 @@
     sys.exit(0 if result.holds() else 1)
 
 
+@contextmanager
+def _live(scenario: Scenario) -> Iterator[Callable[[dict[str, float]], None]]:
+    """A table of the last seconds on a terminal; nothing where there is none."""
+    if not sys.stdout.isatty():
+        yield lambda progress: None
+        return
+    from rich.live import Live
+    from rich.table import Table
+
+    rows: deque[tuple[str, ...]] = deque(maxlen=LAST_SECONDS)
+
+    with Live(refresh_per_second=4) as live:
+
+        def shown(progress: dict[str, float]) -> None:
+            at = progress["at_s"]
+            struck = [f.what for f in scenario.faults if at - 1 < f.at_s <= at]
+            rows.append((
+                f"{at:.0f} of {scenario.length_s:g}", f"{progress['alive']:.0f}", f"{progress['out']:.0f}",
+                *(f"{progress.get(name, 0):.0f}" for name in SHOWN), f"{progress['open']:.0f}",
+                ", ".join(struck),
+            ))  # fmt: skip
+            table = Table("s", "alive", "front: out", *SHOWN, "open", "faults", title=scenario.name)
+            for row in rows:
+                table.add_row(*row)
+            live.update(table)
+
+        yield shown
+
+
 def _folder(out: Path, name: str) -> Path:
     serial = 1
     while (out / f"{name}-{serial}").exists():
--- a/yewstage/lab/load.py
+++ b/yewstage/lab/load.py
@@ -2,8 +2,9 @@
 
     python -m yewstage.lab.load
 
-Takes lines of JSON: `{"scenario": ..., "folder": ..., "ports": {"g0": ...}}`, then `{"t0": ...}`; says
-`{"ready": true}`, and at the end `{"over": ..., "late_ms": [p50, p99, max]}`: how late it was itself.
+Takes lines of JSON: `{"scenario": ..., "folder": ..., "ports": {"g0": ...}}`, then `{"t0": ...}`. Says
+`{"ready": true}`, once a second `{"progress": ...}`, and at the end `{"over": ..., "late_ms": [p50, p99, max]}`:
+how late it was itself.
 
 Latency is taken from the moment at which a try was due, so that a slow gateway, or a slow load, hides nothing
 (the coordinated omission of Tene's talks).
@@ -14,7 +15,7 @@
 import asyncio
 import os
 import sys
-from collections import deque
+from collections import Counter, deque
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -189,6 +190,7 @@
         self.gates = [_Gate(self, name, port) for name, port in ports.items()]
         self.late = HdrHistogram(1, LONGEST_US, 3)
         self.open = 0
+        self.ended_as: Counter[str] = Counter()  # tries, since the last word of progress
         self.done = asyncio.Event()
         self._asked = tries(scenario.traffic.model(scenario.length_s), len(self.gates), scenario.seed)
         self._next, self._serial = 0, 0
@@ -210,6 +212,15 @@
             return
         self.clock.at(t0 + self._asked[0].at_ms, self._arrivals)
 
+    def progress(self) -> None:
+        """Say once a second what tries came to."""
+        if not self.done.is_set():
+            out = sum(gate.out for gate in self.gates)
+            said = {"at_s": (self.clock.now - self._t0) / 1000, "open": self.open, "out": out}
+            print(orjson.dumps({"progress": said | dict(self.ended_as)}).decode(), flush=True)
+            self.ended_as.clear()
+            self.clock.after(1000, self.progress)
+
     def _arrivals(self) -> None:
         asked, now = self._asked, self.clock.now
         while self._next < len(asked) and self._t0 + asked[self._next].at_ms <= now:
@@ -307,6 +318,7 @@
 
     def ended(self, first: _First, result: str, wait_ms: float) -> None:
         """A try is over: the client is content, gives up, or asks again."""
+        self.ended_as[result] += 1
         traffic, one = self.scenario.traffic, first.one
         spent = self.clock.now - first.due
         wait = traffic.backoff_ms * self._stream.uniform(0.5, 1.5)
@@ -339,6 +351,7 @@
     line = await reader.readline()
     if line:
         clients.play(orjson.loads(line)["t0"])
+        clients.progress()
         over = loop.create_task(clients.done.wait())
         gone = loop.create_task(reader.readline())  # the lab has died
         await asyncio.wait((over, gone), return_when=asyncio.FIRST_COMPLETED)
--- a/yewstage/lab/run.py
+++ b/yewstage/lab/run.py
@@ -121,8 +121,10 @@
         folder: Path,
         tree: Path = ROOT,
         say: Callable[[str], None] = lambda text: None,
+        show: Callable[[dict[str, float]], None] = lambda progress: None,
     ) -> None:
-        self.scenario, self.folder, self.tree, self._say = scenario, folder, tree, say
+        self.scenario, self.folder, self.tree = scenario, folder, tree
+        self._say, self._show = say, show
         self._world, self._load = _Helper("yewstage.lab.world"), _Helper("yewstage.lab.load")
         self.gateways: dict[str, GatewayProcess] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -170,9 +172,17 @@
             if strike.fault.what in GATEWAY_FAULTS:
                 loop.call_later((t0 + strike.at_ms) / 1000 - time.monotonic(), self._strike, strike)
         self._sample()
-        over = await asyncio.wait_for(self._load.hear(), scenario.length_s + LEAD_S + OVER_S)
+        over = await asyncio.wait_for(self._hear(), scenario.length_s + LEAD_S + OVER_S)
         return t0, over["late_ms"]
 
+    async def _hear(self) -> dict[str, Any]:
+        while "progress" in (line := await self._load.hear()):
+            alive = sum(
+                g.process is not None and g.process.returncode is None for g in self.gateways.values()
+            )
+            self._show(line["progress"] | {"alive": alive})
+        return line
+
     async def _up(self, gateway: GatewayProcess) -> None:
         await gateway.start()
         await gateway.ready()
@@ -248,7 +258,11 @@
 
 
 def play(
-    scenario: Scenario, folder: Path, tree: Path = ROOT, say: Callable[[str], None] = lambda text: None
+    scenario: Scenario,
+    folder: Path,
+    tree: Path = ROOT,
+    say: Callable[[str], None] = lambda text: None,
+    show: Callable[[dict[str, float]], None] = lambda progress: None,
 ) -> Result:
-    """Play a scenario; RunError where it does not come about."""
-    return asyncio.run(Run(scenario, folder, tree, say).play())
+    """Play a scenario; RunError where it does not come about. `show` is given the progress once a second."""
+    return asyncio.run(Run(scenario, folder, tree, say, show).play())
