--- a/yewstage/lab/load.py
+++ b/yewstage/lab/load.py
@@ -3,8 +3,8 @@
     python -m yewstage.lab.load
 
 Takes lines of JSON: `{"scenario": ..., "folder": ..., "ports": {"g0": ...}}`, then `{"t0": ...}`. Says
-`{"ready": true}`, once a second `{"progress": ...}`, and at the end `{"over": ..., "late_ms": [p50, p99, max]}`:
-how late it was itself.
+`{"ready": true}`, once a second `{"progress": ...}`, and at the end how late it was itself: `{"over": ...,
+"late_ms": [p50, p99, max]}`.
 
 Latency is taken from the moment at which a try was due, so that a slow gateway, or a slow load, hides nothing
 (the coordinated omission of Tene's talks).
