--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	.venv/bin/hillmux demo
 
 test: lint
-	.venv/bin/python -m pytest -q -n auto
+	.venv/bin/python -m pytest -q -n auto --dist worksteal
 
 lint: $(SET_UP)
 	.venv/bin/ruff check .
--- a/tests/lab/test_play.py
+++ b/tests/lab/test_play.py
@@ -4,9 +4,13 @@
 
 from pathlib import Path
 
+import orjson
 import pytest
+from click.testing import CliRunner
 
 from yewstage.lab import scenario as sc
+from yewstage.lab.checks import Event
+from yewstage.lab.commands import lab
 from yewstage.lab.virtual import play
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -27,9 +31,36 @@
 
 def test_two_plays_of_a_seed_are_the_same_and_those_of_two_are_not() -> None:
     day = sc.load(ROOT / "examples/lab/herd.toml").model_copy(update={"length_s": 11.0})
-    figures = [play.play(day.model_copy(update={"seed": seed}))[1] for seed in (1, 1, 2)]
-    assert figures[0] == figures[1] != figures[2]
-    assert figures[0].reset > 0
+    records = []
+    for seed in (1, 1, 2):
+        events: list[Event] = []
+        _, figures = play.play(day.model_copy(update={"seed": seed}), events)
+        assert figures.reset > 0
+        records.append(b"\n".join(map(orjson.dumps, events)))
+    assert records[0] == records[1] != records[2]
+    assert len(records[0]) > 1_000_000
+
+
+@pytest.mark.parametrize("name", ["herd", "roll", "zone"])
+def test_a_record_in_virtual_time_is_judged_as_that_of_real_processes(name: str) -> None:
+    day = sc.load(ROOT / f"examples/lab/{name}.toml")
+    verdicts, figures = play.judged(day)
+    assert {v.rule: v.says() for v in verdicts} == dict.fromkeys(day.hold.rules, "held")
+    assert figures.full_service_s is not None and figures.served_share > 0.75
+
+
+def test_a_run_in_virtual_time_is_followed_as_another(tmp_path: Path) -> None:
+    path = tmp_path / "herd.toml"
+    text = (ROOT / "examples/lab/herd.toml").read_text(encoding="utf-8")
+    path.write_text(text.replace("length_s = 24", "length_s = 16"), encoding="utf-8")
+    said = CliRunner().invoke(lab, ["run", "--virtual", "--out", str(tmp_path), str(path)])
+    assert said.exit_code == 0 and "answered" in said.output, said.output
+    said = CliRunner().invoke(lab, ["follow", str(tmp_path / "herd-1-1"), "t7"])
+    assert said.exit_code == 0 and "first" in said.output and "answer" in said.output
+    said = CliRunner().invoke(lab, ["follow", str(tmp_path / "herd-1-1"), "nobody"])
+    assert said.exit_code == 2 and "found 'nobody'" in said.output
+    said = CliRunner().invoke(lab, ["explain", str(tmp_path / "herd-1-1")])
+    assert said.exit_code == 0 and "ceilings: held" in said.output
 
 
 def test_what_virtual_time_leaves_out_is_named() -> None:
--- a/yewstage/lab/commands.py
+++ b/yewstage/lab/commands.py
@@ -51,15 +51,20 @@
     type=click.Path(path_type=Path, exists=True),
     help="The checkout whose gateways are played, if not this one.",
 )
-def run(path: Path, seed: int | None, out: Path, tree: Path | None) -> None:
+@click.option("--virtual", is_flag=True, help="In virtual time: no processes, the same to the last byte.")
+def run(path: Path, seed: int | None, out: Path, tree: Path | None, virtual: bool) -> None:
     """Play a scenario. Ends with 1 where something does not hold, or was not exercised."""
     from yewstage.lab.processes import ROOT, NotReadyError
-    from yewstage.lab.run import RunError, play
+    from yewstage.lab.run import RunError, play, play_virtual
 
     scenario = _scenario(path)
     if seed is not None:
         scenario = scenario.model_copy(update={"seed": seed})
     folder = _folder(out, f"{scenario.name}-{scenario.seed}")
+    if virtual:
+        result = play_virtual(scenario, folder, lambda t: click.echo(t, err=True))
+        show(result)
+        sys.exit(0 if result.holds() else 1)
     try:
         with _live(scenario) as shown:
             result = play(
--- a/yewstage/lab/processes.py
+++ b/yewstage/lab/processes.py
@@ -15,7 +15,7 @@
 import orjson
 
 from yewstage.lab.record import Recorder
-from yewstage.lab.scenario import Scenario, zone_of
+from yewstage.lab.scenario import MOST_UNITS, Scenario, slack, zone_of
 from yewstage.lab.streams import generator
 
 READY_S = 20.0
@@ -226,11 +226,3 @@
         if self._reading is not None:
             await self._reading
         self._held.close()
-
-
-MOST_UNITS = 4
-
-
-def slack(most: float) -> float:
-    """A ceiling's slack in units: a tenth of its store, or one of the largest requests."""
-    return max(0.1 * most, float(MOST_UNITS))
--- a/yewstage/lab/run.py
+++ b/yewstage/lab/run.py
@@ -16,9 +16,10 @@
 
 from yewstage.lab import checks, record
 from yewstage.lab.measures import Figures, measure
-from yewstage.lab.processes import ROOT, GatewayProcess, NotReadyError, die_with_parent, slack
+from yewstage.lab.processes import ROOT, GatewayProcess, NotReadyError, die_with_parent
 from yewstage.lab.record import Recorder
-from yewstage.lab.scenario import GATEWAY_FAULTS, Scenario, Strike, free_mb, schedule, too_much
+from yewstage.lab.scenario import GATEWAY_FAULTS, Scenario, Strike, free_mb, schedule, terms, too_much
+from yewstage.lab.virtual import play as virtual
 
 LEAD_S = 0.5  # between the last gateway's readiness and the first try
 OVER_S = 30.0  # how long after its length a run may take to end
@@ -98,20 +99,6 @@
             await self._process.wait()
 
 
-def terms(scenario: Scenario) -> checks.Terms:
-    """What a scenario's record is judged by."""
-    plans = scenario.traffic.plans
-    return checks.Terms(
-        scenario.fleet.drain_grace_ms,
-        {
-            p.name: (p.ceiling * p.rate, p.ceiling * p.burst, slack(p.ceiling * p.burst))
-            for p in plans
-            if p.ceiling
-        },
-        {p.name: (p.rate, p.burst) for p in plans},
-    )
-
-
 class Run:
     """One run, from its start to its end."""
 
@@ -266,3 +253,16 @@
 ) -> Result:
     """Play a scenario; RunError where it does not come about. `show` is given the progress once a second."""
     return asyncio.run(Run(scenario, folder, tree, say, show).play())
+
+
+def play_virtual(scenario: Scenario, folder: Path, say: Callable[[str], None] = lambda text: None) -> Result:
+    """The same in virtual time, with a record of the same form. What it has no model of is left out."""
+    missing = virtual.not_modelled(scenario)
+    if missing:
+        say(f"not modelled in virtual time, left out: {', '.join(missing)}")
+    events: list[record.Event] = []
+    virtual.play(scenario, events)
+    folder.mkdir(parents=True)
+    (folder / "scenario.json").write_bytes(orjson.dumps(scenario.model_dump()))
+    (folder / "virtual.jsonl").write_bytes(b"".join(orjson.dumps(event) + b"\n" for event in events))
+    return judge(scenario, folder, virtual.START_MS, [0.0, 0.0, 0.0])
--- a/yewstage/lab/scenario.py
+++ b/yewstage/lab/scenario.py
@@ -13,6 +13,7 @@
 import tomli
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
+from yewstage.lab.checks import Terms
 from yewstage.lab.streams import generator
 from yewstage.lab.traffic import ClassTraffic, PlanTraffic, TrafficModel
 
@@ -21,6 +22,7 @@
 NotNegative = Annotated[float, Field(ge=0)]
 PROCESS_MB, PROCESS_FILES = 40, 64  # what a gateway's process takes at rest, measured, and rounded up
 SPARE_MB = 512
+MOST_UNITS = 4  # of a request
 GATEWAY_FAULTS = ("kill", "term", "hup", "stop", "cont", "start")
 HOST_FAULTS = ("crash", "restart", "drain", "remove", "ready", "hang", "slow", "failing", "well")
 LINK_FAULTS = ("cut", "cut_in", "cut_out", "heal", "delay", "throttle", "reset_after")
@@ -272,6 +274,28 @@
     return os.sysconf("SC_AVPHYS_PAGES") * os.sysconf("SC_PAGE_SIZE") >> 20
 
 
+# --- What it is judged by ---
+
+
+def slack(most: float) -> float:
+    """A ceiling's slack in units: a tenth of its store, or one of the largest requests."""
+    return max(0.1 * most, float(MOST_UNITS))
+
+
+def terms(scenario: Scenario) -> Terms:
+    """What a scenario's record is judged by."""
+    plans = scenario.traffic.plans
+    return Terms(
+        scenario.fleet.drain_grace_ms,
+        {
+            p.name: (p.ceiling * p.rate, p.ceiling * p.burst, slack(p.ceiling * p.burst))
+            for p in plans
+            if p.ceiling
+        },
+        {p.name: (p.rate, p.burst) for p in plans},
+    )
+
+
 # --- The schedule: who is hit when, from the seed ---
 
 
--- a/yewstage/lab/virtual/gateway.py
+++ b/yewstage/lab/virtual/gateway.py
@@ -52,6 +52,7 @@
         # By host: since when each kept connection is idle, and to which life of the host it leads.
         self._idle: dict[str, list[tuple[float, int]]] = {}
         self._serial = 0
+        self._prefix = f"g{number}.{world.starts}"
 
     def give(self, event: api.Event) -> None:
         """An event for the module."""
@@ -78,7 +79,7 @@
     def request(self, make: Callable[[str], api.Request], one: Try, answer: Answer) -> str:
         """A client's request, which is answered once; its id here."""
         self._serial += 1
-        rid = f"r{self._serial}"
+        rid = f"{self._prefix}.{self._serial}"
         self._open[rid] = _Open(rid, one, answer)
         self.give(make(rid))
         return rid
@@ -130,6 +131,8 @@
             self.loop.after(world.dial_ms, self._ended, one, attempt, api.CONNECT_FAILED)
         else:
             host.dialled()
+            if world.note is not None:
+                world.note(host.name, "dial", gw=f"g{self.number}", cold=host.warmth() < 1)
             self.loop.after(3 * way, self._arrive, one, attempt)
 
     def _arrive(self, one: _Open, attempt: _Attempt) -> None:
@@ -142,9 +145,20 @@
             self.world.spent(one.asked)
         attempt.job = Job(one.id, one.asked.work_ms,
                           lambda result: self._result(one, attempt, host.zone, result))
+        note = self.world.note
+        if note is not None:
+            asked, cls = one.asked, one.asked.cls
+            note(host.name, "got", rid=one.id, gw=f"g{self.number}", key="", kind=cls.effect,
+                 window=cls.window_ms, units=asked.units, customer=asked.customer.name,
+                 plan=asked.customer.plan.name, cold=host.warmth() < 1)
+        stood = not host.fallen
         host.came(attempt.job)
+        if note is not None and stood and host.fallen:
+            note(host.name, "fell")
 
     def _result(self, one: _Open, attempt: _Attempt, zone: str, result: str) -> None:
+        if self.world.note is not None:
+            self.world.note(attempt.server, "end", rid=one.id, result=result, gw=f"g{self.number}")
         self.loop.after(self.world.way_ms(self.zone, zone), self._ended, one, attempt, RESULTS[result])
 
     def _ended(self, one: _Open, attempt: _Attempt, result: str) -> None:
@@ -192,6 +206,9 @@
                 self.give(api.CountReply(act.name, result, total, self.loop.now - made))
 
         def answered(result: str, total: float) -> None:
+            if world.note is not None:
+                world.note("counter", "count", gw=f"g{self.number}", name=act.name, amount=act.amount,
+                           result=result, total=total)
             self.loop.after(world.counter_way_ms, end, api.OK if result == "ok" else api.FULL, total)
 
         self.loop.after(self.module.s.count_wait_ms, end, api.TIMED_OUT, 0.0)
--- a/yewstage/lab/virtual/play.py
+++ b/yewstage/lab/virtual/play.py
@@ -6,15 +6,20 @@
 
 from __future__ import annotations
 
-from yewstage.lab.scenario import Scenario, Strike, schedule
+from typing import Any
+
+from yewstage.lab import checks, measures
+from yewstage.lab.checks import Event
+from yewstage.lab.scenario import Scenario, Strike, schedule, terms
 from yewstage.lab.virtual.counter import CounterModel
 from yewstage.lab.virtual.hosts import READY, HostModel
-from yewstage.lab.virtual.world import DayModel, Figures, World
+from yewstage.lab.virtual.world import START_MS, DayModel, Figures, World
 
 MODELLED = frozenset((
     "kill", "term", "start", "crash", "restart", "drain", "remove", "ready", "slow", "well",
     "counter_stop", "counter_keep", "counter_start",
 ))  # fmt: skip
+__all__ = ["START_MS", "judged", "not_modelled", "play", "world"]
 OVER_S = 12.0  # what is under way at the end of the traffic ends in it
 
 
@@ -35,12 +40,21 @@
     return World(day, scenario.seed)
 
 
-def play(scenario: Scenario) -> tuple[World, Figures]:
-    """Play it to its end; two plays of a seed are the same to the last figure."""
+def play(scenario: Scenario, events: list[Event] | None = None) -> tuple[World, Figures]:
+    """Play it to its end, its events into a list; two plays of a seed are the same to the last byte."""
     played = world(scenario)
+    if events is not None:
+        keep = events
+
+        def note(who: str, ev: str, **fields: Any) -> None:
+            keep.append({"t": played.loop.now, "who": who, "ev": ev, **fields})
+
+        played.note = note
     kept = played.counter.copy()
     for strike in schedule(scenario):
         played.run(strike.at_ms / 1000)
+        if events is not None and strike.fault.what in MODELLED:
+            played.note("lab", "fault", what=strike.fault.what, target=strike.target)  # type: ignore[misc]
         if strike.fault.what == "counter_keep":
             kept = played.counter.copy()
         elif strike.fault.what == "counter_start":
@@ -51,6 +65,15 @@
     return played, played.run(scenario.length_s + OVER_S)
 
 
+def judged(scenario: Scenario) -> tuple[list[checks.Verdict], measures.Figures]:
+    """Play it, and judge the record as that of a run of real processes is judged."""
+    events: list[Event] = []
+    play(scenario, events)
+    given = terms(scenario)
+    return (checks.judge(events, given, scenario.hold.rules),
+            measures.measure(events, START_MS, scenario.length_s, given))
+
+
 def _strike(played: World, strike: Strike) -> None:
     what, target = strike.fault.what, strike.target
     match what:
--- a/yewstage/lab/virtual/world.py
+++ b/yewstage/lab/virtual/world.py
@@ -9,6 +9,7 @@
 
 import math
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -20,6 +21,7 @@
 from yewstage.lab.virtual.hosts import DRAINING, Host, HostModel
 from yewstage.lab.virtual.loop import Loop
 
+Note = Callable[..., None]  # who, what happened, fields
 START_MS = 1e9  # the modules' clock at the start of a day
 
 
@@ -86,11 +88,12 @@
 class _Ask:
     """A first try and its retries."""
 
-    __slots__ = ("one", "left_tries", "inside", "done", "begun")
+    __slots__ = ("one", "left_tries", "inside", "done", "begun", "rid")
 
     def __init__(self, one: Try, retries: int, begun: float) -> None:
         self.one, self.left_tries, self.begun = one, retries, begun
         self.inside = self.done = False
+        self.rid = ""  # where it is recorded
 
 
 class World:
@@ -113,7 +116,8 @@
         # What the agent beside each gateway has been sent, and when the last of what is on its way arrives.
         self._agents: list[dict[str, api.Server]] = [{} for _ in range(day.gateways)]
         self._sent_until = [START_MS] * day.gateways
-        self._starts = 0
+        self.starts = 0
+        self.note: Note | None = None  # where events go, in the form of `lab.record`; None: nowhere
         self._classes = tuple(
             api.RequestClass(c.name, c.aim_ms, c.deadline_ms, c.worth, 0.0, c.effect, "all", c.window_ms)
             for c in day.traffic.classes)
@@ -184,6 +188,8 @@
         """Its process is back, cold, under its id."""
         host = self.hosts[name]
         host.start()
+        if self.note is not None:
+            self.note(name, "up", started=True)
         self._tell(self._line(host, "up"))
 
     def cut_host(self, name: str, cut: bool) -> None:
@@ -201,6 +207,9 @@
             self._agents[number].pop(server.name, None)
         else:
             self._agents[number][server.name] = server
+        if self.note is not None:
+            state = {"up": "ready", "removed": "gone"}.get(server.status, server.status)
+            self.note(f"g{number}", "told", host=server.name, state=state, started=server.up_since_ms)
         self.gateways[number].give(api.ServerList("changes", (server,)))
 
     def settings(self, number: int) -> api.Settings:
@@ -215,19 +224,24 @@
             fall_multiple=day.host.fall_multiple, tip_after_ms=day.host.fall_ms)
 
     def _start(self, number: int) -> Process:
-        self._starts += 1
-        seed = int(generator(self.seed, f"gateway.{number}.{self._starts}").integers(1 << 61))
+        self.starts += 1
+        seed = int(generator(self.seed, f"gateway.{number}.{self.starts}").integers(1 << 61))
         process = Process(self, number, seed)
         process.give(api.ServerList("kept", tuple(self._agents[number].values())))
         return process
 
     def kill(self, number: int) -> None:
         """A gateway dies at once; the front notices late."""
+        if self.note is not None:
+            self.note(f"g{number}", "kill")
         self.gateways[number].die()
         self._down_until[number] = self.loop.now + self.day.notice_ms
 
     def start(self, number: int) -> None:
         """It is back, and knows nothing."""
+        if self.note is not None:
+            self.note(f"g{number}", "start")
+            self.note(f"g{number}", "ready")
         self.gateways[number] = self._start(number)
         self._down_until.pop(number, None)
 
@@ -264,6 +278,11 @@
             figures.worth += self._worth(one)
             window[0] += self._worth(one)
         ask.inside = offered
+        if self.note is not None:
+            ask.rid = f"t{figures.first}"
+            self.note("client", "first", rid=ask.rid, due=self.loop.now, cls=one.cls.name,
+                      plan=one.customer.plan.name, customer=one.customer.name, units=one.units,
+                      true=one.true_units, worth=self._worth(one), aim=one.cls.aim_ms)
         self._try(ask, one.gateway)
 
     def _offered(self, one: Try) -> bool:
@@ -307,13 +326,20 @@
         def answer(result: str, retry_after_ms: float) -> None:
             if not done[0]:
                 done[0] = True
+                if self.note is not None:
+                    now = self.loop.now
+                    self.note("client", "answer", rid=rid, first=ask.rid, gw=f"g{number}", result=result,
+                              took=now - asked_at, total=now - ask.begun, wait=retry_after_ms)
                 self._ended(ask, number, result, retry_after_ms)
 
-        process = self.gateways[number]
+        process, asked_at = self.gateways[number], self.loop.now
         rid = process.request(
             lambda rid: api.Request(rid, one.cls.name, customer.plan.name, customer.name, left, one.units,
                                     customer.width, customer.first),
             one, answer)
+        if self.note is not None:
+            self.note("client", "ask", rid=rid, first=ask.rid, gw=f"g{number}", effect=one.cls.effect)
+            self.note("client", "wrote", rid=rid, gw=f"g{number}")
         self.loop.after(left, self._give_up, process, rid, answer)
 
     def _give_up(self, process: Process, rid: str, answer: Any) -> None:
