Lab: hosts at each other's addresses, and a gateway whose clock is seconds off

Two hosts restart at each other's addresses; an agent tells starts with the clock of its gateway so many seconds off. Tested with real processes: answers, effects, drains and cold hosts hold, no host falls, service goes on.

--- a/tests/lab/test_run.py
+++ b/tests/lab/test_run.py
@@ -86,6 +86,20 @@
     assert result.figures.counter_calls > 50
 
 
+def test_hosts_at_each_others_addresses_are_themselves_also_to_a_clock_that_is_off(tmp_path: Path) -> None:
+    result = play(day(
+        {"at_s": 0.5, "what": "clock", "who": "gateway:0", "value": 5.0},
+        {"at_s": 0.5, "what": "clock", "who": "gateway:1", "value": -5.0},
+        {"at_s": 1.5, "what": "swap", "who": "host:*", "name": "all"},
+        {"at_s": 3.0, "what": "drain", "who": "host:h0"},
+        rules=("answered", "effects", "drains", "cold", "ceilings"),
+    ), tmp_path / "run")  # fmt: skip
+    held(result)
+    assert result.figures.fell == 0 and count(result, "up") == 6
+    late = [e for e in record.read(result.folder) if e["ev"] == "answer" and e["t"] > result.t0 + 3500]
+    assert sum(e["result"] == "served" for e in late) > 20
+
+
 def test_a_run_that_is_broken_off_leaves_no_process(tmp_path: Path) -> None:
     """Ctrl-C, and the lab killed outright while a gateway of it is stopped."""
     for number in (signal.SIGINT, signal.SIGKILL):
--- a/yewstage/lab/links.py
+++ b/yewstage/lab/links.py
@@ -160,6 +160,10 @@
         self.port = int(self._held.getsockname()[1])
         link.doors.append(self)
 
+    def lead_to(self, made: Callable[[Wire], Receiver]) -> None:
+        """From now on this stands behind its connections."""
+        self._made = made
+
     def open(self) -> None:
         """Listen at its port, which the system chose."""
         if self._socket is not None:
--- a/yewstage/lab/scenario.py
+++ b/yewstage/lab/scenario.py
@@ -24,10 +24,10 @@
 SPARE_MB = 512
 MOST_UNITS = 4  # of a request
 GATEWAY_FAULTS = ("kill", "term", "hup", "stop", "cont", "start")
-HOST_FAULTS = ("crash", "restart", "drain", "remove", "ready", "hang", "slow", "failing", "well")
+HOST_FAULTS = ("crash", "restart", "drain", "remove", "ready", "hang", "slow", "failing", "well", "swap")
 LINK_FAULTS = ("cut", "cut_in", "cut_out", "heal", "delay", "throttle", "reset_after")
 COUNTER_FAULTS = ("counter_stop", "counter_keep", "counter_start", "counter_split", "counter_join")
-DISCOVERY_FAULTS = ("silence", "speak", "forget")
+DISCOVERY_FAULTS = ("silence", "speak", "forget", "clock")
 RULES = ("answered", "effects", "drains", "cold", "ceilings", "units")
 SELECTOR = re.compile(
     r"@\w+|gateway:(\*|\d+)|host:(\*|h\d+)|zone:\w+|\d+% of (gateways|hosts)|(gateways|hosts) in \w+"
@@ -150,6 +150,7 @@
         "slow",
         "failing",
         "well",
+        "swap",
         "cut",
         "cut_in",
         "cut_out",
@@ -165,12 +166,13 @@
         "silence",
         "speak",
         "forget",
+        "clock",
     ]
     who: str = "gateway:*"
     other: str = "host:*"  # the far ends of links: hosts, `counter` or `discovery`
     name: str = ""  # so that a later fault can aim at the same ones, as `@name`
     over_s: NotNegative = 0.0  # one after another, evenly over so long
-    value: NotNegative = 0.0  # times slower, share that fails, milliseconds, bytes (a second)
+    value: float = 0.0  # times slower, share that fails, milliseconds, bytes (a second); of a clock seconds
     # What a counter comes back with; `moved`: a SIGHUP with which discovery goes to another address.
     how: Literal["all", "nothing", "old", "moved", ""] = ""
 
@@ -222,6 +224,8 @@
                 wrong.append(f"{at}.at_s: found {fault.at_s}, expected at most length_s ({self.length_s})")
             if fault.what in ("slow", "delay", "throttle", "reset_after", "failing") and fault.value <= 0:
                 wrong.append(f"{at}.value: found {fault.value}, expected more than 0 for {fault.what}")
+            if fault.value < 0 and fault.what != "clock":
+                wrong.append(f"{at}.value: found {fault.value}, expected 0 or more for {fault.what}")
             if fault.what == "counter_start" and not fault.how:
                 wrong.append(f"{at}.how: found nothing, expected all, nothing or old")
             if fault.name:
@@ -348,7 +352,7 @@
             targets = _resolve(fault.who, scenario, named, index)
             if fault.name:
                 named[fault.name] = targets
-            if fault.what == "counter_split":
+            if fault.what in ("counter_split", "swap"):
                 targets = [",".join(targets)]
             elif fault.what in LINK_FAULTS:
                 others = _resolve(fault.other, scenario, named, index)
--- a/yewstage/lab/standins/discovery.py
+++ b/yewstage/lab/standins/discovery.py
@@ -38,6 +38,7 @@
         self._watches: list[tuple[Asked, int]] = []
         self._held: list[Asked] = []
         self.silent = False
+        self.ahead_ms = 0.0  # of the gateway's clock: what it is told of starts is off by so much
         self._silent_at = 0.0
         self._untold: list[Entry] = []
         self._sent_until = 0.0
@@ -168,4 +169,9 @@
 
     def _write(self, asked: Asked, entries: list[Entry], whole: bool) -> None:
         self._note(self.name, "list", whole=whole, count=len(entries))
+        if self.ahead_ms:
+            entries = [
+                {**e, "startedAtMs": round(e["startedAtMs"] + self.ahead_ms)} if e["startedAtMs"] else e
+                for e in entries
+            ]
         asked.reply(message(200, orjson.dumps(self.listing(entries, whole))))
--- a/yewstage/lab/standins/host.py
+++ b/yewstage/lab/standins/host.py
@@ -70,9 +70,10 @@
         self._lines: set[HostLine] = set()
         self.failing = 0.0  # part of the requests that are answered 500
         self.hung = False  # takes requests and says nothing
-        self.doors = {link.a: Door(link, self._came_up, loop) for link in links}
+        self.doors = {link.a: Door(link, self.came_up, loop) for link in links}
 
-    def _came_up(self, wire: Wire) -> Line:
+    def came_up(self, wire: Wire) -> Line:
+        """A connection of a gateway has come up."""
         line = HostLine(wire, self)
         self._lines.add(line)
         self.host.dialled()
--- a/yewstage/lab/world.py
+++ b/yewstage/lab/world.py
@@ -137,6 +137,10 @@
             self._strike_link(self.links[a, b], what, fault.value)
         elif what in COUNTER_FAULTS:
             self._strike_counter(what, fault.how, strike.target)
+        elif what == "swap":
+            names = strike.target.split(",")
+            for a, b in zip(names[::2], names[1::2], strict=False):
+                self._swap(self.hosts[a], self.hosts[b])
         elif strike.target in self.hosts:
             self._strike_host(self.hosts[strike.target], what, fault.value)
         else:
@@ -145,6 +149,8 @@
                 agent.forget()
             elif what == "hup":
                 agent.move()
+            elif what == "clock":
+                agent.ahead_ms = 1000 * fault.value
             else:
                 agent.silence(what == "silence")
 
@@ -173,6 +179,16 @@
         else:
             counter.split(set(target.split(",")) if what == "counter_split" else set())
 
+    def _swap(self, a: BookingNode, b: BookingNode) -> None:
+        """Two hosts restart at each other's addresses. A link's faults stay with the address."""
+        a.crash()
+        b.crash()
+        a.doors, b.doors = b.doors, a.doors
+        for host in (a, b):
+            for door in host.doors.values():
+                door.lead_to(host.came_up)
+            self._strike_host(host, "restart", 0.0)
+
     def _strike_host(self, host: BookingNode, what: str, value: float) -> None:
         if what in ("crash", "remove"):
             host.crash()
