--- a/tests/lab/test_play.py
+++ b/tests/lab/test_play.py
@@ -59,6 +59,9 @@
     assert said.exit_code == 0 and "first" in said.output and "answer" in said.output
     said = CliRunner().invoke(lab, ["follow", str(tmp_path / "herd-1-1"), "nobody"])
     assert said.exit_code == 2 and "found 'nobody'" in said.output
+    for call in ("explain", "report"):
+        said = CliRunner().invoke(lab, [call, str(tmp_path)])  # no run's folder
+        assert said.exit_code == 2 and "RUN: found" in said.output
     said = CliRunner().invoke(lab, ["explain", str(tmp_path / "herd-1-1")])
     assert said.exit_code == 0 and "ceilings: held" in said.output
 
--- a/yewstage/lab/commands.py
+++ b/yewstage/lab/commands.py
@@ -164,18 +164,29 @@
         click.echo(f"{path}: {scenario.about}")
 
 
-@lab.command(epilog="Example: hillmux lab explain lab-runs/herd-1-1")
-@click.argument("folder", type=click.Path(path_type=Path, exists=True), metavar="RUN")
-def explain(folder: Path) -> None:
-    """The events that show what a run broke: the shortest chain for each violation."""
+def _judged(folder: Path) -> Result:
+    """A run's record, judged anew."""
     import orjson
 
     from yewstage.lab.run import judge
     from yewstage.lab.scenario import Scenario
 
-    scenario = Scenario.model_validate(orjson.loads((folder / "scenario.json").read_bytes()))
-    said = orjson.loads((folder / "verdict.json").read_bytes())
-    result = judge(scenario, folder, said["t0"], said["late_ms"])
+    try:
+        scenario = Scenario.model_validate(orjson.loads((folder / "scenario.json").read_bytes()))
+        said = orjson.loads((folder / "verdict.json").read_bytes())
+    except (OSError, ValueError) as error:
+        click.echo(
+            f"RUN: found {folder}, expected the folder of a run that came to its end: {error}", err=True
+        )
+        sys.exit(FAULT)
+    return judge(scenario, folder, said["t0"], said["late_ms"])
+
+
+@lab.command(epilog="Example: hillmux lab explain lab-runs/herd-1-1")
+@click.argument("folder", type=click.Path(path_type=Path, exists=True), metavar="RUN")
+def explain(folder: Path) -> None:
+    """The events that show what a run broke: the shortest chain for each violation."""
+    result = _judged(folder)
     for verdict in result.verdicts:
         click.echo(f"{verdict.rule}: {verdict.says()} ({verdict.exercised} judged, {verdict.broken} broken)")
         for chain in verdict.chains:
@@ -189,11 +200,9 @@
 @click.argument("rid", metavar="ID")
 def follow(folder: Path, rid: str) -> None:
     """What happened to one request, through client, gateways and hosts."""
-    import orjson
-
     from yewstage.lab import record
 
-    t0 = orjson.loads((folder / "verdict.json").read_bytes())["t0"]
+    t0 = _judged(folder).t0
     events = record.follow(record.read(folder), rid)
     if not events:
         click.echo(f"ID: found {rid!r}, expected the id of a request in {folder}", err=True)
@@ -257,17 +266,12 @@
 @click.argument("folder", type=click.Path(path_type=Path, exists=True), metavar="RUN")
 def report(folder: Path) -> None:
     """Write a run as one self-contained page, RUN/report.html."""
-    import orjson
-
     from yewstage.lab import record
     from yewstage.lab.report import Series, page
-    from yewstage.lab.run import judge
-    from yewstage.lab.scenario import Scenario
 
-    scenario = Scenario.model_validate(orjson.loads((folder / "scenario.json").read_bytes()))
-    said = orjson.loads((folder / "verdict.json").read_bytes())
-    result = judge(scenario, folder, said["t0"], said["late_ms"])
-    series = Series(record.read(folder), said["t0"], scenario.length_s)
+    result = _judged(folder)
+    scenario = result.scenario
+    series = Series(record.read(folder), result.t0, scenario.length_s)
     title = f"{scenario.name}, seed {scenario.seed}"
     text = page(title, scenario.about, series, result.figures, result.verdicts, result.unmet)
     (folder / "report.html").write_text(text, encoding="utf-8")
