A host that was out while the aperture grew to all comes back into it

Fleet._enter kept the flag `near` that a host had when it left. Where the aperture had grown to all hosts meanwhile, _lay_out had nothing to do (size 0 and unchanged), so the host stayed in the far tier: it got requests only where the others were twice as loaded.

Change: _enter takes a host in while the aperture holds all; to shrink from all takes RESIZE once more.

Measured: two tests, both fail without it.

--- a/tests/test_aperture.py
+++ b/tests/test_aperture.py
@@ -56,7 +56,7 @@
     fleets = [make(me, gateways, hosts) for me in range(gateways)]
     counts = collections.Counter(name for fleet in fleets for name in near(fleet))
     assert len(counts) == hosts
-    assert max(counts.values()) - min(counts.values()) <= fleets[0]._aperture
+    assert max(counts.values()) - min(counts.values()) <= 1
     mean = sum(counts.values()) / hosts
     assert min(counts.values()) >= fl.COVER - 1 and max(counts.values()) <= 1.5 * mean + 1
 
@@ -129,3 +129,25 @@
     for _ in range(50):
         host = fleet.pick("", 10.0, False, [fleet.hosts["h1"]], ("z1",))
         assert host is not None and host.zone == "z1"
+
+
+def test_a_host_that_was_out_while_the_aperture_grew_to_all_comes_back_into_it() -> None:
+    fleet = make(3, 200, 20)
+    far = next(h for h in fleet.hosts.values() if not h.near)
+    number = int(far.name[1:])
+    fleet.update(api.ServerList("changes", (line(number, "draining"),)))
+    drive(fleet, 30, 5)  # 50 a second: it takes in all hosts
+    assert not fleet._pools[""].far.mask
+    fleet.update(api.ServerList("changes", (line(number),)))
+    drive(fleet, 5, 5)
+    assert far.near and not fleet._pools[""].far.mask
+
+
+def test_a_size_about_that_of_the_fleet_does_not_lay_the_aperture_out_at_each_sweep() -> None:
+    fleet = make(3, 200, 20)
+    sizes = []
+    for turn in range(60):
+        fleet._begun_rate = (15.5 if turn % 2 else 16.5) / fl.APERTURE_MS  # about 20 / RESIZE
+        fleet._lay_out()
+        sizes.append(fleet._aperture)
+    assert len(set(sizes[2:])) == 1
--- a/yewstage/fleet.py
+++ b/yewstage/fleet.py
@@ -330,6 +330,8 @@
         if home is None:
             home = host.home = self._pools[host.pool] = _Pool()
         home.count += 1
+        # Danger: what was outside when it left would stay there where all are inside meanwhile.
+        host.near = host.near or not self._aperture
         host.tier = home.near if host.near else home.far
         for scope, key in (("zone", (host.zone,)), ("cell", (host.zone, host.cell))):
             if scope in self.scopes:
@@ -462,7 +464,7 @@
         ends of the others' apertures by one. Lists that differ for a while do no more than that.
         """
         wide = max(APERTURE_MIN, COVER * self.up / self.s.fleet_size, APERTURE_MS * self._begun_rate)
-        size = int(wide) if wide * RESIZE < self.up else 0
+        size = int(wide) if wide * (RESIZE if self._aperture else RESIZE**2) < self.up else 0
         if self._aperture and size and 1 / RESIZE < size / self._aperture < RESIZE:
             size = self._aperture
         if size == self._aperture and not (size and self._ring_stale):
