The lab's checkers say held only where they judged; starts count as the end of a fault

Cause, found by reading the change again: `units` said held after a fault under which it judges nothing; `drains` and `cold` counted news, not sends, as judged; `cold` took 1.5 s whatever the scenario said. Real runs left starts out of the last fault, virtual ones did not. A fault could aim at the wrong kind (a drain at gateways made them speak) or at nobody. follow missed a retry's attempts.

Change: each of these, with a test. An answer that no host made for its request breaks `answered`; a record cut at its bound is not judged whole; how = "kept" starts in the kept folder.

--- a/tests/lab/test_checks.py
+++ b/tests/lab/test_checks.py
@@ -7,7 +7,7 @@
 import pytest
 
 from yewstage.lab import checks
-from yewstage.lab.checks import Verdict
+from yewstage.lab.checks import Verdict, answered
 
 
 def at(t: float, who: str, ev: str, **fields: Any) -> dict[str, Any]:
@@ -54,13 +54,15 @@
     "a keyed request after its window": (
         checks.effects, [got(0, "a"), got(3900, "a", "h1")], [got(0, "a"), got(4100, "a", "h1")]),
     "a send after a drain": (
-        lambda events: checks.drains(events, 1000), [told(0, "g0", "h0", "draining"), got(1040, "a")],
+        lambda events: checks.drains(events, 1000),
+        [told(0, "g0", "h0", "draining"), got(1040, "a"), got(1100, "b", "h1")],
         [told(0, "g0", "h0", "draining"), got(1060, "a")]),
     "a send to a host that has left, by one that knows": (
-        lambda events: checks.drains(events, 1000), [told(0, "g0", "h0", "gone"), got(9000, "a", gw="g1")],
+        lambda events: checks.drains(events, 1000),
+        [told(0, "g0", "h0", "gone"), got(9000, "a", gw="g1"), got(9001, "b", "h1")],
         [told(0, "g0", "h0", "gone"), got(9000, "a")]),
     "a cold host pushed over by those that were told": (
-        checks.cold,
+        lambda events: checks.cold(events, 1500.0),
         [UP, told(1, "g0", "h0", "ready", 1.0), got(2, "a", gw="g1", cold=True), at(3, "h0", "fell")],
         [UP, told(1, "g0", "h0", "ready", 1.0), got(2, "a", cold=True), at(3, "h0", "fell")]),
     "a ceiling passed by two gateways together": (
@@ -90,6 +92,28 @@
     assert CASES[case][0]([at(0, "lab", "fault", what="x")]).says() == "not exercised"
 
 
+UNJUDGED: dict[str, tuple[Any, list[dict[str, Any]]]] = {
+    "a drain, and nobody who sends": (lambda e: checks.drains(e, 1000), [told(0, "g0", "h0", "draining")]),
+    "a drain, and sends within its grace": (
+        lambda e: checks.drains(e, 1000), [told(0, "g0", "h0", "draining"), got(900, "a", "h1")]),
+    "a start, and nothing sent there": (lambda e: checks.cold(e, 1500.0), [UP, got(5, "a", "h1")]),
+    "units of a counter that was down": (
+        checks.units, [at(0, "lab", "fault", what="counter_stop"),
+                       at(1, "counter", "count", name="n", amount=900.0, result="ok", total=900.0)]),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("case", UNJUDGED)
+def test_what_shows_nothing_of_a_rule_does_not_say_held(case: str) -> None:
+    check, events = UNJUDGED[case]
+    assert check(events).says() == "not exercised"
+
+
+def test_an_answer_that_no_host_made_for_this_request_breaks_the_rule() -> None:
+    foreign = at(4, "client", "foreign", rid="a", gw="g0")
+    assert answered([wrote(0, "a"), foreign, answer(5, "a")]).says() == "broken"
+
+
 def test_a_ceiling_takes_each_request_once_however_often_it_is_sent() -> None:
     events = [got(i, "a", f"h{i}") for i in range(9)]
     assert checks.ceilings(events, CEILING).says() == "held"
--- a/tests/lab/test_play.py
+++ b/tests/lab/test_play.py
@@ -8,6 +8,7 @@
 import pytest
 from click.testing import CliRunner
 
+from yewstage.lab import record
 from yewstage.lab import scenario as sc
 from yewstage.lab.checks import Event
 from yewstage.lab.commands import lab
@@ -57,6 +58,13 @@
     assert said.exit_code == 0 and "answered" in said.output, said.output
     said = CliRunner().invoke(lab, ["follow", str(tmp_path / "herd-1-1"), "t7"])
     assert said.exit_code == 0 and "first" in said.output and "answer" in said.output
+    # A retry leads to its first try and to all of its tries, at the hosts, too.
+    events = list(record.read(tmp_path / "herd-1-1"))
+    retry = next(e for e in events if e["ev"] == "ask" and e["rid"] != e["first"] and any(
+        g["ev"] == "got" and g["rid"] == e["rid"] for g in events))  # fmt: skip
+    found = record.follow(events, retry["rid"])
+    assert {"first", "ask", "got", "answer"} <= {e["ev"] for e in found}
+    assert found == record.follow(events, retry["first"])
     said = CliRunner().invoke(lab, ["follow", str(tmp_path / "herd-1-1"), "nobody"])
     assert said.exit_code == 2 and "found 'nobody'" in said.output
     for call in ("explain", "report"):
--- a/tests/lab/test_report.py
+++ b/tests/lab/test_report.py
@@ -9,7 +9,7 @@
 from yewstage.lab.measures import measure
 from yewstage.lab.report import Series, page
 
-TERMS = Terms(1000.0, {}, {"p": (10.0, 100.0)})
+TERMS = Terms(1000.0, 1500.0, {}, {"p": (10.0, 100.0)})
 
 
 def record() -> list[dict[str, Any]]:
@@ -38,7 +38,7 @@
         self.found: list[str] = []
 
     def handle_starttag(self, tag: str, attrs: list[tuple[str, str | None]]) -> None:
-        named = [str(v) for k, v in attrs if k in ("src", "href", "data")]
+        named = [str(v) for k, v in attrs if k in ("src", "href", "xlink:href", "data")]
         self.found += [value for value in named if not value.startswith("#")]
 
 
--- a/tests/lab/test_run.py
+++ b/tests/lab/test_run.py
@@ -11,8 +11,10 @@
 from typing import Any
 
 from yewstage.lab import record
-from yewstage.lab.run import Result, play
-from yewstage.lab.scenario import Scenario
+from yewstage.lab.checks import Verdict
+from yewstage.lab.measures import Figures
+from yewstage.lab.run import Result, play, unmet
+from yewstage.lab.scenario import Hold, Scenario
 
 ROOT = Path(__file__).resolve().parents[2]
 PLAN = {"name": "capped", "share": 1.0, "rate": 6.0, "burst": 12.0, "ceiling": 1.5, "width": 4}
@@ -46,7 +48,7 @@
 ) -> None:
     result = play(day(
         {"at_s": 1.0, "what": "kill", "who": "75% of gateways", "name": "herd"},
-        {"at_s": 1.2, "what": "start", "who": "@herd", "over_s": 0.3},
+        {"at_s": 1.2, "what": "start", "who": "@herd", "over_s": 0.3, "how": "kept"},
         {"at_s": 3.0, "what": "stop", "who": "gateway:0"},
         {"at_s": 3.6, "what": "cont", "who": "gateway:0"},
         rules=("answered", "effects", "ceilings", "units"),
@@ -100,6 +102,16 @@
     assert sum(e["result"] == "served" for e in late) > 20
 
 
+def test_what_was_not_exercised_or_not_judged_does_not_pass(tmp_path: Path) -> None:
+    asked = day(rules=("cold",)).model_copy(update={"hold": Hold(rules=("cold",), full_service_s=3)})
+    quick, none = Figures(full_service_s=1.0), Figures()
+    assert unmet(asked, quick, [0.5, 1.0, 9.0]) == []
+    assert "not judged" in unmet(asked, quick, [0.5, 5.1, 9.0])[0]  # the load was late: no verdict on times
+    assert "never" in unmet(asked, none, [0.5, 1.0, 9.0])[0]
+    result = Result(asked, tmp_path, 0.0, [Verdict("cold")], quick, [0.5, 1.0, 9.0], [])
+    assert result.verdicts[0].says() == "not exercised" and not result.holds()
+
+
 def test_a_run_that_is_broken_off_leaves_no_process(tmp_path: Path) -> None:
     """Ctrl-C, and the lab killed outright while a gateway of it is stopped."""
     for number in (signal.SIGINT, signal.SIGKILL):
--- a/tests/lab/test_scenario.py
+++ b/tests/lab/test_scenario.py
@@ -51,7 +51,12 @@
         (("at_s = 9\n", "at_s = 99\n"), "faults.0.at_s: found 99.0"),
         (('what = "kill"', 'what = "slow"'), "faults.0.value: found 0.0"),
         (('who = "@herd"', 'who = "zone:q"'), "found zone 'q'"),
-        (('what = "kill"', 'what = "counter_start"'), "faults.0.how: found nothing"),
+        (('what = "kill"', 'what = "counter_start"'), "faults.0.how: found ''"),
+        (('what = "kill"', 'what = "kill"\nhow = "kept"'), "faults.0.how: found 'kept'"),
+        (('what = "kill"', 'what = "drain"'), "found '70% of gateways', expected hosts"),
+        (('who = "70% of gateways"', 'who = "host:*"'), "faults.0.who: found 'host:*', expected gateways"),
+        (('who = "70% of gateways"', 'who = "gateway:99"'), "found 'gateway:99', which is nobody"),
+        (('"ceilings"]', '"celings"]'), "hold.rules.2: found 'celings'"),
     ],
 )
 def test_a_fault_in_a_file_names_its_field(tmp_path: Path, change: tuple[str, str], said: str) -> None:
--- a/tests/lab/test_two_hundred.py
+++ b/tests/lab/test_two_hundred.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 
 from yewstage import interface as api
 from yewstage.lab.traffic import ClassTraffic, PlanTraffic, TrafficModel
@@ -73,9 +74,7 @@
         assert 0 < day.hosts[name].most_push <= 1
 
 
-def test_a_gateway_that_sees_a_request_in_seconds_feels_no_pressure_and_has_a_ceiling_to_use() -> (
-    None
-):
+def test_a_gateway_that_sees_a_request_in_seconds_feels_no_pressure_and_uses_its_ceiling() -> None:
     day = world(per_s=60.0, length_s=20.0, heavy=0.0, full=0.0)  # 0.3 requests a second and gateway
     day.run(8.0)
     early = day.causes["ceiling"], day.figures.first
@@ -105,9 +104,7 @@
     assert wide[0] > 1.4 * sorted(wide)[100]
 
 
-def test_half_of_the_hosts_are_replaced_while_gateways_restart_and_get_new_settings() -> (
-    None
-):
+def test_half_of_the_hosts_are_replaced_while_gateways_restart_and_get_new_settings() -> None:
     day = world(per_s=200.0, length_s=14.0)
     day.run(2.0)
     old = [f"h{i}" for i in range(0, 130, 2)]
@@ -127,7 +124,10 @@
             day.start(number)
         if step == 30:
             for number, process in enumerate(day.gateways):
-                process.give(api.SettingsChanged(day.settings(number)))
+                told_now = day.settings(number)
+                longer = tuple(replace(c, aim_ms=1.2 * c.aim_ms) for c in told_now.classes)
+                changed = replace(told_now, classes=longer, cold_ms=1.1 * told_now.cold_ms)
+                process.give(api.SettingsChanged(changed))
     figures = day.run()
     assert figures.ended == figures.first and figures.late == 0
     assert figures.fallen == 0
--- a/yewstage/lab/checks.py
+++ b/yewstage/lab/checks.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import defaultdict, deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -15,6 +15,7 @@
 SLACK_MS = 50.0  # the protocol's, on sockets
 ANSWER_SLACK_MS = 500.0  # an answer so long after its client gave up is late, not lost
 MOST_SHOWN = 20
+LOSES_CALLS = frozenset(("counter_stop", "counter_split", "cut", "cut_in", "cut_out", "reset_after"))
 TURNED_AWAY = frozenset(("full", "draining"))  # proves that a request did not run
 
 
@@ -43,6 +44,7 @@
     """What the rules are judged by."""
 
     drain_grace_ms: float
+    fall_ms: float  # a cold host falls by what comes in so long
     ceilings: dict[str, tuple[float, float, float]]  # by plan: rate in units a second, store, slack
     quotas: dict[str, tuple[float, float]]  # by plan: rate, burst
 
@@ -63,7 +65,7 @@
                 wrote[event["rid"]] = event
             case "kill" | "stop" | "cont" | "start":
                 down[event["who"]].append(event)
-            case "second":
+            case "second" | "foreign":  # one more answer, or one that no host made for this request
                 verdict.show([event])
             case "answer" if event["rid"] in wrote:
                 verdict.exercised += 1
@@ -107,24 +109,27 @@
     """Nothing new reaches a host later than the grace after its gateway's agent was told that it drains."""
     verdict = Verdict("drains")
     told: dict[tuple[str, str], Event] = {}
-    stopped: set[str] = set()
+    judged: dict[str, dict[str, Event]] = defaultdict(dict)  # by gateway, hosts it has not sent on since
     for event in events:
         match event["ev"]:
             case "told" if event["state"] == "ready":
                 told.pop((event["who"], event["host"]), None)
+                judged[event["who"]].pop(event["host"], None)
             case "told":
-                told[event["who"], event["host"]] = event
-                verdict.exercised += 1
-            case "stop":
-                stopped.add(event["who"])
+                told[event["who"], event["host"]] = judged[event["who"]][event["host"]] = event
             case "got":
+                # Only a gateway that still sends, to whomever, shows that it does not send there.
+                due = [h for h, word in judged[event["gw"]].items() if event["t"] > word["t"] + grace_ms]
+                for host in due:
+                    del judged[event["gw"]][host]
+                verdict.exercised += len(due)
                 word = told.get((event["gw"], event["who"]))
                 if word is not None and event["t"] > word["t"] + grace_ms + SLACK_MS:
                     verdict.show([word, event])
     return verdict
 
 
-def cold(events: Iterable[Event], span_ms: float = 1500.0) -> Verdict:
+def cold(events: Iterable[Event], span_ms: float) -> Verdict:
     """No cold host falls by what gateways send it that were told of its start."""
     verdict = Verdict("cold")
     told: dict[str, set[str]] = defaultdict(set)
@@ -133,12 +138,12 @@
         who = event["who"]
         match event["ev"]:
             case "up":
-                verdict.exercised += 1
                 told[who].clear()
                 recent[who].clear()
             case "told" if event["state"] == "ready" and event["started"]:
                 told[event["host"]].add(who)
             case "got" if event["cold"]:
+                verdict.exercised += 1
                 recent[who].append(event)
                 while recent[who][0]["t"] < event["t"] - span_ms:
                     recent[who].popleft()
@@ -174,7 +179,8 @@
 def units(events: Iterable[Event]) -> Verdict:
     """What the counter was told stays within what gateways sent on: no unit is told twice.
 
-    Told more than was sent by a quarter is taken for a count that was added again and again.
+    Told more than was sent by a quarter is taken for a count that was added again and again. Where calls may
+    have been added and never answered, what is told anew is no fault: nothing is judged then.
     """
     verdict = Verdict("units")
     told = sent = 0.0
@@ -187,23 +193,25 @@
         elif event["ev"] == "got" and event["rid"] not in seen:
             seen.add(event["rid"])
             sent += event["units"]
-        elif event["ev"] == "fault" and event["what"] in ("counter_stop", "counter_split", "cut", "cut_out"):
-            lost = True  # calls that were added and never answered may be told anew
-    if verdict.exercised and not lost and told > 1.25 * sent + 20:
+        elif event["ev"] == "fault" and event["what"] in LOSES_CALLS:
+            lost = True
+    if lost:
+        verdict.exercised = 0
+    elif told > 1.25 * sent + 20:
         verdict.show([{"ev": "units", "told": told, "sent": sent}])
     return verdict
 
 
+CHECKERS: dict[str, Callable[[list[Event], Terms], Verdict]] = {
+    "answered": lambda events, terms: answered(events),
+    "effects": lambda events, terms: effects(events),
+    "drains": lambda events, terms: drains(events, terms.drain_grace_ms),
+    "cold": lambda events, terms: cold(events, terms.fall_ms),
+    "ceilings": lambda events, terms: ceilings(events, terms.ceilings),
+    "units": lambda events, terms: units(events),
+}
+
+
 def judge(events: list[Event], terms: Terms, rules: Iterable[str]) -> list[Verdict]:
     """The verdicts of the named rules."""
-    return [
-        {
-            "answered": lambda: answered(events),
-            "effects": lambda: effects(events),
-            "drains": lambda: drains(events, terms.drain_grace_ms),
-            "cold": lambda: cold(events),
-            "ceilings": lambda: ceilings(events, terms.ceilings),
-            "units": lambda: units(events),
-        }[rule]()
-        for rule in rules
-    ]
+    return [CHECKERS[rule](events, terms) for rule in rules]
--- a/yewstage/lab/commands.py
+++ b/yewstage/lab/commands.py
@@ -133,7 +133,8 @@
         f"tries ended: {', '.join(f'{k} {n}' for k, n in sorted(f.results.items()))}",
         f"dials {f.dials}, at a host in 1 s at most {f.most_dials_s} (before: {f.usual_dials_s:g})",
         f"counter calls {f.counter_calls}, {f.most_counter_s} a second at most, turned away {f.turned_away}",
-        f"hosts that fell: {f.fell}; full service after the last fault: {back}",
+        f"hosts that fell: {f.fell}; full service after the last fault or start: {back}"
+        + ("" if f.full_after_ready_s is None else f", {f.full_after_ready_s:.1f} s after the last ready"),
         f"the load's own lateness, ms: p50 {result.late_ms[0]:.1f}, p99 {result.late_ms[1]:.1f}",
     ):
         console.print(line, highlight=False)
--- a/yewstage/lab/load.py
+++ b/yewstage/lab/load.py
@@ -15,10 +15,8 @@
 import asyncio
 import gc
 import os
-import sys
 from collections import Counter, deque
 from functools import partial
-from pathlib import Path
 from typing import Any
 
 import httptools
@@ -26,7 +24,9 @@
 import uvloop
 from hdrh.histogram import HdrHistogram
 
+from yewstage.lab.checks import ANSWER_SLACK_MS
 from yewstage.lab.clock import RealClock
+from yewstage.lab.pipe import begun, tell
 from yewstage.lab.record import Recorder
 from yewstage.lab.scenario import Scenario
 from yewstage.lab.streams import Stream
@@ -36,8 +36,8 @@
 LOOK_MS = 100.0  # how often the front asks a gateway that it has taken out whether it is ready
 FRESH_MS = 1500.0  # a connection unused for longer is not used again: its other side may be closing it
 GIVE_UP_SHARE = 0.75  # of the class's deadline that one try may take
-ANSWER_SLACK_MS = 500.0  # an answer so long after its time only earns nothing; later it is lost
 SETTLE_S = 1.0
+LONGEST_BODY = 64  # of an answer, kept to be looked at
 GC_ALLOCATIONS = 100_000
 
 
@@ -51,6 +51,7 @@
         self.answers = 0
         self._parser = httptools.HttpResponseParser(self)
         self._retry_after = 0.0
+        self._body = bytearray()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
@@ -65,16 +66,22 @@
         if name.lower() == b"retry-after":
             self._retry_after = 1000 * float(value)
 
+    def on_body(self, body: bytes) -> None:
+        self._body += body[:LONGEST_BODY]
+
     def on_message_complete(self) -> None:
         asking, self.asking = self.asking, None
         status, wait, self._retry_after = self._parser.get_status_code(), self._retry_after, 0.0
         self._parser = httptools.HttpResponseParser(self)
+        body, self._body = bytes(self._body), bytearray()
         self.used = self.gate.clients.clock.now
         self.answers += 1
-        self.gate.free.append(self)
         if asking is None:
             self.gate.clients.note("client", "second", gw=self.gate.name, status=status)
         else:
+            self.gate.free.append(self)
+            if status == 200 and body != asking.rid.encode():  # hosts answer with the id that they were sent
+                self.gate.clients.note("client", "foreign", rid=asking.rid, gw=self.gate.name)
             asking.ended({200: "served", 429: "refused", 503: "refused"}.get(status, "failed"), status, wait)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -219,7 +226,7 @@
         if not self.done.is_set():
             out = sum(gate.out for gate in self.gates)
             said = {"at_s": (self.clock.now - self._t0) / 1000, "open": self.open, "out": out}
-            print(orjson.dumps({"progress": said | dict(self.ended_as)}).decode(), flush=True)
+            tell(progress=said | dict(self.ended_as))
             self.ended_as.clear()
             self.clock.after(1000, self.progress)
 
@@ -343,13 +350,9 @@
 
 async def _main() -> None:
     loop = asyncio.get_running_loop()
-    reader = asyncio.StreamReader(limit=1 << 24)
-    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
-    first = orjson.loads(await reader.readline())
-    clock = RealClock(loop)
-    note = Recorder(Path(first["folder"]) / "load.jsonl", lambda: clock.now)
+    reader, first, note = await begun("load")
     clients = Clients(Scenario.model_validate(first["scenario"]), note, loop, first["ports"])
-    print(orjson.dumps({"ready": True}).decode(), flush=True)
+    tell(ready=True)
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_ALLOCATIONS)  # a look over all tries of a day would make the load late
@@ -364,11 +367,10 @@
             await asyncio.sleep(SETTLE_S)  # a second answer would come now
             gone.cancel()
             late = clients.late
-            said = {
-                "over": clients.late.get_total_count(),
-                "late_ms": [late.get_value_at_percentile(p) / 1000 for p in (50, 99, 100)],
-            }
-            print(orjson.dumps(said).decode(), flush=True)
+            tell(
+                over=late.get_total_count(),
+                late_ms=[late.get_value_at_percentile(p) / 1000 for p in (50, 99, 100)],
+            )
     note.close()
 
 
--- a/yewstage/lab/measures.py
+++ b/yewstage/lab/measures.py
@@ -5,13 +5,11 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import Any
 
-from yewstage.lab.checks import Terms
+from yewstage.lab.checks import Event, Terms
+from yewstage.lab.store import Store
 from yewstage.recovery import full
 
-Event = dict[str, Any]
-
 
 @dataclass(slots=True)
 class Figures:
@@ -34,7 +32,8 @@
     fell: int = 0
     memory_mb: float = 0.0  # the most that a gateway held
     faults_s: list[float] = field(default_factory=list)
-    full_service_s: float | None = None  # after the last fault; None: not seen
+    # From the second of the last fault, end of one, or start; None: not seen.
+    full_service_s: float | None = None
     full_after_ready_s: float | None = None  # after the last gateway was ready
     second_wave_s: float | None = None
 
@@ -43,13 +42,6 @@
         return self.attempts / max(self.first, 1)
 
 
-class _Quota:
-    __slots__ = ("left", "at")
-
-    def __init__(self, burst: float, at: float) -> None:
-        self.left, self.at = burst, at
-
-
 def measure(events: Iterable[Event], t0: float, length_s: float, terms: Terms) -> Figures:
     """The figures of a run that began at `t0`, in ms of its clock."""
     figures = Figures()
@@ -57,7 +49,7 @@
     served: dict[int, float] = defaultdict(float)
     took: dict[int, list[float]] = defaultdict(list)
     firsts: dict[str, tuple[float, float, float]] = {}  # due, worth inside the quota, aim
-    quotas: dict[str, _Quota] = {}
+    quotas: dict[str, Store] = {}
     dials: Counter[tuple[str, int]] = Counter()
     calls: Counter[int] = Counter()
     results: Counter[str] = Counter()
@@ -68,10 +60,8 @@
             case "first":
                 figures.first += 1
                 rate, burst = terms.quotas[event["plan"]]
-                quota = quotas.setdefault(event["customer"], _Quota(burst, event["due"]))
-                quota.left = min(burst, quota.left + rate * (event["due"] - quota.at) / 1000)
-                quota.at = event["due"]
-                inside = quota.left >= event["units"]
+                quota = quotas.setdefault(event["customer"], Store(rate, burst, event["due"]))
+                inside = quota.fill(event["due"]) >= event["units"]
                 quota.left -= event["true"] if inside else 0.0
                 firsts[event["rid"]] = event["due"], event["worth"] if inside else 0.0, event["aim"]
                 asked[int((event["due"] - t0) / 1000)] += event["worth"] if inside else 0.0
@@ -97,9 +87,9 @@
                 figures.fell += 1
             case "memory":
                 figures.memory_mb = max(figures.memory_mb, event["kb"] / 1024)
-            case "fault" | "kill" | "term" | "stop":
+            case "fault" | "kill" | "term" | "stop" | "cont" | "hup" | "start":
                 at = (event["t"] - t0) / 1000
-                if at >= 0:
+                if at >= 0:  # the starts before the run are none of its faults
                     figures.faults_s.append(at)
                     first_fault = at if first_fault is None else first_fault
                     last_fault = at
--- a/yewstage/lab/processes.py
+++ b/yewstage/lab/processes.py
@@ -69,7 +69,6 @@
         self.process: asyncio.subprocess.Process | None = None
         self._reading: asyncio.Task[None] | None = None
         self.lines: list[str] = []
-        self.stopped = False
 
     def _config(self) -> dict[str, Any]:
         scenario, fleet = self._scenario, self._scenario.fleet
@@ -223,7 +222,6 @@
         """A signal, by its name in a scenario."""
         if self.process is not None and self.process.returncode is None:
             self._note(self.name, what)
-            self.stopped = what == "stop" or (self.stopped and what != "cont")
             self.process.send_signal(SIGNALS[what])
 
     async def end(self) -> None:
--- a/yewstage/lab/record.py
+++ b/yewstage/lab/record.py
@@ -14,7 +14,8 @@
 
 import orjson
 
-Event = dict[str, Any]
+from yewstage.lab.checks import Event
+
 AT_ONCE = 1 << 16  # bytes held back before a write: a write for each event would slow the actors
 MOST_BYTES = 1 << 30  # a run that would fill the disk stops being recorded, and says so
 
@@ -69,6 +70,8 @@
 
 
 def follow(events: Iterable[Event], rid: str) -> list[Event]:
-    """What happened to one request: events that name it, or the first try that it belongs to."""
-    found = [e for e in events if e.get("rid") == rid or e.get("first") == rid]
-    return found
+    """What happened to one request: to each try of the first one that it belongs to, at every actor."""
+    held = list(events)
+    first = next((e["first"] for e in held if e.get("rid") == rid and "first" in e), rid)
+    tries = {e["rid"] for e in held if e.get("first") == first} | {first, rid}
+    return [e for e in held if e.get("rid") in tries]
--- a/yewstage/lab/report.py
+++ b/yewstage/lab/report.py
@@ -6,7 +6,6 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 from io import StringIO
-from typing import Any
 
 import matplotlib
 
@@ -15,11 +14,10 @@
 from matplotlib.axes import Axes  # noqa: E402
 from matplotlib.figure import Figure  # noqa: E402
 
-from yewstage.lab.checks import Verdict  # noqa: E402
+from yewstage.lab.checks import Event, Verdict  # noqa: E402
 from yewstage.lab.measures import Figures  # noqa: E402
 from yewstage.recovery.full import p99  # noqa: E402
 
-Event = dict[str, Any]
 BAND_FAULTS = frozenset(("fault", "kill", "term", "stop"))
 BAND_S = 0.5  # how wide a fault without an end is drawn
 RESULTS = ("served", "refused", "failed", "reset", "refused_dial", "late")
--- a/yewstage/lab/run.py
+++ b/yewstage/lab/run.py
@@ -170,8 +170,8 @@
             self._show(line["progress"] | {"alive": alive})
         return line
 
-    async def _up(self, gateway: GatewayProcess) -> None:
-        await gateway.start()
+    async def _up(self, gateway: GatewayProcess, empty: bool = True) -> None:
+        await gateway.start(empty)
         await gateway.ready()
 
     def _sample(self) -> None:
@@ -183,7 +183,7 @@
     def _strike(self, strike: Strike) -> None:
         gateway, what = self.gateways[strike.target], strike.fault.what
         if what == "start":
-            task = asyncio.get_running_loop().create_task(self._again(gateway))
+            task = asyncio.get_running_loop().create_task(self._again(gateway, strike.fault.how != "kept"))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         else:
@@ -191,11 +191,11 @@
                 gateway.moved()
             gateway.signal(what)
 
-    async def _again(self, gateway: GatewayProcess) -> None:
+    async def _again(self, gateway: GatewayProcess, empty: bool) -> None:
         try:
             if gateway.process is not None and gateway.process.returncode is None:
                 await gateway.process.wait()
-            await self._up(gateway)
+            await self._up(gateway, empty)
         except NotReadyError as error:
             self._failed.append(str(error))
 
@@ -216,7 +216,9 @@
     given = terms(scenario)
     verdicts = checks.judge(events, given, scenario.hold.rules)
     figures = measure(events, t0, scenario.length_s, given)
-    result = Result(scenario, folder, t0, verdicts, figures, late_ms, _unmet(scenario, figures, late_ms))
+    result = Result(scenario, folder, t0, verdicts, figures, late_ms, unmet(scenario, figures, late_ms))
+    if any(event["ev"] == "cut" for event in events):
+        result.unmet.append("the record was cut at its bound: nothing after that was judged")
     said = {
         "t0": t0,
         "late_ms": late_ms,
@@ -228,20 +230,21 @@
     return result
 
 
-def _unmet(scenario: Scenario, figures: Figures, late_ms: list[float]) -> list[str]:
+def unmet(scenario: Scenario, figures: Figures, late_ms: list[float]) -> list[str]:
     """What a scenario asks for and the run did not show. Times are judged only by a load that was in time."""
-    hold, unmet = scenario.hold, []
+    hold = scenario.hold
+    wrong: list[str] = []
     if hold.full_service_s:
         if late_ms[1] > LATE_MS:
-            unmet.append(f"full service: not judged: the load itself was {late_ms[1]:.1f} ms late at p99")
+            wrong.append(f"full service: not judged: the load itself was {late_ms[1]:.1f} ms late at p99")
         elif figures.full_service_s is None or figures.full_service_s > hold.full_service_s:
             seen = "never" if figures.full_service_s is None else f"after {figures.full_service_s:.0f} s"
-            unmet.append(f"full service: {seen}, {hold.full_service_s:g} s were asked for")
+            wrong.append(f"full service: {seen}, {hold.full_service_s:g} s were asked for")
     if hold.attempts_a_try and figures.attempts_a_try() > hold.attempts_a_try:
-        unmet.append(f"attempts a first try: {figures.attempts_a_try():.2f}, at most {hold.attempts_a_try:g}")
+        wrong.append(f"attempts a first try: {figures.attempts_a_try():.2f}, at most {hold.attempts_a_try:g}")
     if hold.served and figures.served_share < hold.served:
-        unmet.append(f"served: {figures.served_share:.3f} of the worth, at least {hold.served:g}")
-    return unmet
+        wrong.append(f"served: {figures.served_share:.3f} of the worth, at least {hold.served:g}")
+    return wrong
 
 
 def play(
@@ -260,7 +263,7 @@
     missing = virtual.not_modelled(scenario)
     if missing:
         say(f"not modelled in virtual time, left out: {', '.join(missing)}")
-    events: list[record.Event] = []
+    events: list[checks.Event] = []
     virtual.play(scenario, events)
     folder.mkdir(parents=True)
     (folder / "scenario.json").write_bytes(orjson.dumps(scenario.model_dump()))
--- a/yewstage/lab/scenario.py
+++ b/yewstage/lab/scenario.py
@@ -13,7 +13,7 @@
 import tomli
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
-from yewstage.lab.checks import Terms
+from yewstage.lab.checks import CHECKERS, Terms
 from yewstage.lab.streams import generator
 from yewstage.lab.traffic import ClassTraffic, PlanTraffic, TrafficModel
 
@@ -28,7 +28,10 @@
 LINK_FAULTS = ("cut", "cut_in", "cut_out", "heal", "delay", "throttle", "reset_after")
 COUNTER_FAULTS = ("counter_stop", "counter_keep", "counter_start", "counter_split", "counter_join")
 DISCOVERY_FAULTS = ("silence", "speak", "forget", "clock")
-RULES = ("answered", "effects", "drains", "cold", "ceilings", "units")
+FAULTS = (*GATEWAY_FAULTS, *HOST_FAULTS, *LINK_FAULTS, *COUNTER_FAULTS, *DISCOVERY_FAULTS)
+RULES = tuple(CHECKERS)
+NEEDS_VALUE = ("slow", "failing", "delay", "throttle", "reset_after")
+HOWS = {"counter_start": ("all", "nothing", "old"), "hup": ("", "moved"), "start": ("", "kept")}
 SELECTOR = re.compile(
     r"@\w+|gateway:(\*|\d+)|host:(\*|h\d+)|zone:\w+|\d+% of (gateways|hosts)|(gateways|hosts) in \w+"
 )
@@ -134,53 +137,21 @@
     """One thing that happens, at some moment, to whom `who` aims at."""
 
     at_s: NotNegative
-    what: Literal[
-        "kill",
-        "term",
-        "hup",
-        "stop",
-        "cont",
-        "start",
-        "crash",
-        "restart",
-        "drain",
-        "remove",
-        "ready",
-        "hang",
-        "slow",
-        "failing",
-        "well",
-        "swap",
-        "cut",
-        "cut_in",
-        "cut_out",
-        "heal",
-        "delay",
-        "throttle",
-        "reset_after",
-        "counter_stop",
-        "counter_keep",
-        "counter_start",
-        "counter_split",
-        "counter_join",
-        "silence",
-        "speak",
-        "forget",
-        "clock",
-    ]
+    what: str  # of FAULTS
     who: str = "gateway:*"
     other: str = "host:*"  # the far ends of links: hosts, `counter` or `discovery`
     name: str = ""  # so that a later fault can aim at the same ones, as `@name`
     over_s: NotNegative = 0.0  # one after another, evenly over so long
     value: float = 0.0  # times slower, share that fails, milliseconds, bytes (a second); of a clock seconds
-    # What a counter comes back with; `moved`: a SIGHUP with which discovery goes to another address.
-    how: Literal["all", "nothing", "old", "moved", ""] = ""
+    # What a counter comes back with; `moved`: at a SIGHUP, discovery goes to another address; `kept`: a start
+    # in the folder that the last process left.
+    how: str = ""
 
 
 class Hold(_Model):
     """What must hold."""
 
-    rules: tuple[Literal["answered", "effects", "drains", "cold", "ceilings", "units"], ...] = RULES  # type: ignore[assignment]
+    rules: tuple[str, ...] = RULES
     full_service_s: NotNegative = 0.0  # after the last fault; 0: not asked
     attempts_a_try: NotNegative = 0.0
     served: Share = 0.0  # of the worth asked for inside the quotas
@@ -200,41 +171,65 @@
 
     @model_validator(mode="after")
     def _aims(self) -> Scenario:
-        named: set[str] = set()
-        wrong: list[str] = []
+        wrong = [
+            f"hold.rules.{i}: found {rule!r}, expected one of {', '.join(RULES)}"
+            for i, rule in enumerate(self.hold.rules)
+            if rule not in RULES
+        ]
+        named: dict[str, list[str]] = {}
         for i, fault in enumerate(self.faults):
-            at = f"faults.{i}"
-            for field, text in (("who", fault.who), ("other", fault.other)):
-                if field == "other" and text in ("counter", "discovery"):
-                    continue
-                if SELECTOR.fullmatch(text) is None:
-                    wrong.append(
-                        f"{at}.{field}: found {text!r}, expected gateway:N or :*, host:hN or :*, "
-                        "zone:Z, N% of gateways or hosts, gateways or hosts in Z, or @name"
-                    )
-                elif text.startswith("@") and text[1:] not in named:
-                    wrong.append(f"{at}.{field}: found {text!r}, expected the name of an earlier fault")
-                elif (zone := re.fullmatch(r"(?:zone:|\w+ in )(\w+)", text)) and zone[
-                    1
-                ] not in self.fleet.zones:
-                    wrong.append(
-                        f"{at}.{field}: found zone {zone[1]!r}, expected one of {', '.join(self.fleet.zones)}"
-                    )
-            if fault.at_s > self.length_s:
-                wrong.append(f"{at}.at_s: found {fault.at_s}, expected at most length_s ({self.length_s})")
-            if fault.what in ("slow", "delay", "throttle", "reset_after", "failing") and fault.value <= 0:
-                wrong.append(f"{at}.value: found {fault.value}, expected more than 0 for {fault.what}")
-            if fault.value < 0 and fault.what != "clock":
-                wrong.append(f"{at}.value: found {fault.value}, expected 0 or more for {fault.what}")
-            if fault.what == "counter_start" and not fault.how:
-                wrong.append(f"{at}.how: found nothing, expected all, nothing or old")
-            if fault.name:
-                named.add(fault.name)
+            wrong += [f"faults.{i}.{text}" for text in _wrong(fault, self, named, i)]
         if wrong:
             raise ValueError("\n".join(wrong))
         return self
 
 
+def _wrong(fault: Fault, scenario: Scenario, named: dict[str, list[str]], index: int) -> list[str]:
+    """What is wrong with one fault, each with its field; notes what its name aims at."""
+    what, wrong = fault.what, []
+    if what not in FAULTS:
+        return [f"what: found {what!r}, expected one of {', '.join(FAULTS)}"]
+    if fault.at_s > scenario.length_s:
+        wrong.append(f"at_s: found {fault.at_s}, expected at most length_s ({scenario.length_s})")
+    if what in NEEDS_VALUE and fault.value <= 0:
+        wrong.append(f"value: found {fault.value}, expected more than 0 for {what}")
+    elif fault.value < 0 and what != "clock":
+        wrong.append(f"value: found {fault.value}, expected 0 or more for {what}")
+    if fault.how not in HOWS.get(what, ("",)):
+        expected = " or ".join(repr(how) for how in HOWS.get(what, ("",)))
+        wrong.append(f"how: found {fault.how!r}, expected {expected} for {what}")
+    if what in COUNTER_FAULTS and what != "counter_split":
+        return wrong
+    kind = "h" if what in HOST_FAULTS else "g"
+    wrong += _aimed("who", fault.who, kind, scenario, named, index)
+    if what in LINK_FAULTS and fault.other not in ("counter", "discovery"):
+        wrong += _aimed("other", fault.other, "h", scenario, named, index)
+    if fault.name:
+        named[fault.name] = [] if wrong else _resolve(fault.who, scenario, named, index)
+    return wrong
+
+
+def _aimed(
+    field: str, text: str, kind: str, scenario: Scenario, named: dict[str, list[str]], index: int
+) -> list[str]:
+    """What is wrong with an aim, of which gateways (`g`) or hosts (`h`) are expected."""
+    wanted = "gateways" if kind == "g" else "hosts"
+    if SELECTOR.fullmatch(text) is None:
+        expected = "gateway:N or :*" if kind == "g" else "host:hN or :*, zone:Z"
+        return [f"{field}: found {text!r}, expected {expected}, N% of {wanted}, {wanted} in Z, or @name"]
+    if text.startswith("@") and text[1:] not in named:
+        return [f"{field}: found {text!r}, expected the name of an earlier fault"]
+    zone = re.fullmatch(r"(?:zone:|\w+ in )(\w+)", text)
+    if zone is not None and zone[1] not in scenario.fleet.zones:
+        return [f"{field}: found zone {zone[1]!r}, expected one of {', '.join(scenario.fleet.zones)}"]
+    found = _resolve(text, scenario, named, index)
+    if not found and not text.startswith("@"):
+        return [f"{field}: found {text!r}, which is nobody in this fleet, expected {wanted}"]
+    if found and not found[0].startswith(kind):
+        return [f"{field}: found {text!r}, expected {wanted}"]
+    return []
+
+
 def load(path: Path) -> Scenario:
     """A scenario from its file; ScenarioError tells all that is wrong with it."""
     try:
@@ -291,6 +286,7 @@
     plans = scenario.traffic.plans
     return Terms(
         scenario.fleet.drain_grace_ms,
+        scenario.fleet.fall_ms,
         {
             p.name: (p.ceiling * p.rate, p.ceiling * p.burst, slack(p.ceiling * p.burst))
             for p in plans
--- a/yewstage/lab/virtual/world.py
+++ b/yewstage/lab/virtual/world.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from yewstage import interface as api
+from yewstage.lab.store import Store
 from yewstage.lab.streams import Stream, generator
 from yewstage.lab.traffic import Customer, PlanTraffic, TrafficModel, Try, tries
 from yewstage.lab.virtual.counter import CounterModel, CounterService
@@ -45,21 +46,6 @@
     max_retry_after_ms: float = 2000.0
 
 
-class Store:
-    """A store of units that starts full and fills at a rate."""
-
-    __slots__ = ("rate", "most", "left", "at")
-
-    def __init__(self, rate: float, most: float, now: float) -> None:
-        self.rate, self.most, self.left, self.at = rate, most, most, now
-
-    def fill(self, now: float) -> float:
-        """What is in it now."""
-        self.left = min(self.most, self.left + (now - self.at) * self.rate / 1000)
-        self.at = now
-        return self.left
-
-
 @dataclass(slots=True)
 class Figures:
     """What came of a day; windows are of one second."""
--- a/yewstage/lab/world.py
+++ b/yewstage/lab/world.py
@@ -9,9 +9,7 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 import time
-from pathlib import Path
 from typing import Any
 
 import orjson
@@ -19,6 +17,7 @@
 
 from yewstage.lab.clock import RealClock
 from yewstage.lab.links import Link
+from yewstage.lab.pipe import begun, tell
 from yewstage.lab.record import Recorder
 from yewstage.lab.scenario import (
     COUNTER_FAULTS,
@@ -216,13 +215,9 @@
 
 async def _main() -> None:
     loop = asyncio.get_running_loop()
-    reader = asyncio.StreamReader(limit=1 << 24)
-    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
-    first = orjson.loads(await reader.readline())
-    clock = RealClock(loop)
-    note = Recorder(Path(first["folder"]) / "world.jsonl", lambda: clock.now)
+    reader, first, note = await begun("world")
     world = World(Scenario.model_validate(first["scenario"]), note, loop)
-    print(orjson.dumps({"ports": world.ports()}).decode(), flush=True)
+    tell(ports=world.ports())
     while line := await reader.readline():
         world.play(orjson.loads(line)["t0"])
     note.close()
