A gateway that a strike kills while it starts has not refused to start

Cause: benchmarks/mutations.py ended with "g2 ended before it was ready" beside other work: the start took 3.7 s, and the next kill of the scenario came first. Lab runs took any end before readiness for a refusal, so a slow machine changed the outcome of a crash loop.

Change: a gateway that was told to end in this start has failed at nothing.

--- a/yewstage/lab/processes.py
+++ b/yewstage/lab/processes.py
@@ -69,6 +69,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self._reading: asyncio.Task[None] | None = None
         self.lines: list[str] = []
+        self.told_to_end = False  # by a strike, in this start: that it ends is no refusal to start
 
     def _config(self) -> dict[str, Any]:
         scenario, fleet = self._scenario, self._scenario.fleet
@@ -166,6 +167,7 @@
             shutil.rmtree(own, ignore_errors=True)
         own.mkdir(exist_ok=True)
         path = self._write_config()
+        self.told_to_end = False
         self._starts += 1
         self._note(self.name, "start")
         self.process = await asyncio.create_subprocess_exec(
@@ -222,6 +224,7 @@
         """A signal, by its name in a scenario."""
         if self.process is not None and self.process.returncode is None:
             self._note(self.name, what)
+            self.told_to_end = self.told_to_end or what in ("kill", "term")
             self.process.send_signal(SIGNALS[what])
 
     async def end(self) -> None:
--- a/yewstage/lab/run.py
+++ b/yewstage/lab/run.py
@@ -197,7 +197,8 @@
                 await gateway.process.wait()
             await self._up(gateway, empty)
         except NotReadyError as error:
-            self._failed.append(str(error))
+            if not gateway.told_to_end:
+                self._failed.append(str(error))
 
     async def _end(self) -> None:
         """End what was started, and only that."""
