Lab: what strikes a gateway takes effect in the order of asking, also during its start

Cause, by what the assertion shows and the code: Run._again waits for the old process, then creates the new one. Until that is there, GatewayProcess.signal looks at the dead one ('self.process.returncode is None') and sends and records nothing. Where that takes over 50 ms, the strike of 1.15 s is lost without a word; so would a SIGSTOP or SIGHUP be. Five that were ready rule out a gateway that refused to start; the order of the schedule does, too (sorted by time, and stable).

Change: a start counts as on its way from the strike on; a signal that finds no process but a start on its way goes to that process as soon as it is there. Starts of a gateway take turns, each waits for the process before it. What a start is told (killed, told to end) belongs to its process, so a second start no longer hides that the first was struck, nor counts its readiness twice.

The test strikes at one and the same moment now, and so doesn't rest on how fast the machine is.

--- a/tests/lab/test_run.py
+++ b/tests/lab/test_run.py
@@ -61,13 +61,13 @@
 def test_a_gateway_that_is_killed_while_it_starts_has_not_refused_to_start(tmp_path: Path) -> None:
     result = play(day(
         {"at_s": 1.0, "what": "kill", "who": "gateway:1"},
-        {"at_s": 1.1, "what": "start", "who": "gateway:1"},
-        {"at_s": 1.15, "what": "kill", "who": "gateway:1"},  # no interpreter is up by then
-        {"at_s": 1.5, "what": "start", "who": "gateway:1"},
+        {"at_s": 1.0, "what": "start", "who": "gateway:1"},
+        {"at_s": 1.0, "what": "kill", "who": "gateway:1"},  # not even its process is there by then
+        {"at_s": 1.0, "what": "start", "who": "gateway:1"},
         rules=("answered", "effects", "ceilings"), length_s=4.0,
     ), tmp_path / "run")  # fmt: skip
     held(result)
-    assert (count(result, "kill"), count(result, "ready")) == (2, 5)
+    assert (count(result, "kill"), count(result, "start"), count(result, "ready")) == (2, 6, 5)
 
 
 def test_hosts_that_crash_drain_leave_and_return_cold_while_a_zone_is_cut(tmp_path: Path) -> None:
--- a/yewstage/lab/processes.py
+++ b/yewstage/lab/processes.py
@@ -9,6 +9,8 @@
 import signal
 import socket
 import sys
+from collections.abc import Awaitable
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -50,8 +52,26 @@
     """A gateway that does not start; the text has its last lines."""
 
 
+@dataclass(slots=True, eq=False)
+class Started:
+    """One process of a gateway, from its start to its end."""
+
+    process: asyncio.subprocess.Process
+    struck: bool = False  # it was told to end: that it does is no refusal to start
+    killed: bool = False  # SIGKILL went out: whatever it still shows, it takes nothing more
+
+    def alive(self) -> bool:
+        """Whether a signal reaches it."""
+        return self.process.returncode is None and not self.killed
+
+
 class GatewayProcess:
-    """One gateway: its name, its port and its folder outlive its processes."""
+    """One gateway: its name, its port and its folder outlive its processes.
+
+    What strikes it takes effect in the order of asking: a signal that finds a start on its way waits for that
+    process, and a start waits for the process before it. On a slow machine a start takes longer than the time
+    to the next strike; a signal that went to the dead process before it would be lost.
+    """
 
     def __init__(
         self, number: int, scenario: Scenario, folder: Path, note: Recorder, tree: Path, told: dict[str, Any]
@@ -66,10 +86,12 @@
         self._folder = folder / self.name
         self._folder.mkdir()
         self._starts = self._moves = 0
-        self.process: asyncio.subprocess.Process | None = None
-        self._reading: asyncio.Task[None] | None = None
+        self.current: Started | None = None
+        self._starting = asyncio.Lock()  # held from a start's turn until its process is there
+        self._due = 0  # starts asked for whose process is not there yet
+        self._waiting: list[str] = []  # signals for the next process
+        self._readers: set[asyncio.Task[None]] = set()
         self.lines: list[str] = []
-        self.told_to_end = False  # by a strike, in this start: that it ends is no refusal to start
 
     def _config(self) -> dict[str, Any]:
         scenario, fleet = self._scenario, self._scenario.fleet
@@ -148,29 +170,56 @@
         self._moves += 1
         self._write_config()
 
+    def alive(self) -> bool:
+        """Whether a process of it runs."""
+        return self.current is not None and self.current.alive()
+
     def memory_kb(self) -> int:
         """What it holds now; 0 while it is dead."""
-        if self.process is None or self.process.returncode is not None:
+        if self.current is None or not self.current.alive():
             return 0
         try:
-            pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+            pages = int(Path(f"/proc/{self.current.process.pid}/statm").read_text().split()[1])
         except (OSError, IndexError):
             return 0
         return pages * os.sysconf("SC_PAGE_SIZE") // 1024
 
-    async def start(self, empty: bool = True) -> None:
-        """Start it, with an empty or a kept folder, and wait until it listens."""
-        if self.process is not None and self.process.returncode is None:
-            return
+    def ask_start(self, empty: bool = True) -> Awaitable[None]:
+        """Ask for a start. What is returned must be awaited: it waits until the gateway is ready, and raises
+        NotReadyError where it ended before and nothing had told it to.
+        """
+        self._due += 1
+        return self._start(empty)
+
+    async def _start(self, empty: bool) -> None:
+        async with self._starting:
+            try:
+                if self.current is not None:
+                    await self.current.process.wait()
+                started = await self._spawn(empty)
+            finally:
+                self._due -= 1
+        listening = asyncio.get_running_loop().create_future()
+        reading = asyncio.create_task(self._read(started.process, listening))
+        self._readers.add(reading)
+        reading.add_done_callback(self._readers.discard)
+        try:
+            await asyncio.wait_for(listening, READY_S)
+            self._note(self.name, "listens")
+            await self._ready(started)
+        except (TimeoutError, NotReadyError):
+            if not started.struck:
+                raise NotReadyError(f"{self.name} did not start: {' / '.join(self.lines[-3:])}") from None
+
+    async def _spawn(self, empty: bool) -> Started:
         own = self._folder / "tmp"
         if empty:
             shutil.rmtree(own, ignore_errors=True)
         own.mkdir(exist_ok=True)
         path = self._write_config()
-        self.told_to_end = False
         self._starts += 1
         self._note(self.name, "start")
-        self.process = await asyncio.create_subprocess_exec(
+        process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-P",
             "-m",
@@ -181,13 +230,11 @@
             preexec_fn=_begin,
             env={**os.environ, "PYTHONPATH": str(self._tree), "ROUTER_CONFIG": str(path), "TMPDIR": str(own)},
         )
-        listening = asyncio.get_running_loop().create_future()
-        self._reading = asyncio.create_task(self._read(self.process, listening))
-        try:
-            await asyncio.wait_for(listening, READY_S)
-        except (TimeoutError, NotReadyError):
-            raise NotReadyError(f"{self.name} did not start: {' / '.join(self.lines[-3:])}") from None
-        self._note(self.name, "listens")
+        self.current = Started(process)
+        waiting, self._waiting = self._waiting, []
+        for what in waiting:
+            self._send(self.current, what)
+        return self.current
 
     async def _read(self, process: asyncio.subprocess.Process, listening: asyncio.Future[int]) -> None:
         assert process.stderr is not None
@@ -203,35 +250,41 @@
         if not listening.done():
             listening.set_exception(NotReadyError())
 
-    async def ready(self) -> None:
-        """Wait until it says that it is ready."""
+    async def _ready(self, started: Started) -> None:
         while True:
             try:
                 reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
                 writer.write(b"GET /ready HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n")
                 line = await reader.readline()
                 writer.close()
-                if line.split()[1:2] == [b"200"]:
+                if line.split()[1:2] == [b"200"] and started is self.current:
                     self._note(self.name, "ready")
                     return
             except OSError:
                 pass
-            if self.process is None or self.process.returncode is not None:
-                raise NotReadyError(f"{self.name} ended before it was ready: {' / '.join(self.lines[-3:])}")
+            if not started.alive():
+                raise NotReadyError
             await asyncio.sleep(0.02)
 
     def signal(self, what: str) -> None:
-        """A signal, by its name in a scenario."""
-        if self.process is not None and self.process.returncode is None:
-            self._note(self.name, what)
-            self.told_to_end = self.told_to_end or what in ("kill", "term")
-            self.process.send_signal(SIGNALS[what])
+        """A signal, by its name in a scenario; to nobody where no process is there and none is on its way."""
+        if self.current is not None and self.current.alive():
+            self._send(self.current, what)
+        elif self._due:
+            self._waiting.append(what)
+
+    def _send(self, started: Started, what: str) -> None:
+        if not started.alive():
+            return
+        self._note(self.name, what)
+        started.struck = started.struck or what in ("kill", "term")
+        started.killed = started.killed or what == "kill"
+        started.process.send_signal(SIGNALS[what])
 
     async def end(self) -> None:
         """End it whatever it does, and wait for that."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.kill()
-            await self.process.wait()
-        if self._reading is not None:
-            await self._reading
+        if self.current is not None and self.current.process.returncode is None:
+            self.current.process.kill()
+            await self.current.process.wait()
+        await asyncio.gather(*self._readers)
         self._held.close()
--- a/yewstage/lab/run.py
+++ b/yewstage/lab/run.py
@@ -7,7 +7,7 @@
 import resource
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import Any
@@ -147,7 +147,7 @@
         self._say(f"starting {len(self.gateways)} gateways")
         names = list(self.gateways)
         for at in range(0, len(names), AT_ONCE):
-            await asyncio.gather(*(self._up(self.gateways[name]) for name in names[at : at + AT_ONCE]))
+            await asyncio.gather(*(self.gateways[name].ask_start() for name in names[at : at + AT_ONCE]))
         ports = {name: gateway.port for name, gateway in self.gateways.items()}
         await self._load.start({"scenario": raw, "folder": str(self.folder), "ports": ports})
         t0 = 1000 * (time.monotonic() + LEAD_S)
@@ -164,16 +164,9 @@
 
     async def _hear(self) -> dict[str, Any]:
         while "progress" in (line := await self._load.hear()):
-            alive = sum(
-                g.process is not None and g.process.returncode is None for g in self.gateways.values()
-            )
-            self._show(line["progress"] | {"alive": alive})
+            self._show(line["progress"] | {"alive": sum(g.alive() for g in self.gateways.values())})
         return line
 
-    async def _up(self, gateway: GatewayProcess, empty: bool = True) -> None:
-        await gateway.start(empty)
-        await gateway.ready()
-
     def _sample(self) -> None:
         for gateway in self.gateways.values():
             if memory := gateway.memory_kb():
@@ -183,7 +176,9 @@
     def _strike(self, strike: Strike) -> None:
         gateway, what = self.gateways[strike.target], strike.fault.what
         if what == "start":
-            task = asyncio.get_running_loop().create_task(self._again(gateway, strike.fault.how != "kept"))
+            task = asyncio.get_running_loop().create_task(
+                self._again(gateway.ask_start(strike.fault.how != "kept"))
+            )
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         else:
@@ -191,14 +186,11 @@
                 gateway.moved()
             gateway.signal(what)
 
-    async def _again(self, gateway: GatewayProcess, empty: bool) -> None:
+    async def _again(self, start: Awaitable[None]) -> None:
         try:
-            if gateway.process is not None and gateway.process.returncode is None:
-                await gateway.process.wait()
-            await self._up(gateway, empty)
+            await start
         except NotReadyError as error:
-            if not gateway.told_to_end:
-                self._failed.append(str(error))
+            self._failed.append(str(error))
 
     async def _end(self) -> None:
         """End what was started, and only that."""
