Lab: datagrams between gateways, ends that wait their turn on a link, one set of stand-ins

What fleet.peers = true starts gets peer_listen, peers and peers_all in its configuration. - links.py: the end of a connection waits behind the bytes that were sent before it, and a cut keeps it as it keeps bytes.

--- a/tests/lab/test_checks.py
+++ b/tests/lab/test_checks.py
@@ -73,6 +73,12 @@
         [got(0, "a"), at(1, "counter", "count", name="n", amount=2.0, result="ok", total=2.0)],
         [got(0, "a"), *(at(i, "counter", "count", name="n", amount=2.0, result="ok", total=2.0)
                         for i in range(20))]),
+    "a datagram that is too long": (
+        checks.datagrams, [at(0, "g0", "datagram", size=256, to=1, long=False)],
+        [at(0, "g0", "datagram", size=257, to=1, long=True)]),
+    "a datagram from nobody's address": (
+        checks.datagrams, [at(0, "g0", "datagram", size=1, to=1, long=False)],
+        [at(0, "exchange", "stranger", address="127.0.0.1:9")]),
 }  # fmt: skip
 
 
--- a/tests/lab/test_links.py
+++ b/tests/lab/test_links.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 import pytest
 from conftest import on_loop
 
-from yewstage.lab.links import Door, Link, Receiver, Wire
+from yewstage.lab.links import LINGER_RESET, Door, Link, Receiver, Wire
 
 
 class Echo(Receiver):
@@ -152,3 +153,35 @@
         assert await reader.readexactly(2) == b"ab"
 
     playing(scenario)
+
+
+@pytest.mark.parametrize("cut", [False, True])
+def test_what_a_peer_sent_before_it_died_comes_before_its_end(cut: bool) -> None:
+    """Half of a message is on its way when its sender is killed; a cut loses both until the path is back."""
+
+    async def scenario(way: Way) -> None:
+        reader, writer = await way.connect()
+        writer.write(b"a")
+        assert await reader.readexactly(1) == b"a"
+        (echo,) = way.echoes
+        way.link.delay_ms = 1000  # a stall of this test must not outlast it
+        writer.write(b"half")
+        while not echo.wire.holds():
+            await asyncio.sleep(0.001)
+        if cut:
+            way.link.cut(True, True)
+            writer.write(b"lost")
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)  # as a process that is killed
+        writer.transport.abort()
+        if cut:
+            await asyncio.sleep(0.1)
+            assert not echo.over  # nobody can know
+            way.link.cut(False, False)
+        else:
+            assert not echo.over
+        while not echo.over:
+            await asyncio.sleep(0.005)
+        assert echo.seen == (b"a" if cut else b"ahalf")
+
+    playing(scenario)
--- a/yewstage/demo/run.py
+++ b/yewstage/demo/run.py
@@ -14,11 +14,13 @@
 from rich.table import Table
 
 from yewstage.demo.load import Load
-from yewstage.demo.node import BookingNode
+from yewstage.lab.standins.alone import booking_nodes
+from yewstage.lab.standins.host import BookingNode
 
 TENANTS = ("adjara", "imereti", "svaneti")
 RATE, FLOOD = 30.0, 20.0  # requests a second of a tenant, and how many times that a flood is
 PARTNERS = [f"partner-{i}" for i in range(4)]
+WORK_MS = 5.0  # of a request, on the whole
 LOOK_S = 0.5
 START_S = 10.0
 
@@ -142,7 +144,7 @@
     console = Console(width=100 if plain else None)
     with tempfile.TemporaryDirectory(prefix="hillmux-demo-") as name:
         folder = Path(name)
-        nodes = {tenant: [await BookingNode(seed=i).start() for i in range(3)] for tenant in TENANTS}
+        nodes = {tenant: booking_nodes(3, WORK_MS, seed) for seed, tenant in enumerate(TENANTS)}
         for tenant, its in nodes.items():
             write_hosts(folder, tenant, its)
         gateway = Gateway(write_config(folder, 0, TENANTS))
@@ -164,7 +166,7 @@
             status = await gateway.stop()
             for its in nodes.values():
                 for node in its:
-                    node.stop()
+                    node.crash()
     console.print(_table(loads, {}, "summary"))
     good = status == 0 and all(load.answered() == load.sent for load in loads)
     console.print(
--- a/yewstage/lab/checks.py
+++ b/yewstage/lab/checks.py
@@ -202,6 +202,19 @@
     return verdict
 
 
+def datagrams(events: Iterable[Event]) -> Verdict:
+    """What gateways send one another goes from their own addresses, and is short enough."""
+    verdict = Verdict("datagrams")
+    for event in events:
+        if event["ev"] == "datagram":
+            verdict.exercised += 1
+            if event["long"]:
+                verdict.show([event])
+        elif event["ev"] == "stranger":
+            verdict.show([event])
+    return verdict
+
+
 CHECKERS: dict[str, Callable[[list[Event], Terms], Verdict]] = {
     "answered": lambda events, terms: answered(events),
     "effects": lambda events, terms: effects(events),
@@ -209,6 +222,7 @@
     "cold": lambda events, terms: cold(events, terms.fall_ms),
     "ceilings": lambda events, terms: ceilings(events, terms.ceilings),
     "units": lambda events, terms: units(events),
+    "datagrams": lambda events, terms: datagrams(events),
 }
 
 
--- a/yewstage/lab/links.py
+++ b/yewstage/lab/links.py
@@ -45,7 +45,7 @@
             door.block(inward or outward)
         if healed and not inward and not outward:
             for wire in [w for w in self.wires if w.lost]:
-                wire.reset()
+                wire.healed()
 
 
 class Wire(asyncio.Protocol):
@@ -54,10 +54,11 @@
     def __init__(self, link: Link, made: Callable[[Wire], Receiver], loop: asyncio.AbstractEventLoop) -> None:
         self.link, self._made, self._loop = link, made, loop
         self.lost = self.closing = False
+        self._gone = self._told_end = False  # the socket is closed; the receiver knows
         self._transport: Any = None
         # What is on its way, and when the last of it is through. Bytes go in their order: two timers that
         # are due at one moment may be called in any.
-        self._coming: deque[bytes] = deque()
+        self._coming: deque[bytes | None] = deque()  # None: the other side's end
         self._going: deque[bytes] = deque()
         self._in_free = self._out_free = 0.0
         self._answered = 0
@@ -72,17 +73,36 @@
         if link.cut_in or self.lost:
             self.lost = True
             return
-        due = max(self._loop.time() + link.delay_ms / 1000, self._in_free)
+        self._bring(data)
+
+    def _bring(self, data: bytes | None) -> None:
+        """Bytes, or the other side's end, to the receiver, in their order and after the link's delay.
+
+        Danger: a gateway that dies under a slow link has sent what is on its way: a request that is whole
+        there is run by the host. An end that went past it would hide such work.
+        """
+        due = max(self._loop.time() + self.link.delay_ms / 1000, self._in_free)
         if not self._coming and due <= self._loop.time():
-            self._receiver.received(data)
+            self._hand(data)
             return
         self._in_free = due
         self._coming.append(data)
         self._loop.call_at(due, self._receive)
 
+    def holds(self) -> bool:
+        """Whether something is on its way to the receiver."""
+        return bool(self._coming)
+
     def _receive(self) -> None:
-        data = self._coming.popleft()
-        if not self.lost and not self.closing:
+        self._hand(self._coming.popleft())
+
+    def _hand(self, data: bytes | None) -> None:
+        if self.lost or self._told_end:
+            return
+        if data is None:
+            self._told_end = True
+            self._receiver.ended()
+        elif not self.closing or self._gone:
             self._receiver.received(data)
 
     def write(self, data: bytes) -> None:
@@ -123,15 +143,31 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
         self._transport.abort()
 
-    def eof_received(self) -> bool:
-        if not self.link.cut_in:
+    def healed(self) -> None:
+        """The path is back, and bytes were lost: it is reset, and its stand-in hears of that only now."""
+        self.reset()
+        self.link.wires.discard(self)
+        if self._gone:
             self._receiver.ended()
+
+    def eof_received(self) -> bool:
+        if not self.link.cut_in and not self.lost:
+            self._bring(None)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.closing = True
+        ours = self.closing  # we have ended it, or are about to
+        self.closing = self._gone = True
+        if self.link.cut_in or self.lost:
+            self.lost = True  # nobody at this end can know before the path is back
+            if not ours:
+                return
         self.link.wires.discard(self)
-        self._receiver.ended()
+        if ours:
+            self._told_end = True  # what is still on its way finds nobody
+            self._receiver.ended()
+        else:
+            self._bring(None)
 
 
 class Receiver:
--- a/yewstage/lab/processes.py
+++ b/yewstage/lab/processes.py
@@ -105,6 +105,7 @@
             "seed": f"{seed:x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": self._told["known"],
+            **self._told["peers"],
             "settings": {
                 "grades": [
                     {
@@ -143,6 +144,7 @@
                     "max_retry_after_ms": 2000.0,
                     "dial_timeout_ms": 250.0,
                     "conn_idle_ms": 15000.0,
+                    "peers": fleet.peers,
                 },
                 "rules": {
                     "stop_sending_within_ms": fleet.drain_grace_ms,
--- a/yewstage/lab/record.py
+++ b/yewstage/lab/record.py
@@ -16,6 +16,7 @@
 
 from yewstage.lab.checks import Event
 
+Note = Callable[..., None]  # who, what happened, fields by name
 AT_ONCE = 1 << 16  # bytes held back before a write: a write for each event would slow the actors
 MOST_BYTES = 1 << 30  # a run that would fill the disk stops being recorded, and says so
 
--- a/yewstage/lab/run.py
+++ b/yewstage/lab/run.py
@@ -7,7 +7,7 @@
 import resource
 import sys
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import Any
@@ -115,6 +115,7 @@
         self._world, self._load = _Helper("yewstage.lab.world"), _Helper("yewstage.lab.load")
         self.gateways: dict[str, GatewayProcess] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._unstarted: list[str] = []  # starts that had not come about when the run was over
         self._failed: list[str] = []
 
     async def play(self) -> Result:
@@ -133,7 +134,7 @@
             await self._end()
         if self._failed:
             raise RunError("\n".join(self._failed))
-        return judge(self.scenario, self.folder, t0, late)
+        return judge(self.scenario, self.folder, t0, late, self._unstarted)
 
     async def _play(self) -> tuple[float, list[float]]:
         scenario = self.scenario
@@ -177,7 +178,7 @@
         gateway, what = self.gateways[strike.target], strike.fault.what
         if what == "start":
             task = asyncio.get_running_loop().create_task(
-                self._again(gateway.ask_start(strike.fault.how != "kept"))
+                self._again(gateway.ask_start(strike.fault.how != "kept")), name=gateway.name
             )
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -195,6 +196,7 @@
     async def _end(self) -> None:
         """End what was started, and only that."""
         for task in list(self._tasks):
+            self._unstarted.append(f"{task.get_name()}: a start had not come about by the end")
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._load.end()
@@ -203,13 +205,16 @@
         self.note.close()
 
 
-def judge(scenario: Scenario, folder: Path, t0: float, late_ms: list[float]) -> Result:
-    """The verdicts and figures of a record."""
+def judge(
+    scenario: Scenario, folder: Path, t0: float, late_ms: list[float], wrong: Sequence[str] = ()
+) -> Result:
+    """The verdicts and figures of a record; `wrong`: what else the run did not come to."""
     events = list(record.read(folder))
     given = terms(scenario)
     verdicts = checks.judge(events, given, scenario.hold.rules)
     figures = measure(events, t0, scenario.length_s, given)
-    result = Result(scenario, folder, t0, verdicts, figures, late_ms, unmet(scenario, figures, late_ms))
+    missed = [*wrong, *unmet(scenario, figures, late_ms)]
+    result = Result(scenario, folder, t0, verdicts, figures, late_ms, missed)
     if any(event["ev"] == "cut" for event in events):
         result.unmet.append("the record was cut at its bound: nothing after that was judged")
     said = {
--- a/yewstage/lab/standins/counter.py
+++ b/yewstage/lab/standins/counter.py
@@ -7,7 +7,7 @@
 
 from yewstage.lab.clock import Clock
 from yewstage.lab.links import Door, Link, Wire
-from yewstage.lab.record import Recorder
+from yewstage.lab.record import Note
 from yewstage.lab.standins.http import Asked, Line, Owner, message
 from yewstage.lab.virtual.counter import CounterModel, CounterService
 
@@ -24,7 +24,7 @@
         loop: asyncio.AbstractEventLoop,
         model: CounterModel,
         links: list[Link],
-        note: Recorder,
+        note: Note,
     ) -> None:
         self._clock, self._note, self._model = clock, note, model
         self.service = CounterService(clock, model)
--- a/yewstage/lab/standins/discovery.py
+++ b/yewstage/lab/standins/discovery.py
@@ -10,7 +10,7 @@
 
 from yewstage.lab.clock import Clock
 from yewstage.lab.links import Door, Link, Wire
-from yewstage.lab.record import Recorder
+from yewstage.lab.record import Note
 from yewstage.lab.standins.http import Asked, Line, Owner, message
 
 MOST_KEPT = 4096  # changes that a watch may ask for; an older one gets the whole list
@@ -28,7 +28,7 @@
         clock: Clock,
         loop: asyncio.AbstractEventLoop,
         link: Link,
-        note: Recorder,
+        note: Note,
         entries: list[Entry],
     ) -> None:
         self.name, self._clock, self._note = link.a, clock, note
--- /dev/null
+++ b/yewstage/lab/standins/exchange.py
@@ -0,0 +1,157 @@
+"""The platform's datagrams between gateways (`peers`, `peers_all`): late, lost, twice, out of order, or cut.
+
+An address for each gateway and one for all. What a gateway sends from its `peer_listen` to another's address
+goes on to the other's `peer_listen` from the sender's own address, as the platform's protocol has it. Each
+ordered pair of gateways is a way with faults of its own.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from dataclasses import dataclass
+
+from yewstage.lab.clock import Clock
+from yewstage.lab.record import Note
+from yewstage.lab.streams import Stream
+
+LONGEST = 256  # bytes; a longer one voids a run on the platform
+HELD_BACK_MS = 50.0  # how much later one comes that others overtake
+AT_ONCE = 64  # datagrams read in one go, so that a flood doesn't keep the loop
+MOST_HELD = 100_000  # datagrams on their way in all; beyond that they are lost, as in a full queue
+RECEIVE_BYTES = 1 << 20
+Address = tuple[str, int]
+
+
+@dataclass(slots=True)
+class Way:
+    """From one gateway to another: faults, and its own random stream."""
+
+    stream: Stream
+    cut: bool = False
+    delay_ms: float = 0.0
+    lose: float = 0.0  # shares of the datagrams
+    duplicate: float = 0.0
+    reorder: float = 0.0
+
+    def heal(self) -> None:
+        """As it was at the start."""
+        self.cut, self.delay_ms = False, 0.0
+        self.lose = self.duplicate = self.reorder = 0.0
+
+    def copies(self) -> list[float]:
+        """After how many milliseconds each copy of one datagram comes; none: it is lost."""
+        if self.cut or (self.lose and self.stream.uniform() < self.lose):
+            return []
+        late = self.delay_ms
+        if self.reorder and self.stream.uniform() < self.reorder:
+            late += HELD_BACK_MS
+        twice = self.duplicate and self.stream.uniform() < self.duplicate
+        return [late, late + HELD_BACK_MS * self.stream.uniform()] if twice else [late]
+
+
+def _bound() -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+    sock.bind(("127.0.0.1", 0))
+    return sock
+
+
+class Exchange:
+    """Takes what gateways send one another, and gives it on."""
+
+    def __init__(
+        self, clock: Clock, loop: asyncio.AbstractEventLoop, names: list[str], note: Note, seed: int
+    ) -> None:
+        self._clock, self._loop, self._note = clock, loop, note
+        self._ways: dict[tuple[str, str], Way] = {}
+        self._seed, self.on_the_way = seed, 0
+        self._doors = {name: _bound() for name in names}
+        self._all = _bound()
+        # Where each gateway listens: chosen while all of ours are bound, and left for it to bind.
+        spare = {name: _bound() for name in names}
+        self.listens: dict[str, Address] = {name: sock.getsockname() for name, sock in spare.items()}
+        for sock in spare.values():
+            sock.close()
+        self._names = {address: name for name, address in self.listens.items()}
+        for name, sock in self._doors.items():
+            loop.add_reader(sock.fileno(), self._readable, sock, [name])
+        loop.add_reader(self._all.fileno(), self._readable, self._all, names)
+
+    def told(self, name: str) -> dict[str, object]:
+        """What a gateway's configuration says of its peers."""
+        return {
+            "peer_listen": _text(self.listens[name]),
+            "peers": [_text(sock.getsockname()) for sock in self._doors.values()],
+            "peers_all": _text(self._all.getsockname()),
+        }
+
+    def way(self, sender: str, receiver: str) -> Way:
+        """The way from one gateway to another."""
+        way = self._ways.get((sender, receiver))
+        if way is None:
+            way = Way(Stream(self._seed, f"way.{sender}.{receiver}"))
+            self._ways[sender, receiver] = way
+        return way
+
+    def strike(self, a: str, b: str, what: str, value: float) -> None:
+        """A fault between two; `cut_in` of what `a` sends to `b`, `cut_out` of what comes back."""
+        ways = [self.way(a, b)] if what != "cut_out" else []
+        ways += [self.way(b, a)] if what != "cut_in" else []
+        for way in ways:
+            match what:
+                case "cut" | "cut_in" | "cut_out":
+                    way.cut = True
+                case "heal":
+                    way.heal()
+                case "delay":
+                    way.delay_ms = value
+                case "lose":
+                    way.lose = value
+                case "duplicate":
+                    way.duplicate = value
+                case _:
+                    way.reorder = value
+
+    def _readable(self, sock: socket.socket, to: list[str]) -> None:
+        for _ in range(AT_ONCE):
+            try:
+                data, address = sock.recvfrom(LONGEST + 1)
+            except OSError:  # nothing more, or the last one found nobody at its port (ICMP)
+                return
+            sender = self._names.get(address)
+            if sender is None:
+                self._note("exchange", "stranger", address=_text(address))
+                continue
+            self._note(sender, "datagram", size=len(data), to=len(to), long=len(data) > LONGEST)
+            if len(data) <= LONGEST:
+                for name in to:
+                    self._pass_on(sender, name, data)
+
+    def _pass_on(self, sender: str, receiver: str, data: bytes) -> None:
+        copies = self.way(sender, receiver).copies()
+        if not copies:
+            self._note(receiver, "unheard", gw=sender)
+        for late in copies:
+            if self.on_the_way < MOST_HELD:
+                self.on_the_way += 1
+                self._clock.after(late, self._deliver, sender, receiver, data)
+
+    def _deliver(self, sender: str, receiver: str, data: bytes) -> None:
+        self.on_the_way -= 1
+        try:
+            self._doors[sender].sendto(data, self.listens[receiver])
+        except OSError:
+            return  # a full queue, or nobody listens: lost
+        self._note(receiver, "passed", gw=sender, size=len(data))  # its own queue may still lose it
+
+    def close(self) -> None:
+        """Close every address."""
+        for sock in (*self._doors.values(), self._all):
+            self._loop.remove_reader(sock.fileno())
+            sock.close()
+
+
+def _text(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
--- a/yewstage/lab/world.py
+++ b/yewstage/lab/world.py
@@ -23,6 +23,7 @@
     COUNTER_FAULTS,
     GATEWAY_FAULTS,
     LINK_FAULTS,
+    PEER_FAULTS,
     Scenario,
     Strike,
     schedule,
@@ -30,6 +31,7 @@
 )
 from yewstage.lab.standins.counter import CounterStandIn
 from yewstage.lab.standins.discovery import Agent
+from yewstage.lab.standins.exchange import Exchange
 from yewstage.lab.standins.host import BookingNode, Keys
 from yewstage.lab.streams import Stream, generator
 from yewstage.lab.virtual.counter import CounterModel
@@ -90,6 +92,7 @@
             self.agents[g] = Agent(self.clock, loop, self.links[g, "discovery"], note, entries)
             self.agents[g].door.open()
         self._late = Stream(scenario.seed, "lists")
+        self.exchange = Exchange(self.clock, loop, gateways, note, scenario.seed) if fleet.peers else None
 
     def ports(self) -> dict[str, Any]:
         """What each gateway is told of: its discovery, its counter, its list."""
@@ -98,6 +101,7 @@
                 "discovery": [door.port for door in agent.doors],
                 "counter": self.counter.doors[name].port,
                 "known": agent.listing(list(agent.entries.values()), True),
+                "peers": self.exchange.told(name) if self.exchange is not None else {},
             }
             for name, agent in self.agents.items()
         }
@@ -131,9 +135,12 @@
         """One fault, now."""
         fault, what = strike.fault, strike.fault.what
         self.note("lab", "fault", what=what, target=strike.target, value=fault.value)
-        if what in LINK_FAULTS:
+        if what in LINK_FAULTS or what in PEER_FAULTS:
             a, _, b = strike.target.partition(">")
-            self._strike_link(self.links[a, b], what, fault.value)
+            if (a, b) in self.links:
+                self._strike_link(self.links[a, b], what, fault.value)
+            elif self.exchange is not None:
+                self.exchange.strike(a, b, what, fault.value)
         elif what in COUNTER_FAULTS:
             self._strike_counter(what, fault.how, strike.target)
         elif what == "swap":
