--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -25,7 +25,7 @@
 COMPILED = (  # what an ordinary request passes through, and every class that inherits from one of these
     "yewstage/interface.py", "yewstage/policy.py", "yewstage/fleet.py",
     "yewstage/limits/parts.py", "yewstage/limits/quotas.py",
-    *(f"yewstage/net/{name}.py" for name in NET),
+    *(f"yewstage/net/{name}.py" for name in NET), "yewstage/recovery/node.py",
 )
 LONGEST_S = 600
 KEY, NOTE = "sources.sha256", "compiled.txt"
--- a/tests/operate/test_calls.py
+++ b/tests/operate/test_calls.py
@@ -17,12 +17,15 @@
     """A gateway that says what it is told to."""
 
     def __init__(self, ready: bool = True, wrong: str = "") -> None:
-        self.is_ready, self.wrong = ready, wrong
+        self.is_ready, self.wrong, self.how_far = ready, wrong, ""
         self.calls: list[tuple[str, bool]] = []
 
     def ready(self) -> bool:
         return self.is_ready
 
+    def phase(self) -> str:
+        return self.how_far
+
     def figures(self) -> dict[str, object]:
         return {"loads": 1}
 
@@ -34,6 +37,8 @@
 def test_each_call_has_its_answer() -> None:
     gateway = Gateway()
     assert answer(b"check", gateway) == b"ACK\n"
+    gateway.how_far = "learning: 3 of 20 outcomes seen"
+    assert answer(b"check", gateway) == b"ACK learning: 3 of 20 outcomes seen\n"
     assert answer(b"vars", gateway) == b'{"loads":1}\n--\n'
     assert answer(b"set-down s-1", gateway) == b"ACK\n"
     assert answer(b"set-up s-1", gateway) == b"ACK\n"
--- /dev/null
+++ b/tests/recovery/test_folder.py
@@ -0,0 +1,134 @@
+"""The folder of snapshots: one process at a time, and whole files wherever a process stops."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from yewstage.recovery import folder as module
+from yewstage.recovery.folder import FILE, MARK, TAKEN, Folder
+from yewstage.recovery.snapshot import MOST_BYTES, SnapshotError
+
+ROOT = Path(__file__).resolve().parents[2]
+HOLD = """
+import sys, time
+from pathlib import Path
+from yewstage.recovery.folder import Folder
+print(Folder(Path(sys.argv[1])).lock(), flush=True)
+time.sleep(60)
+"""
+WRITES = """
+import os, sys
+from pathlib import Path
+from yewstage.recovery import folder as module
+folder = module.Folder(Path(sys.argv[1]))
+folder.lock()
+left = int(sys.argv[2])
+
+def dying(call):
+    def once(*args, **kwargs):
+        global left
+        left -= 1
+        if left < 0:
+            os._exit(9)
+        return call(*args, **kwargs)
+    return once
+
+for name in ("open", "write", "fsync", "replace", "close"):
+    setattr(os, name, dying(getattr(os, name)))
+folder.write(b"new" * 5000)
+os._exit(0)
+"""
+
+
+def test_a_second_process_waits_until_the_first_is_dead_and_a_dead_one_holds_nothing(tmp_path: Path) -> None:
+    hold = [sys.executable, "-c", HOLD, str(tmp_path)]
+    with subprocess.Popen(hold, cwd=ROOT, stdout=subprocess.PIPE) as other:
+        assert other.stdout is not None and other.stdout.readline() == b"True\n"
+        mine = Folder(tmp_path)
+        assert not mine.lock()
+        other.send_signal(signal.SIGKILL)
+        other.wait()
+        assert mine.lock() and mine.lock()  # asked again it is still ours
+
+
+def test_a_process_killed_at_any_point_of_a_write_leaves_the_old_file_or_the_new_one(tmp_path: Path) -> None:
+    old, new = b"old" * 5000, b"new" * 5000
+    seen, point = [], 0
+    while True:
+        path = tmp_path / str(point)
+        before = Folder(path)
+        assert before.lock()
+        before.write(old)
+        before.close()
+        done = subprocess.run([sys.executable, "-c", WRITES, str(path), str(point)], cwd=ROOT, check=False)
+        after = Folder(path)
+        assert after.lock()
+        seen.append(after.read())
+        after.write(b"next")  # and the next one is not in the way of what was left
+        assert after.read() == b"next"
+        if done.returncode == 0:
+            break
+        assert done.returncode == 9
+        point += 1
+    assert set(seen) == {old, new} and seen[-1] == new and point >= 6
+    assert seen == sorted(seen, key=lambda found: found == new)  # once the new one stands, it stays
+
+
+@pytest.mark.parametrize("broken", ["write", "fsync", "replace"])
+def test_a_disk_that_is_full_or_fails_leaves_the_last_file(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, broken: str
+) -> None:
+    mine = Folder(tmp_path)
+    assert mine.lock()
+    mine.write(b"old")
+
+    def fails(*args: object, **kwargs: object) -> None:
+        raise OSError(28, "No space left on device")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(module.os, broken, fails)
+        with pytest.raises(OSError, match="No space"):
+            mine.write(b"new")
+    assert mine.read() == b"old"
+    mine.write(b"newer")
+    assert mine.read() == b"newer"
+
+
+def test_short_writes_are_gone_on_with(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    mine, write = Folder(tmp_path), os.write
+    assert mine.lock()
+    monkeypatch.setattr(module.os, "write", lambda file, data: write(file, data[:7]))
+    mine.write(b"0123456789" * 10)
+    assert mine.read() == b"0123456789" * 10
+
+
+def test_what_was_taken_away_is_there_no_more_and_stands_beside(tmp_path: Path) -> None:
+    mine = Folder(tmp_path)
+    assert mine.lock() and mine.read() is None
+    mine.write(b"one")
+    mine.take_away()
+    assert mine.read() is None and (tmp_path / TAKEN).read_bytes() == b"one"
+    with pytest.raises(FileNotFoundError):
+        mine.take_away()
+
+
+def test_a_file_larger_than_any_that_is_written_is_not_read(tmp_path: Path) -> None:
+    mine = Folder(tmp_path)
+    assert mine.lock()
+    with (tmp_path / FILE).open("wb") as file:
+        file.truncate(MOST_BYTES * 2)
+    with pytest.raises(SnapshotError, match="size"):
+        mine.read()
+
+
+def test_a_mark_that_is_no_text_makes_no_trouble(tmp_path: Path) -> None:
+    mine = Folder(tmp_path)
+    assert mine.lock()
+    (tmp_path / MARK).write_bytes(b"\xff\xfe" * 100)
+    assert mine.id() == mine.id()
--- /dev/null
+++ b/tests/recovery/test_memory.py
@@ -0,0 +1,134 @@
+"""What may be believed of what a process left behind: the table is whole, and errs on the harmless side."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from conftest import CAPPED, Driver
+from handover.test_state import busy
+
+from yewstage import interface as api
+from yewstage.fleet import Host
+from yewstage.handover import state
+from yewstage.handover.state import export, restore
+from yewstage.limits.quotas import Use
+from yewstage.recovery.memory import ITEMS, SLOW_HALF_MS, believed
+
+PLACES = {
+    "scalars": state.SCALARS + state.COUNTER, "host": state.HOST, "use": state.USE,
+    "cell": ("value", "work", "f", "r"), "head": ("latency", "warm_rate", "asked_at"), "sketch": ("text",),
+}  # fmt: skip
+# Made anew from the list, the settings or what is remembered, or of what is open: nothing to remember.
+MADE = {
+    Host: {"name", "zone", "cell", "nominal", "up", "open", "pool", "server", "listed", "group", "home",
+           "regions", "rank", "at", "pace", "load", "log_load", "log_nominal", "out", "place", "near",
+           "tier"},
+    Use: {"key", "plan", "digest", "name", "calling", "in_call", "call_at", "asking", "open"},
+}  # fmt: skip
+
+
+def left(d: Driver) -> list[dict]:
+    return json.loads(json.dumps(list(export(d.gateway))))
+
+
+def heir(d: Driver, age: float, exact: bool) -> Driver:
+    """A module born `age` after the other left its documents, that goes on from what may be believed."""
+    now = d.now + age
+    new = Driver(servers=6, seed=99, now=now, may_count=False)
+    new.give(api.ServerList("changes", (d.gateway.hosts["h5"].server,)))
+    restore(new.gateway, believed(left(d), d.now, exact, now, now))
+    return new
+
+
+@pytest.mark.parametrize("place", PLACES)
+def test_every_field_that_is_left_behind_has_one_item_that_says_how_long_it_holds(place: str) -> None:
+    named = [field for item in ITEMS if item.where == place for field in item.fields]
+    assert sorted(named) == sorted(PLACES[place])
+
+
+@pytest.mark.parametrize(("kind", "left_behind"), [(Host, state.HOST), (Use, state.USE)])
+def test_every_field_of_a_host_and_a_customer_is_left_behind_or_made_anew(
+    kind: type, left_behind: tuple[str, ...]
+) -> None:
+    assert set(kind.__slots__) == set(left_behind) | MADE[kind]  # type: ignore[attr-defined]
+    assert not set(left_behind) & MADE[kind]
+
+
+def test_what_was_exact_a_moment_ago_is_believed_whole() -> None:
+    d = busy()
+    assert believed(left(d), d.now, True, d.now, d.now) == left(d)
+
+
+@pytest.mark.parametrize("age", [0.0, 400.0, 20_000.0])
+def test_a_process_that_went_on_leaves_no_ceiling_no_count_and_no_birth(age: float) -> None:
+    d = busy()
+    assert any(use.ceiling > 0 for use in d.gateway.quotas.uses.values())
+    new = heir(d, age, exact=False)
+    assert new.gateway.born == new.now
+    for use in new.gateway.quotas.uses.values():
+        assert (use.ceiling, use.own, use.added, use.left, use.base) == (0.0, 0.0, 0.0, 0.0, None)
+        assert use.ceiling_at == new.now
+        if use.plan.ceiling_rate > 0:
+            assert not new.gateway.quotas.ceiling_has(use, 1.0)
+
+
+def test_what_two_lives_spend_of_a_ceiling_stays_under_it_however_often_one_is_killed() -> None:
+    """Killed after each request, with a snapshot before it, thirty times."""
+    d = Driver(servers=6, may_count=False)
+    plan = CAPPED
+    spent, began = 0.0, d.now
+    for _ in range(30):
+        documents, at = left(d), d.now
+        rid, _ = d.ask("read", plan.name, "c1", units=1, after=40)
+        spent += any(isinstance(a, api.Send) and a.request == rid for _, a in d.log)
+        d.now += 100
+        new = Driver(servers=6, seed=int(d.now), now=d.now, may_count=False)
+        restore(new.gateway, believed(documents, at, False, d.now, d.now))
+        d = new
+    assert spent <= plan.ceiling_burst + plan.ceiling_rate * (d.now - began) / 1000
+
+
+def test_an_old_fraction_lets_a_calm_fleet_in_and_a_young_one_holds() -> None:
+    d = busy()
+    d.gateway.f = 0.3
+    for cell in d.gateway.cells.values():
+        cell.f = 0.2
+    young, old = heir(d, 500, exact=False).gateway, heir(d, 60_000, exact=True).gateway
+    assert young.f == 0.3 and young.quotas.pressed and {c.f for c in young.cells.values()} == {0.2}
+    assert old.f == 1.0 and not old.quotas.pressed and {c.f for c in old.cells.values()} == {1.0}
+
+
+def test_a_start_that_the_list_tells_goes_before_what_was_known_of_the_host() -> None:
+    d = busy()
+    documents = left(d)
+    new = Driver(servers=6, seed=99, now=d.now + 100, may_count=False)
+    restarted = api.Server("h2", "a", 0, up_since_ms=new.now - 50)
+    new.give(api.ServerList("changes", (restarted,)))
+    restore(new.gateway, believed(documents, d.now, True, new.now, new.now))
+    host = new.gateway.hosts["h2"]
+    assert new.gateway.fleet.warmth(host) < 1 and host.slow == 1.0
+
+
+def test_a_host_that_the_list_does_not_name_is_not_revived() -> None:
+    d = busy()
+    new = Driver(servers=3, seed=99, now=d.now, may_count=False)
+    restore(new.gateway, believed(left(d), d.now, True, new.now, new.now))
+    assert sorted(new.gateway.hosts) == ["h0", "h1", "h2"]
+
+
+def test_slowness_drifts_back_and_an_old_failure_is_forgotten() -> None:
+    d = busy()
+    slow = d.gateway.hosts["h2"].slow = 3.0
+    assert d.gateway.hosts["h1"].fails
+    later = heir(d, SLOW_HALF_MS, exact=False).gateway
+    assert later.hosts["h2"].slow == pytest.approx(1 + (slow - 1) / 2)
+    assert not later.hosts["h1"].fails and heir(d, 1000, exact=False).gateway.hosts["h1"].strikes
+
+
+@pytest.mark.parametrize("exact", [False, True])
+def test_nothing_of_what_is_aged_changes_the_documents(exact: bool) -> None:
+    d = busy()
+    documents = left(d)
+    believed(documents, d.now, exact, d.now + 1e6, d.now + 1e6)
+    assert documents == left(d)
--- /dev/null
+++ b/tests/recovery/test_service.py
@@ -0,0 +1,170 @@
+"""Snapshots of a running gateway: written in the background, exact at the end, gone on from once."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from conftest import on_loop
+
+from yewstage.recovery import folder as module
+from yewstage.recovery.folder import FILE
+from yewstage.recovery.service import Snapshots
+from yewstage.recovery.snapshot import decode
+
+
+class Gateway:
+    """What is known: a number that goes up, and as many documents as are wanted."""
+
+    def __init__(self) -> None:
+        self.number, self.documents, self.now = 0, 3, 1e12
+
+    def known(self) -> Iterator[dict[str, Any]]:
+        self.number += 1
+        for at in range(self.documents):
+            yield {"t": "x", "number": self.number, "at": at}
+
+    def snapshots(self, folder: Path, name: str = "g1", most: int = 10_000) -> Snapshots:
+        loop = asyncio.get_running_loop()
+        return Snapshots(folder, 0.02, name, "f", "p", self.known, lambda: self.now, loop, most)
+
+
+async def written(folder: Path, least: int) -> None:
+    """Wait until the snapshot with at least this number stands."""
+    while not (folder / FILE).exists() or decode((folder / FILE).read_bytes()).head.serial < least:
+        await asyncio.sleep(0.005)
+
+
+def test_it_is_written_again_and_again_and_the_last_one_is_exact_and_taken_once(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        gateway = Gateway()
+        first = gateway.snapshots(tmp_path)
+        assert first.take() is None
+        first.start()
+        await written(tmp_path, 3)
+        assert not decode((tmp_path / FILE).read_bytes()).head.exact
+        second = gateway.snapshots(tmp_path)
+        assert second.take() is None  # the first has the folder
+        first.seal()
+        found = second.take()
+        assert found is not None and found.head.exact
+        assert {d["number"] for d in found.documents} == {gateway.number}
+        assert second.take() is None
+        second.give_up()
+        assert gateway.snapshots(tmp_path).take() is None
+
+    on_loop(scenario)
+
+
+def test_a_process_whose_predecessor_still_runs_writes_once_that_has_gone(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        old, new = Gateway().snapshots(tmp_path), Gateway().snapshots(tmp_path)
+        old.take()
+        old.start()
+        await written(tmp_path, 1)
+        new.take()
+        new.start()
+        old.give_up()
+        assert not (tmp_path / FILE).exists()  # nothing that the heir's own end could be overtaken by
+        await written(tmp_path, 1)
+        new.give_up()
+
+    on_loop(scenario)
+
+
+def test_what_does_not_fit_whole_is_not_exact(tmp_path: Path) -> None:
+    """A customer that is left out would find its ceiling full."""
+
+    async def scenario() -> None:
+        gateway = Gateway()
+        gateway.documents = 1000
+        snapshots = gateway.snapshots(tmp_path, most=500)
+        snapshots.take()
+        snapshots.seal()
+        found = decode((tmp_path / FILE).read_bytes())
+        assert not found.head.exact and 0 < len(found.documents) < 1000
+
+    on_loop(scenario)
+
+
+def test_a_write_that_is_under_way_does_not_come_after_the_exact_one(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        gateway = Gateway()
+        snapshots = gateway.snapshots(tmp_path)
+        snapshots.take()
+        loop, begun, write = asyncio.get_running_loop(), asyncio.Event(), snapshots._write
+        released = asyncio.Event()
+
+        def held(data: bytes) -> None:  # in its thread, before it looks whether it is still wanted
+            loop.call_soon_threadsafe(begun.set)
+            asyncio.run_coroutine_threadsafe(released.wait(), loop).result()
+            write(data)
+
+        monkeypatch.setattr(snapshots, "_write", held)
+        snapshots.start()
+        await begun.wait()
+        snapshots.seal()
+        released.set()
+        await loop.shutdown_default_executor()
+        assert decode((tmp_path / FILE).read_bytes()).head.exact
+
+    on_loop(scenario)
+
+
+def test_a_disk_that_fails_is_told_once_and_again_when_it_is_well(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO)
+
+    async def scenario() -> None:
+        gateway = Gateway()
+        snapshots = gateway.snapshots(tmp_path)
+        snapshots.take()
+        snapshots.start()
+        await written(tmp_path, 1)
+        fsync, calls = os.fsync, []
+
+        def fails(file: int) -> None:
+            calls.append(file)
+            if len(calls) <= 3:
+                raise OSError(28, "No space left on device")
+            fsync(file)
+
+        monkeypatch.setattr(module.os, "fsync", fails)
+        while len(calls) < 5:
+            await asyncio.sleep(0.005)
+        snapshots.give_up()
+
+    on_loop(scenario)
+    told = [r.getMessage() for r in caplog.records if r.levelno == logging.WARNING]
+    assert told == [
+        "snapshots: not written, the last one stands: [Errno 28] No space left on device",
+        "snapshots: written again",
+    ]
+
+
+def test_a_snapshot_from_the_future_or_of_another_fleet_is_left_with_one_line(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def scenario() -> None:
+        gateway = Gateway()
+        for change in ("future", "name"):
+            last = gateway.snapshots(tmp_path)
+            last.take()
+            last.seal()
+            gateway.now -= 60_000 if change == "future" else 0
+            caplog.clear()
+            next_one = gateway.snapshots(tmp_path, name="g2" if change == "name" else "g1")
+            assert next_one.take() is None
+            next_one.give_up()
+            (line,) = [r.getMessage() for r in caplog.records]
+            assert "nothing of it is believed" in line and ("taken_ms" in line) == (change == "future")
+
+    on_loop(scenario)
--- /dev/null
+++ b/tests/recovery/test_snapshot.py
@@ -0,0 +1,131 @@
+"""A snapshot's bytes: whole and ours, or nothing of it is believed."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from pathlib import Path
+
+import pytest
+
+from yewstage.recovery.snapshot import (
+    AHEAD_MS,
+    Builder,
+    Head,
+    Identity,
+    Snapshot,
+    SnapshotError,
+    check,
+    decode,
+)
+
+ME = Identity("g1", "batumi", "p1", "m.1.2")
+HEAD = Head(ME, "ab12", 3, 1e12, True)
+DOCUMENTS = [{"t": "module", "x": [1.5, None, "é"]}, {"t": "hosts", "hosts": {"h\n1": [0.1, True]}}]
+
+
+def data(head: Head = HEAD) -> bytes:
+    builder = Builder()
+    for document in DOCUMENTS:
+        builder.add(document)
+    return builder.data(head)
+
+
+def test_what_was_written_is_read() -> None:
+    assert decode(data()) == Snapshot(HEAD, DOCUMENTS)
+    check(HEAD, ME, HEAD.taken_ms)
+
+
+def test_a_file_that_is_cut_anywhere_is_believed_in_nothing() -> None:
+    whole = data()
+    for length in range(len(whole)):
+        with pytest.raises(SnapshotError):
+            decode(whole[:length])
+    with pytest.raises(SnapshotError):
+        decode(whole + b"{}\n")
+
+
+def test_a_file_with_any_bit_flipped_is_believed_in_nothing() -> None:
+    whole = data()
+    for at in range(8 * len(whole)):
+        torn = bytearray(whole)
+        torn[at // 8] ^= 1 << at % 8
+        with pytest.raises(SnapshotError):
+            decode(bytes(torn))
+
+
+def test_two_writes_mixed_are_believed_in_nothing() -> None:
+    one, two = data(), data(dataclasses.replace(HEAD, serial=4))
+    with pytest.raises(SnapshotError):
+        decode(one[: len(one) // 2] + two[len(two) // 2 :] + b"x")
+    head, _, _ = one.partition(b"\n")
+    other = Builder()
+    other.add({"t": "module", "x": [1.5, None, "e"]})
+    with pytest.raises(SnapshotError):
+        decode(head + b"\n" + other.data(HEAD).partition(b"\n")[2])
+
+
+def test_what_is_no_snapshot_at_all_ends_in_an_error() -> None:
+    draw = random.Random(7)
+    for _ in range(500):
+        with pytest.raises(SnapshotError):
+            decode(draw.randbytes(draw.randrange(200)))
+    for start in (b"HMSNAP1", b"HMSNAP1 ", b"HMSNAP2 x {}\n", b"\n", b""):
+        with pytest.raises(SnapshotError):
+            decode(start)
+
+
+@pytest.mark.parametrize(
+    ("changes", "named"),
+    [({"name": "g2"}, "name"), ({"fleet": "poti"}, "fleet"), ({"plans": "p2"}, "plans"),
+     ({"folder": "m.1.3"}, "folder")],
+)  # fmt: skip
+def test_a_snapshot_of_another_is_told_by_the_field_that_differs(changes: dict[str, str], named: str) -> None:
+    with pytest.raises(SnapshotError, match=f"^{named}: found .*, expected"):
+        check(HEAD, dataclasses.replace(ME, **changes), HEAD.taken_ms)
+
+
+def test_a_snapshot_from_the_future_is_left() -> None:
+    check(HEAD, ME, HEAD.taken_ms - AHEAD_MS)
+    with pytest.raises(SnapshotError, match="taken_ms"):
+        check(HEAD, ME, HEAD.taken_ms - AHEAD_MS - 1)
+
+
+def test_what_would_go_beyond_the_bound_is_left_out_and_the_rest_stands() -> None:
+    builder = Builder(most=200)
+    for number in range(100):
+        builder.add({"t": "customers", "n": number})
+    found = decode(builder.data(HEAD)).documents
+    assert builder.left_out == 100 - len(found) and found[0] == {"t": "customers", "n": 0}
+    assert len(builder.data(HEAD).partition(b"\n")[2]) <= 200
+
+
+def test_a_copied_folder_is_another_folder(tmp_path: Path) -> None:
+    import shutil
+
+    from yewstage.recovery.folder import Folder
+
+    first = Folder(tmp_path / "a")
+    assert first.lock()
+    mine = first.id()
+    assert first.id() == mine  # and stays the same
+    shutil.copytree(tmp_path / "a", tmp_path / "b")
+    assert Folder(tmp_path / "b").id() != mine
+
+
+def test_an_operator_is_shown_what_a_snapshot_says_and_told_what_is_wrong_with_one(tmp_path: Path) -> None:
+    from click.testing import CliRunner
+
+    from yewstage.cli import main
+
+    good, bad = tmp_path / "good", tmp_path / "bad"
+    good.write_bytes(data(dataclasses.replace(HEAD, exact=False)))
+    bad.write_bytes(data()[:-3])
+    shown = CliRunner().invoke(main, ["snapshot", "inspect", str(good)])
+    assert shown.exit_code == 0 and "g1, fleet batumi" in shown.output and "went on after it" in shown.output
+    (ceiling,) = [line for line in shown.output.splitlines() if line.startswith("ceiling")]
+    assert "not at all" in ceiling
+    told = CliRunner().invoke(main, ["snapshot", "verify", str(good), str(bad), str(tmp_path / "none")])
+    assert told.exit_code == 1 and f"{good}: whole" in told.output
+    assert "bad: size: found" in told.output and "none: cannot be read" in told.output
+    assert CliRunner().invoke(main, ["snapshot", "inspect", str(bad)]).exit_code == 1
--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -21,7 +21,11 @@
 
 
 def _node(config: Config, loop: asyncio.AbstractEventLoop) -> Node:
-    """The node that a configuration asks for; operators' calls cost nothing where nobody makes them."""
+    """The node that a configuration asks for; operators' calls and snapshots cost nothing where off."""
+    if config.keep is not None:
+        from yewstage.recovery.node import KeptNode
+
+        return KeptNode(config, loop)
     if config.operator is None:
         return Node(config, loop)
     from yewstage.net.operated import OperatedNode
--- a/yewstage/cli.py
+++ b/yewstage/cli.py
@@ -11,6 +11,7 @@
 
 from yewstage.hosted.config import ConfigFaultsError
 from yewstage.lab.commands import lab
+from yewstage.recovery.commands import snapshot
 
 FAULT = 2  # exit status for a configuration or an address that is no good
 
@@ -111,6 +112,7 @@
 
 
 main.add_command(lab)
+main.add_command(snapshot)
 
 
 async def _count(host: str, port: int, names: int) -> None:
--- a/yewstage/lab/processes.py
+++ b/yewstage/lab/processes.py
@@ -34,6 +34,7 @@
 
 PR_SET_PDEATHSIG = 1
 NICE = 5
+LOGGED = ("snapshots", "phase")  # lines of a gateway's log that go into the record
 
 
 def die_with_parent() -> None:
@@ -106,6 +107,7 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": self._told["known"],
             **self._told["peers"],
+            **self._snapshots(),
             "settings": {
                 "grades": [
                     {
@@ -162,6 +164,17 @@
             },
         }
 
+    def _snapshots(self) -> dict[str, Any]:
+        every = self._scenario.fleet.snapshots_ms
+        if not every:
+            return {}
+        return {"snapshots": {"folder": str(self.kept), "every_ms": every, "fleet": self._scenario.name}}
+
+    @property
+    def kept(self) -> Path:
+        """Where its snapshots are, on the disk that lasts."""
+        return self._folder / "kept"
+
     def _write_config(self) -> Path:
         path = self._folder / "config.json"
         path.write_bytes(orjson.dumps(self._config()))
@@ -186,19 +199,20 @@
             return 0
         return pages * os.sysconf("SC_PAGE_SIZE") // 1024
 
-    def ask_start(self, empty: bool = True) -> Awaitable[None]:
+    def ask_start(self, how: str = "", twin: Path | None = None) -> Awaitable[None]:
         """Ask for a start. What is returned must be awaited: it waits until the gateway is ready, and raises
         NotReadyError where it ended before and nothing had told it to.
         """
         self._due += 1
-        return self._start(empty)
+        return self._start(how, twin)
 
-    async def _start(self, empty: bool) -> None:
+    async def _start(self, how: str, twin: Path | None) -> None:
         async with self._starting:
             try:
                 if self.current is not None:
                     await self.current.process.wait()
-                started = await self._spawn(empty)
+                self._lay_out(how, twin)
+                started = await self._spawn()
             finally:
                 self._due -= 1
         listening = asyncio.get_running_loop().create_future()
@@ -213,11 +227,26 @@
             if not started.struck:
                 raise NotReadyError(f"{self.name} did not start: {' / '.join(self.lines[-3:])}") from None
 
-    async def _spawn(self, empty: bool) -> Started:
-        own = self._folder / "tmp"
-        if empty:
+    def _lay_out(self, how: str, twin: Path | None) -> None:
+        """The folders as a start is to find them."""
+        own, file = self._folder / "tmp", self.kept / "snapshot"
+        if not how:
             shutil.rmtree(own, ignore_errors=True)
+            shutil.rmtree(self.kept, ignore_errors=True)
         own.mkdir(exist_ok=True)
+        if how == "twin" and twin is not None:
+            shutil.rmtree(self.kept, ignore_errors=True)
+            shutil.copytree(twin, self.kept)
+        elif how in ("torn", "flipped") and file.exists():
+            data = bytearray(file.read_bytes())
+            if how == "torn":
+                del data[len(data) // 2 :]
+            else:
+                data[len(data) // 2] ^= 1
+            file.write_bytes(data)
+
+    async def _spawn(self) -> Started:
+        own = self._folder / "tmp"
         path = self._write_config()
         self._starts += 1
         self._note(self.name, "start")
@@ -244,6 +273,9 @@
             while line := await process.stderr.readline():
                 log.write(line)
                 text = line.decode(errors="replace").strip()
+                for kind in LOGGED:
+                    if f"INFO {kind}: " in text or f"WARNING {kind}: " in text:
+                        self._note(self.name, kind, text=text.partition(f"{kind}: ")[2])
                 self.lines = [*self.lines[1 - LAST_LINES :], text]
                 if "listening on" in text and not listening.done():
                     listening.set_result(int(text.rsplit(":", 1)[1]))
--- a/yewstage/lab/run.py
+++ b/yewstage/lab/run.py
@@ -178,7 +178,7 @@
         gateway, what = self.gateways[strike.target], strike.fault.what
         if what == "start":
             task = asyncio.get_running_loop().create_task(
-                self._again(gateway.ask_start(strike.fault.how != "kept")), name=gateway.name
+                self._again(gateway.ask_start(strike.fault.how, self._twin(gateway))), name=gateway.name
             )
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -187,6 +187,11 @@
                 gateway.moved()
             gateway.signal(what)
 
+    def _twin(self, gateway: GatewayProcess) -> Path:
+        """Another gateway's folder of snapshots: the next one's by number."""
+        others = list(self.gateways.values())
+        return others[(gateway.number + 1) % len(others)].kept
+
     async def _again(self, start: Awaitable[None]) -> None:
         try:
             await start
--- a/yewstage/lab/scenario.py
+++ b/yewstage/lab/scenario.py
@@ -34,7 +34,12 @@
 RULES = tuple(CHECKERS)
 USUAL_RULES = tuple(rule for rule in RULES if rule != "datagrams")  # no gateway sends any by itself
 NEEDS_VALUE = ("slow", "failing", "delay", "throttle", "reset_after", *PEER_FAULTS)
-HOWS = {"counter_start": ("all", "nothing", "old"), "hup": ("", "moved"), "start": ("", "kept")}
+HOWS = {
+    "counter_start": ("all", "nothing", "old"),
+    "hup": ("", "moved"),
+    "start": ("", "kept", "torn", "flipped", "twin"),
+}
+SNAPSHOT_HOWS = ("torn", "flipped", "twin")
 SELECTOR = re.compile(
     r"@\w+|gateway:(\*|\d+)|host:(\*|h\d+)|zone:\w+|\d+% of (gateways|hosts)|(gateways|hosts) in \w+"
 )
@@ -68,6 +73,7 @@
     notice_ms: NotNegative = 1000  # the front goes on sending to a gateway that died for so long
     drain_grace_ms: Positive = 1000
     peers: bool = False  # gateways may send one another datagrams
+    snapshots_ms: NotNegative = 0  # between two snapshots of a gateway, on a disk that lasts; 0: none
 
 
 class Plan(_Model):
@@ -148,7 +154,8 @@
     over_s: NotNegative = 0.0  # one after another, evenly over so long
     value: float = 0.0  # times slower, share that fails, milliseconds, bytes (a second); of a clock seconds
     # What a counter comes back with; `moved`: at a SIGHUP, discovery goes to another address; `kept`: a start
-    # in the folder that the last process left.
+    # in the folder that the last process left; its snapshot cut (`torn`), damaged (`flipped`), or another
+    # gateway's (`twin`).
     how: str = ""
 
 
@@ -199,6 +206,8 @@
         wrong.append(f"value: found {fault.value}, expected more than 0 for {what}")
     elif fault.value < 0 and what != "clock":
         wrong.append(f"value: found {fault.value}, expected 0 or more for {what}")
+    if fault.how in SNAPSHOT_HOWS and not scenario.fleet.snapshots_ms:
+        wrong.append(f"how: found {fault.how!r}, expected fleet.snapshots_ms above 0 beside it")
     if fault.how not in HOWS.get(what, ("",)):
         expected = " or ".join(repr(how) for how in HOWS.get(what, ("",)))
         wrong.append(f"how: found {fault.how!r}, expected {expected} for {what}")
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -14,6 +14,7 @@
 Address = tuple[str, int]
 COUNT_PATIENCE = 3.0  # how long a counter call is waited for, in the time that the settings give it
 DEFAULT_SOCKETS = 1024
+EVERY_MS, LEAST_EVERY_MS = 2000.0, 200.0  # between two snapshots: usual, and least
 LEAST_SOCKETS = 128  # leaves a reserve beside clients, hosts, counter, discovery and the loop's own
 
 
@@ -21,6 +22,15 @@
     """A configuration that no gateway can be started with; the text names the field."""
 
 
+@dataclass(slots=True, frozen=True)
+class Keep:
+    """Where snapshots are kept, for installations whose disk lasts."""
+
+    folder: str
+    every_s: float
+    fleet: str  # a name for the tier: a snapshot of another one is left
+
+
 @dataclass(slots=True, frozen=True)
 class Config:
     """What one gateway is told when it starts."""
@@ -37,6 +47,7 @@
     idle_ms: float
     operator: Address | None = None  # where operators call, if they do
     folder: str | None = None  # kept while one process follows another, and theirs alone
+    keep: Keep | None = None  # snapshots, where there are any
     shape: frozenset[str] = frozenset()  # the fields that the file has
 
 
@@ -91,7 +102,8 @@
         counter=address(raw, "counter") if counter else None, seed=_seed(raw), sockets=_sockets(raw),
         settings=settings, known=known, dial_ms=_positive(pairs, "bounds.dial_timeout_ms", 250.0),
         idle_ms=_positive(pairs, "bounds.conn_idle_ms", 15000.0),
-        operator=address(raw, "operator") if raw.get("operator") else None)
+        operator=address(raw, "operator") if raw.get("operator") else None,
+        keep=_keep(_object(raw, "snapshots")) if raw.get("snapshots") is not None else None)
 
 
 def address(raw: Mapping[str, object], field: str) -> Address:
@@ -102,6 +114,21 @@
     return host.strip("[]"), int(port)
 
 
+def _keep(raw: dict[str, object]) -> Keep:
+    """The object `snapshots`: `folder`, and where they are given `every_ms` and `fleet`."""
+    unknown = sorted(set(raw) - {"folder", "every_ms", "fleet"})
+    if unknown:
+        raise ConfigError(f"snapshots.{unknown[0]}: is not folder, every_ms or fleet")
+    folder, every, fleet = raw.get("folder"), raw.get("every_ms", EVERY_MS), raw.get("fleet", "")
+    if not isinstance(folder, str) or not folder.startswith("/"):
+        raise ConfigError(f"snapshots.folder: found {folder!r}, expected a path that begins with /")
+    if isinstance(every, bool) or not isinstance(every, int | float) or not every >= LEAST_EVERY_MS:
+        raise ConfigError(f"snapshots.every_ms: found {every!r}, expected {LEAST_EVERY_MS:g} or more")
+    if not isinstance(fleet, str):
+        raise ConfigError(f"snapshots.fleet: found {fleet!r}, expected a name")
+    return Keep(folder, every / 1000, fleet)
+
+
 def _object(raw: Mapping[str, object], field: str) -> dict[str, object]:
     value = raw.get(field)
     if not isinstance(value, dict):
--- a/yewstage/net/operated.py
+++ b/yewstage/net/operated.py
@@ -99,6 +99,14 @@
     def ready(self) -> bool:
         return self._server is not None and super().ready()
 
+    def could_serve(self) -> bool:
+        """Whether requests could be served, if clients were let in."""
+        return super().ready()
+
+    def phase(self) -> str:
+        """How far it has come back, and why no further; "" where nobody looks."""
+        return ""
+
     # One process after another
 
     async def open(self, server: Server[Any], address: tuple[str, int]) -> list[tuple[str, int]]:
@@ -119,7 +127,7 @@
         """What the old process hands over, once we could serve; None where it does not."""
         assert self._take_over is not None
         end = self._loop.time() + START_S
-        while not super().ready() and self._loop.time() < end:
+        while not self.could_serve() and self._loop.time() < end:
             await asyncio.sleep(0.02)
         try:
             descriptor, documents = await self._take_over.ask()
--- a/yewstage/operate/calls.py
+++ b/yewstage/operate/calls.py
@@ -31,6 +31,9 @@
     def ready(self) -> bool:
         """Whether requests can be served."""
 
+    def phase(self) -> str:
+        """How far it has come back, and why no further; "" where nobody looks."""
+
     def figures(self) -> dict[str, object]:
         """All figures, as JSON holds them."""
 
@@ -66,7 +69,9 @@
         figures = json.dumps(gateway.figures(), separators=(",", ":"))
         return f"{figures}\n{END}\n".encode()
     if call.verb == CHECK:
-        return _line(YES) if gateway.ready() else _line(NO, "not ready: no hosts are known yet, or it drains")
+        if not gateway.ready():
+            return _line(NO, "not ready: no hosts are known yet, or it drains")
+        return _line(YES, gateway.phase())
     wrong = gateway.hand(call.host, call.verb == SET_DOWN)
     return _line(NO, wrong) if wrong else _line(YES)
 
--- /dev/null
+++ b/yewstage/recovery/node.py
@@ -0,0 +1,100 @@
+"""The gateway where a disk lasts: it goes on from its last snapshot, and tells how far it has come back."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from pathlib import Path
+from typing import Any
+
+from yewstage import interface as api
+from yewstage.handover.service import Heir
+from yewstage.handover.state import StateError, export, restore
+from yewstage.net.clients import Server
+from yewstage.net.config import Config
+from yewstage.net.operated import START_S, OperatedNode
+from yewstage.recovery.phase import Phases, View
+from yewstage.recovery.service import Snapshots
+from yewstage.recovery.snapshot import digest
+
+log = logging.getLogger(__name__)
+
+LOOK_S = 0.25
+STALL_MS = 1_000.0  # a pause of the module as long ago as this still counts
+
+
+class KeptNode(OperatedNode):
+    """An operated node with snapshots and phases."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(config, loop)
+        keep = config.keep
+        assert keep is not None
+        plans = digest(repr(config.settings.plans).encode())
+        self._snapshots = Snapshots(Path(keep.folder), keep.every_s, config.name, keep.fleet, plans,
+                                    lambda: export(self._gateway), self._clock.now_ms, loop)
+        self._born_ms = self._clock.now_ms()
+        self._phases = Phases(self._born_ms)
+        self._outcomes = 0
+        self._looked = time.monotonic()
+        self._succeeded = False
+
+    async def open(self, server: Server[Any], address: tuple[str, int]) -> list[tuple[str, int]]:
+        """As before; what was left by the process before is gone on from, where none hands over."""
+        snapshot = self._snapshots.take()
+        if snapshot is not None:
+            end = self._loop.time() + START_S
+            # Only what the list names is taken over, so the list comes first: discovery's, or the kept one.
+            while not self.could_serve() and self._loop.time() < end:
+                await asyncio.sleep(0.02)
+            try:
+                restore(self._gateway, self._snapshots.believed(snapshot, self._born_ms))
+                age = (self._clock.now_ms() - snapshot.head.taken_ms) / 1000
+                log.info("snapshots: going on from %s, %.1f s old, %s", snapshot.head.incarnation, age,
+                         "exact" if snapshot.head.exact else "a process went on after it")
+            except (StateError, KeyError, TypeError, ValueError) as error:
+                log.warning("snapshots: left, nothing of it is believed: %s", error)
+        listening = await super().open(server, address)
+        self._snapshots.start()
+        self._watch()
+        return listening
+
+    def stop(self) -> None:
+        super().stop()
+        if not self._succeeded:
+            self._snapshots.seal()
+
+    def gone(self, heir: Heir) -> None:
+        self._succeeded = True
+        self._snapshots.give_up()
+        super().gone(heir)
+
+    # How far it has come back
+
+    def phase(self) -> str:
+        return self._phases.now.text()
+
+    def figures(self) -> dict[str, object]:
+        phases = self._phases
+        took = None if phases.took_ms is None else round(phases.took_ms / 1000, 2)
+        return {**super().figures(), "phase": phases.now.name, "phase_causes": list(phases.now.causes),
+                "full_after_s": took}
+
+    def _watch(self) -> None:
+        now, clock = time.monotonic(), self._clock.now_ms()
+        gateway, fleet = self._gateway, self._gateway.fleet
+        late = now - self._looked > LOOK_S + STALL_MS / 1000
+        self._looked = now
+        asked = self.settings.may_count and gateway.quotas.call_at > self._born_ms
+        stalled = late or clock - gateway.stalled_at < STALL_MS
+        view = View(self.ready(), self._heard, not asked or gateway.quotas.heard >= 0.5, self._outcomes,
+                    gateway.f, fleet.up, fleet.cold, fleet.failing, stalled)
+        if self._phases.look(clock, view):
+            log.info("phase: %s", self._phases.now.text())
+        self._loop.call_later(LOOK_S, self._watch)
+
+    def _post(self, event: api.Event) -> None:
+        if isinstance(event, api.Outcome):
+            self._outcomes += 1
+        super()._post(event)
