A gateway that stood still refuses nobody by what it saw before; ranges of what is taken over

Seen: a module that let 5% in, stood still for 60 s and woke let 3 of 50 calm requests in, and still 5% a tick later (driver, no I/O). Lines at fault: policy._update_f takes q from outcomes alone, and q fades only while nothing is held. Ruled out: the list (real processes read discovery's news 1 to 3 ms after waking and send after 4 to 6 ms), cold hosts and starts (by time). 300 documents spoilt at one place each: one with a pace of 0 raised ValueError from fleet.weigh in the middle of restore, half taken.

Change: a stall of over 5 s while f < 1 makes the module begin with all let in. What is taken over has ranges, told by their field, before anything changes.

--- a/tests/recovery/test_memory.py
+++ b/tests/recovery/test_memory.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import json
+import random
+from typing import Any
 
 import pytest
-from conftest import CAPPED, Driver
-from handover.test_state import busy
+from conftest import CAPPED, Driver, of
+from handover.test_state import busy, known
 
 from yewstage import interface as api
 from yewstage.fleet import Host
 from yewstage.handover import state
-from yewstage.handover.state import export, restore
+from yewstage.handover.state import StateError, export, restore
 from yewstage.limits.quotas import Use
-from yewstage.recovery.memory import ITEMS, SLOW_HALF_MS, believed
+from yewstage.recovery.memory import ITEMS, SEEN_MS, SLOW_HALF_MS, BeliefError, believed
 
 PLACES = {
     "scalars": state.SCALARS + state.COUNTER, "host": state.HOST, "use": state.USE,
@@ -126,6 +128,66 @@
     assert not later.hosts["h1"].fails and heir(d, 1000, exact=False).gateway.hosts["h1"].strikes
 
 
+def test_what_is_left_for_a_kill_has_the_customers_seen_of_late_for_others_would_not_be_believed() -> None:
+    d = busy(customers=30)
+    uses = list(d.gateway.quotas.uses.values())
+    uses[0].seen -= 2 * SEEN_MS
+    documents = export(d.gateway, lambda use: d.now - use.seen < SEEN_MS)
+    of_late = [tuple(row[:2]) for doc in documents if doc["t"] == "customers" for row in doc["uses"]]
+    assert of_late == [use.key for use in uses[1:]]
+    stale = next(item for item in ITEMS if item.name == "use by others")
+    assert all(i.loose_ms <= stale.loose_ms for i in ITEMS if i.where == "use" and i.name != "customer")
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [(("scalars", "f"), 1.5), (("latency", "read"), 0.0), (("latency", "read"), 2**5000),
+     (("warm_rate",), -1.0)],
+)  # fmt: skip
+def test_a_number_outside_of_its_range_is_told_by_its_field(path: tuple[str, ...], value: float) -> None:
+    d = busy()
+    documents = left(d)
+    where = documents[0]
+    for part in path[:-1]:
+        where = where[part]
+    where[path[-1]] = value
+    with pytest.raises(StateError, match=path[-1]):
+        restore(Driver(servers=6, now=d.now, may_count=False).gateway, documents)
+
+
+@pytest.mark.parametrize("seed", range(300))
+def test_documents_spoilt_anywhere_are_taken_whole_or_not_at_all(seed: int) -> None:
+    """Digests keep damage out; what a faulty version wrote must not crash a start or be half taken."""
+    d, draw = busy(customers=6), random.Random(seed)
+    documents = left(d)
+    spoil(documents, draw)
+    new = Driver(servers=6, seed=99, now=d.now, may_count=False)
+    before = known(new.gateway)
+    try:
+        now = d.now + draw.choice([0, 1e4])
+        restore(new.gateway, believed(documents, d.now, bool(seed % 2), now, d.now))
+    except (StateError, BeliefError):
+        assert known(new.gateway) == before
+    else:
+        rid, acts = new.ask("read", "open", "c1", after=5)  # and decides on
+        assert acts and new.end(rid, api.OK) is not None if of(acts, api.Send) else acts
+        new.sweep(2)
+
+
+def spoil(value: Any, draw: random.Random) -> None:
+    """Change one thing, however deep."""
+    while True:
+        keys = list(value) if isinstance(value, dict) else list(range(len(value)))
+        if not keys:
+            return
+        key = draw.choice(keys)
+        if isinstance(value[key], dict | list) and draw.random() < 0.9:
+            value = value[key]
+            continue
+        value[key] = draw.choice([None, "x", -1, 1e308, [], {}, [[]], {"a": 1}, True, 0, -1e9, 2**70])
+        return
+
+
 @pytest.mark.parametrize("exact", [False, True])
 def test_nothing_of_what_is_aged_changes_the_documents(exact: bool) -> None:
     d = busy()
--- a/tests/recovery/test_service.py
+++ b/tests/recovery/test_service.py
@@ -24,7 +24,7 @@
     def __init__(self) -> None:
         self.number, self.documents, self.now = 0, 3, 1e12
 
-    def known(self) -> Iterator[dict[str, Any]]:
+    def known(self, exact: bool) -> Iterator[dict[str, Any]]:
         self.number += 1
         for at in range(self.documents):
             yield {"t": "x", "number": self.number, "at": at}
--- /dev/null
+++ b/tests/recovery/test_waking.py
@@ -0,0 +1,90 @@
+"""A gateway that stood still and wakes: it never died, but all that it remembers is old."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from conftest import Driver, of
+from lab.test_run import count, day, held
+
+from yewstage import interface as api
+from yewstage.lab import record
+from yewstage.lab.run import play
+from yewstage.policy import OLD_MS
+
+
+def jammed() -> Driver:
+    """A module that lets in a few only: answers take nearly all of their time."""
+    d, out = Driver(servers=6, may_count=False), []
+    for number in range(3000):
+        rid, acts = d.ask("read", ("basic", "open")[number % 2], f"c{number % 200}", after=2)
+        if of(acts, api.Send):
+            out.append((d.now, rid))
+        while out and d.now - out[0][0] > 900:
+            d.end(out.pop(0)[1], api.OK, took=900)
+        if number % 50 == 0:
+            d.sweep(1, every=0)
+    for _, rid in out:
+        d.end(rid, api.OK, took=900)
+    assert d.gateway.f < 0.2
+    return d
+
+
+def let_in(d: Driver, customers: int = 50) -> int:
+    """How many of so many new customers' first requests are sent on, all of which are answered at once."""
+    sent = 0
+    for number in range(customers):
+        rid, acts = d.ask("read", "open", f"new{number}", after=2)
+        if of(acts, api.Send):
+            sent += 1
+            d.end(rid, api.OK, took=10)
+    return sent
+
+
+@pytest.mark.parametrize("stood_ms", [OLD_MS + 200, 60_000, 3_600_000])
+def test_a_fraction_from_before_a_long_stall_refuses_nobody(stood_ms: float) -> None:
+    d = jammed()
+    d.now += stood_ms
+    assert let_in(d) == 50 and not d.gateway.quotas.pressed
+
+
+@pytest.mark.parametrize("stood_ms", [0, 300, OLD_MS - 500])
+def test_a_fraction_from_a_moment_ago_holds_through_a_short_one(stood_ms: float) -> None:
+    d = jammed()
+    d.now += stood_ms
+    assert let_in(d) < 25
+
+
+def test_a_jam_that_is_still_there_is_found_out_again() -> None:
+    d = jammed()
+    d.now += 60_000
+    out = []
+    for number in range(600):
+        rid, acts = d.ask("read", "open", f"new{number}", after=5)
+        if of(acts, api.Send):
+            out.append((d.now, rid))
+        while out and d.now - out[0][0] > 900:
+            d.end(out.pop(0)[1], api.OK, took=900)
+        if number % 20 == 0:
+            d.sweep(1, every=0)
+    assert d.gateway.f < 0.5
+
+
+def test_gateways_that_wake_send_nothing_by_the_list_of_before(tmp_path: Path) -> None:
+    """Two of four stand still while two hosts drain and one restarts; requests wait at them meanwhile."""
+    result = play(day(
+        {"at_s": 1.0, "what": "stop", "who": "50% of gateways", "name": "still"},
+        {"at_s": 1.5, "what": "drain", "who": "host:h0"},
+        {"at_s": 1.6, "what": "drain", "who": "host:h1"},
+        {"at_s": 1.5, "what": "crash", "who": "host:h2"},
+        {"at_s": 1.9, "what": "restart", "who": "host:h2"},
+        {"at_s": 4.5, "what": "cont", "who": "@still"},
+        rules=("answered", "effects", "drains", "cold", "ceilings"), length_s=6.5,
+    ), tmp_path / "run")  # fmt: skip
+    held(result)
+    events = list(record.read(result.folder))
+    woke = {e["who"]: e["t"] for e in events if e["ev"] == "cont"}
+    sent = [e for e in events if e["ev"] == "got" and e["t"] > woke.get(e["gw"], 1e18)]
+    assert count(result, "stop") == len(woke) == 2 and len(sent) > 20
+    assert not {e["who"] for e in sent} & {"h0", "h1"}
--- a/yewstage/handover/state.py
+++ b/yewstage/handover/state.py
@@ -17,11 +17,11 @@
 import math
 import zlib
 from array import array
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from yewstage import policy
-from yewstage.fleet import OUT
+from yewstage.fleet import FASTEST, OUT, SLOWEST
 from yewstage.limits.quotas import Use
 from yewstage.policy import Gateway
 from yewstage.sketch import SLOTS
@@ -40,14 +40,31 @@
     "most", "left", "left_at", "others", "luck", "seen", "ceiling", "ceiling_at",
 )  # fmt: skip
 WHOLE = frozenset(("q_n", "q_seen", "strikes", "fails", "width", "widest", "window"))
+MOST = 1e15  # of any other number: moments in ms have 13 digits
+# Danger: what lies outside breaks the module later, when it is half taken: a pace has a logarithm, a failing
+# host's rest is a power of how often it failed.
+RANGES = {
+    "f": (0.0, 1.0), "heard": (0.0, 1.0), "luck": (0.0, 1.0), "slow": (FASTEST, SLOWEST), "fails": (0, 10),
+    "strikes": (0, MOST), "width": (1, MOST), "widest": (1, MOST), "q_n": (0, MOST), "q_seen": (0, MOST),
+    "warm_rate": (0.0, MOST), "bank": (0.0, MOST),
+}  # fmt: skip
+
+
+_PLAIN = frozenset((int, float))
+_BASE = USE.index("base")
+_USE_RANGES = [RANGES.get(name, (-MOST, MOST)) for name in USE]
+_USE_WHOLE = [name for name in USE if name in WHOLE]
 
 
 class StateError(ValueError):
     """Documents that a module cannot go on from; the text names the field."""
 
 
-def export(gateway: Gateway) -> Iterator[dict[str, Any]]:
-    """All that a module knows but for what is open, in documents of bounded size."""
+def export(
+    gateway: Gateway, wanted: Callable[[Use], bool] = lambda use: True
+) -> Iterator[dict[str, Any]]:
+    """All that a module knows but for what is open, in documents of bounded size; of its customers those that
+    are `wanted`."""
     fleet = gateway.fleet
     yield {
         "t": MODULE,
@@ -63,7 +80,7 @@
     for at in range(0, len(hosts), AT_ONCE):
         some = hosts[at : at + AT_ONCE]
         yield {"t": HOSTS, "hosts": {h.name: [getattr(h, field) for field in HOST] for h in some}}
-    uses = list(gateway.quotas.uses.values())
+    uses = [use for use in gateway.quotas.uses.values() if wanted(use)]
     for at in range(0, len(uses), AT_ONCE):
         yield {
             "t": CUSTOMERS,
@@ -94,8 +111,11 @@
         if name in gateway.fleet.hosts
     }
     latency = _numbers("latency", head.get("latency"))
+    for name, value in latency.items():
+        if not 0 < value <= MOST:  # outcomes are divided by it
+            raise StateError(f"latency.{name}: {value!r} is not above 0")
     asked_at = _numbers("asked_at", head.get("asked_at"))
-    warm_rate = _number("warm_rate", head.get("warm_rate"))
+    warm_rate = _value("module", "warm_rate", head.get("warm_rate"))
     cells = [
         (str(row[0]), str(row[1]), [_number("cells", v) for v in row[2:]]) for row in _rows("cells", head, 6)
     ]
@@ -162,9 +182,12 @@
 
 
 def _number(field: str, found: object) -> float:
-    if isinstance(found, bool) or not isinstance(found, int | float) or not math.isfinite(found):
-        raise StateError(f"{field}: {found!r} is not a finite number")
-    return float(found)
+    try:
+        if not isinstance(found, bool) and isinstance(found, int | float) and math.isfinite(found):
+            return float(found)
+    except OverflowError:  # a whole number beyond all floats
+        pass
+    raise StateError(f"{field}: {found!r} is not a finite number")
 
 
 def _numbers(field: str, found: object) -> dict[str, float]:
@@ -177,11 +200,12 @@
     if name == "died":
         return bool(found)
     value = _number(f"{field}.{name}", found)
+    least, most = RANGES.get(name, (-MOST, MOST))
+    if not least <= value <= most:
+        raise StateError(f"{field}.{name}: {found!r} is not from {least:g} to {most:g}")
     if name in WHOLE:
         if value != int(value):
             raise StateError(f"{field}.{name}: {found!r} is not a whole number")
-        if value < 1 and name in ("width", "widest"):
-            raise StateError(f"{field}.{name}: {found!r} is not 1 or more")
         return int(value)
     return value
 
@@ -189,6 +213,17 @@
 def _values(field: str, names: tuple[str, ...], row: object) -> dict[str, Any]:
     if not isinstance(row, list) or len(row) != len(names):
         raise StateError(f"{field}: must be {len(names)} values")
+    if names is USE:
+        # A start must not wait for tens of thousands of customers: what is plainly well is looked at whole.
+        base = row[_BASE]
+        numbers = row if base is not None else [*row[:_BASE], 0.0, *row[_BASE + 1 :]]
+        if _PLAIN.issuperset(map(type, numbers)) and all(
+            low <= value <= high for value, (low, high) in zip(numbers, _USE_RANGES, strict=True)
+        ):
+            values = dict(zip(names, map(float, numbers), strict=True))
+            whole = {name: int(values[name]) for name in _USE_WHOLE}
+            if all(values[name] == number for name, number in whole.items()):
+                return {**values, **whole, "base": None if base is None else values["base"]}
     return {name: _value(field, name, found) for name, found in zip(names, row, strict=True)}
 
 
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -20,6 +20,7 @@
 FEW = 5.0  # outcomes in an estimate's memory: a mean of fewer weighs less, whatever its interval
 Q_MIN, Q_MAX, F_MIN = 0.2, 0.45, 0.05  # idle service takes 0.1 to 0.15 of an aim; its tail is longer
 STALL = 2.0  # a sweep this many spacings late is a stall of ours, not of the back end
+OLD_MS = 5000.0  # a stall so long makes what was seen of the back end's pressure no guide any more
 RATE_MEMORY_MS = 1000.0  # memory of observed rates (completions, work sent to warm hosts)
 GAIN = 0.2  # weight of one outcome in a class's running latency
 RESUBSCRIBE_MS = 500.0  # spacing of askings for a list that failed to come
@@ -145,6 +146,8 @@
             # Danger: our own stall looks like a slow back end. What was out during it is no q sample.
             # Holds also for a paused machine or a jammed network card. Hurts: a real jam is seen later.
             self.stalled_at = self.now
+            if self.f < 1 and self.now > self.sweep_due + OLD_MS:
+                self._forget_pressure()
         if isinstance(event, api.Request):
             self._request(event)
         elif isinstance(event, api.Outcome):
@@ -153,6 +156,18 @@
             self._seldom(event)
         return self.out
 
+    def _forget_pressure(self) -> None:
+        """Begin as a fresh gateway does, with all let in.
+
+        Danger: one that stood still for a minute holds what it saw before for true, and refuses a calm fleet
+        until outcomes, of which it lets few come, tell otherwise. Hurts: a jam that lasted is found out anew.
+        """
+        self.q, self.f, self.lost, self.done, self.done_rate = 0.0, 1.0, 0.0, 0.0, 0.0
+        self.q_sum, self.q_n, self.q_seen = 0.0, 0, 0
+        self.quotas.pressed = False
+        for cell in self.cells.values():
+            cell.f, cell.r = 1.0, 0.0
+
     def _seldom(self, event: api.Event) -> None:
         match event:
             case api.CountReply():
--- a/yewstage/recovery/memory.py
+++ b/yewstage/recovery/memory.py
@@ -119,7 +119,12 @@
         "none: it only says that a ceiling began to fill later than at our birth",
     ),
 )  # fmt: skip
-_BY_PLACE = {place: tuple(i for i in ITEMS if i.where == place) for place in {i.where for i in ITEMS}}
+# A customer unseen for so long before a snapshot that may be overtaken has nothing in it that is believed.
+SEEN_MS = next(item.loose_ms for item in ITEMS if item.name == "use by others")
+
+
+class BeliefError(ValueError):
+    """Documents that have not the form that they are left in."""
 
 
 def believed(
@@ -128,6 +133,9 @@
     """The documents as a process may go on from them that began at `born_ms`; nothing in them is changed.
 
     `exact`: nothing was decided after they were taken. The form is that which `handover.state.restore` reads.
+
+    Raises:
+        BeliefError: they have another form.
     """
     age = max(now_ms - taken_ms, 0.0)
     stale = [item for item in ITEMS if age >= (item.exact_ms if exact else item.loose_ms)]
@@ -137,7 +145,10 @@
         values = {name: fresh.get(item.where, {}).get(name, item.fresh.get(name)) for name in item.fields}
         kept = {name: value for name, value in values.items() if value is not None or name == "base"}
         gone.setdefault(item.where, {}).update(kept)
-    return [_aged(document, gone, age) for document in documents]
+    try:
+        return [_aged(document, gone, age) for document in documents]
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+        raise BeliefError(f"documents: {type(error).__name__}: {error}") from None
 
 
 def _fresh_use(now_ms: float) -> dict[str, Any]:
--- a/yewstage/recovery/node.py
+++ b/yewstage/recovery/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import time
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +15,7 @@
 from yewstage.net.clients import Server
 from yewstage.net.config import Config
 from yewstage.net.operated import START_S, OperatedNode
+from yewstage.recovery.memory import SEEN_MS, BeliefError
 from yewstage.recovery.phase import Phases, View
 from yewstage.recovery.service import Snapshots
 from yewstage.recovery.snapshot import digest
@@ -33,13 +35,19 @@
         assert keep is not None
         plans = digest(repr(config.settings.plans).encode())
         self._snapshots = Snapshots(Path(keep.folder), keep.every_s, config.name, keep.fleet, plans,
-                                    lambda: export(self._gateway), self._clock.now_ms, loop)
+                                    self._left_behind, self._clock.now_ms, loop)
         self._born_ms = self._clock.now_ms()
         self._phases = Phases(self._born_ms)
         self._outcomes = 0
         self._looked = time.monotonic()
         self._succeeded = False
 
+    def _left_behind(self, exact: bool) -> Iterator[dict[str, Any]]:
+        now, rests = self._clock.now_ms(), self._gateway.quotas.rests
+        if exact:  # one that is unseen for its rest is known no better than a new one
+            return export(self._gateway, lambda use: now - use.seen < rests[use.plan.name])
+        return export(self._gateway, lambda use: now - use.seen < SEEN_MS)
+
     async def open(self, server: Server[Any], address: tuple[str, int]) -> list[tuple[str, int]]:
         """As before; what was left by the process before is gone on from, where none hands over."""
         snapshot = self._snapshots.take()
@@ -53,7 +61,7 @@
                 age = (self._clock.now_ms() - snapshot.head.taken_ms) / 1000
                 log.info("snapshots: going on from %s, %.1f s old, %s", snapshot.head.incarnation, age,
                          "exact" if snapshot.head.exact else "a process went on after it")
-            except (StateError, KeyError, TypeError, ValueError) as error:
+            except (StateError, BeliefError) as error:
                 log.warning("snapshots: left, nothing of it is believed: %s", error)
         listening = await super().open(server, address)
         self._snapshots.start()
--- a/yewstage/recovery/service.py
+++ b/yewstage/recovery/service.py
@@ -29,7 +29,11 @@
 
 
 class Snapshots:
-    """One process's snapshots. `known` tells what the module knows, in documents of bounded size."""
+    """One process's snapshots.
+
+    `known` tells what the module knows, in documents of bounded size: all of it for an exact one, else what
+    of it may be believed later.
+    """
 
     def __init__(
         self,
@@ -38,7 +42,7 @@
         name: str,
         fleet: str,
         plans: str,
-        known: Callable[[], Iterator[dict[str, Any]]],
+        known: Callable[[bool], Iterator[dict[str, Any]]],
         now_ms: Callable[[], float],
         loop: asyncio.AbstractEventLoop,
         most: int = MOST_BYTES,
@@ -88,7 +92,7 @@
         self._end()
         if self._own():
             builder = Builder(self._most)
-            for document in self._known():
+            for document in self._known(True):
                 builder.add(document)
             # Danger: a customer that is left out would be new to an exact birth, and its ceiling full again.
             data = self._data(builder, exact=not builder.left_out)
@@ -131,7 +135,7 @@
                 continue
             began = self._loop.time()
             builder = Builder(self._most)
-            for document in self._known():
+            for document in self._known(False):
                 if builder.left_out:
                     break
                 builder.add(document)
