--- a/tests/lab/test_checks.py
+++ b/tests/lab/test_checks.py
@@ -115,6 +115,13 @@
     assert check(events).says() == "not exercised"
 
 
+def test_on_a_machine_too_busy_for_times_a_late_answer_breaks_nothing_and_a_lost_one_does() -> None:
+    late = [wrote(0, "a"), answer(5, "a", "late"), at(9, "client", "came", rid="a", gw="g0", status=200)]
+    lost = [wrote(0, "a"), answer(5, "a", "late")]
+    assert [answered(late, timed).says() for timed in (True, False)] == ["broken", "held"]
+    assert [answered(lost, timed).says() for timed in (True, False)] == ["broken", "broken"]
+
+
 def test_an_answer_that_no_host_made_for_this_request_breaks_the_rule() -> None:
     foreign = at(4, "client", "foreign", rid="a", gw="g0")
     assert answered([wrote(0, "a"), foreign, answer(5, "a")]).says() == "broken"
--- a/yewstage/lab/checks.py
+++ b/yewstage/lab/checks.py
@@ -47,16 +47,20 @@
     fall_ms: float  # a cold host falls by what comes in so long
     ceilings: dict[str, tuple[float, float, float]]  # by plan: rate in units a second, store, slack
     quotas: dict[str, tuple[float, float]]  # by plan: rate, burst
+    timed: bool = True  # the load itself was in time, so that lateness is the program's
 
 
-def answered(events: Iterable[Event]) -> Verdict:
+def answered(events: Iterable[Event], timed: bool = True) -> Verdict:
     """One final answer for each request that a running gateway took, and none after it.
 
     A try whose connection broke under it, or that came too late, is excused where its gateway was killed or
     stopped meanwhile, and so is one that was never written. A gateway that ended by itself, or in its drain,
-    has lost what it had taken.
+    has lost what it had taken. Where the machine was too busy for times (not `timed`), an answer that came
+    late breaks nothing; one that never came does.
     """
     verdict = Verdict("answered")
+    events = list(events)
+    came = set() if timed else {event["rid"] for event in events if event["ev"] == "came"}
     wrote: dict[str, Event] = {}
     down: dict[str, list[Event]] = defaultdict(list)  # what befell each gateway
     for event in events:
@@ -70,7 +74,7 @@
             case "answer" if event["rid"] in wrote:
                 verdict.exercised += 1
                 asked = wrote.pop(event["rid"])
-                if event["result"] in ("late", "reset"):
+                if event["result"] in ("late", "reset") and event["rid"] not in came:
                     befell = down[event["gw"]]
                     dead = bool(befell) and befell[-1]["ev"] in ("stop", "kill")
                     excused = dead or any(
@@ -216,7 +220,7 @@
 
 
 CHECKERS: dict[str, Callable[[list[Event], Terms], Verdict]] = {
-    "answered": lambda events, terms: answered(events),
+    "answered": lambda events, terms: answered(events, terms.timed),
     "effects": lambda events, terms: effects(events),
     "drains": lambda events, terms: drains(events, terms.drain_grace_ms),
     "cold": lambda events, terms: cold(events, terms.fall_ms),
--- a/yewstage/lab/run.py
+++ b/yewstage/lab/run.py
@@ -8,7 +8,7 @@
 import sys
 import time
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -215,7 +215,7 @@
 ) -> Result:
     """The verdicts and figures of a record; `wrong`: what else the run did not come to."""
     events = list(record.read(folder))
-    given = terms(scenario)
+    given = replace(terms(scenario), timed=late_ms[1] <= LATE_MS)
     verdicts = checks.judge(events, given, scenario.hold.rules)
     figures = measure(events, t0, scenario.length_s, given)
     missed = [*wrong, *unmet(scenario, figures, late_ms)]
