--- a/tests/recovery/test_memory.py
+++ b/tests/recovery/test_memory.py
@@ -15,7 +15,7 @@
 from yewstage.handover import state
 from yewstage.handover.state import StateError, export, restore
 from yewstage.limits.quotas import Use
-from yewstage.recovery.memory import ITEMS, SEEN_MS, SLOW_HALF_MS, BeliefError, believed
+from yewstage.recovery.memory import ITEMS, SEEN_MS, SLOW_HALF_MS, BeliefError, believed, worth_leaving
 
 PLACES = {
     "scalars": state.SCALARS + state.COUNTER, "host": state.HOST, "use": state.USE,
@@ -128,11 +128,27 @@
     assert not later.hosts["h1"].fails and heir(d, 1000, exact=False).gateway.hosts["h1"].strikes
 
 
+def test_a_customer_is_left_out_of_an_exact_end_only_once_its_ceiling_had_filled_again() -> None:
+    """To an heir of the old birth it is new, with a full part: no more than it had."""
+    d = busy()
+    quotas = d.gateway.quotas
+    (use,) = [u for u in quotas.uses.values() if u.plan is CAPPED and u.key[0] == "c1"]
+    rest, full = quotas.rests["capped"], CAPPED.ceiling_burst / use.width
+    for unseen, kept in ((rest - 1, True), (rest, False)):
+        now = use.seen + unseen
+        documents = export(d.gateway, lambda u, now=now: worth_leaving(u.seen, rest, now, exact=True))
+        named = {tuple(row[:2]) for document in documents for row in document.get("uses", ())}
+        assert (use.key in named) == kept
+    use.ceiling, use.ceiling_at = 0.0, use.seen  # all of it was spent with its last request
+    d.give(api.TimerDue("none"), after=use.seen + rest - d.now)
+    assert quotas.ceiling_has(use, full)
+
+
 def test_what_is_left_for_a_kill_has_the_customers_seen_of_late_for_others_would_not_be_believed() -> None:
     d = busy(customers=30)
     uses = list(d.gateway.quotas.uses.values())
     uses[0].seen -= 2 * SEEN_MS
-    documents = export(d.gateway, lambda use: d.now - use.seen < SEEN_MS)
+    documents = export(d.gateway, lambda use: worth_leaving(use.seen, 0.0, d.now, exact=False))
     of_late = [tuple(row[:2]) for doc in documents if doc["t"] == "customers" for row in doc["uses"]]
     assert of_late == [use.key for use in uses[1:]]
     stale = next(item for item in ITEMS if item.name == "use by others")
--- a/tests/recovery/test_several.py
+++ b/tests/recovery/test_several.py
@@ -42,7 +42,8 @@
     assert len(killed) == 3
     for who in killed:
         lines = said(result, who)
-        assert lines[0].startswith("none in ") and len(lines) > 1  # on a slow machine the last may not be up
+        up = sum(e["ev"] == "listens" and e["who"] == who for e in record.read(result.folder))
+        assert lines[0].startswith("none in ") and len(lines) == up > 1
         assert all(" s old, a process went on after it" in line for line in lines[1:])
 
 
--- a/tests/recovery/test_waking.py
+++ b/tests/recovery/test_waking.py
@@ -14,11 +14,11 @@
 from yewstage.policy import OLD_MS
 
 
-def jammed() -> Driver:
-    """A module that lets in a few only: answers take nearly all of their time."""
-    d, out = Driver(servers=6, may_count=False), []
-    for number in range(3000):
-        rid, acts = d.ask("read", ("basic", "open")[number % 2], f"c{number % 200}", after=2)
+def press(d: Driver, count: int, every_ms: float) -> None:
+    """New requests at a back end that takes nearly all of their time; all that is out ends answered."""
+    out = []
+    for number in range(count):
+        rid, acts = d.ask("read", ("basic", "open")[number % 2], f"c{number % 200}", after=every_ms)
         if of(acts, api.Send):
             out.append((d.now, rid))
         while out and d.now - out[0][0] > 900:
@@ -27,6 +27,12 @@
             d.sweep(1, every=0)
     for _, rid in out:
         d.end(rid, api.OK, took=900)
+
+
+def jammed() -> Driver:
+    """A module that lets in a few only."""
+    d = Driver(servers=6, may_count=False)
+    press(d, 3000, every_ms=2)
     assert d.gateway.f < 0.2
     return d
 
@@ -59,15 +65,7 @@
 def test_a_jam_that_is_still_there_is_found_out_again() -> None:
     d = jammed()
     d.now += 60_000
-    out = []
-    for number in range(600):
-        rid, acts = d.ask("read", "open", f"new{number}", after=5)
-        if of(acts, api.Send):
-            out.append((d.now, rid))
-        while out and d.now - out[0][0] > 900:
-            d.end(out.pop(0)[1], api.OK, took=900)
-        if number % 20 == 0:
-            d.sweep(1, every=0)
+    press(d, 1500, every_ms=2)
     assert d.gateway.f < 0.5
 
 
--- a/yewstage/lab/scenario.py
+++ b/yewstage/lab/scenario.py
@@ -123,18 +123,8 @@
         return TrafficModel(
             self.per_s,
             length_s,
-            tuple(
-                PlanTraffic(
-                    p.name, p.share, p.rate, p.burst, p.worth, p.over_worth, p.over_cost, p.ceiling, p.width
-                )
-                for p in self.plans
-            ),
-            tuple(
-                ClassTraffic(
-                    c.name, c.share, c.work_ms, c.aim_ms, c.deadline_ms, c.worth, c.effect, c.window_ms
-                )
-                for c in self.classes
-            ),
+            tuple(PlanTraffic(**plan.model_dump()) for plan in self.plans),
+            tuple(ClassTraffic(**cls.model_dump()) for cls in self.classes),
             calm_use=self.calm_use,
             heavy=self.heavy,
             heavy_x=self.heavy_x,
--- a/yewstage/recovery/memory.py
+++ b/yewstage/recovery/memory.py
@@ -123,6 +123,15 @@
 SEEN_MS = next(item.loose_ms for item in ITEMS if item.name == "use by others")
 
 
+def worth_leaving(seen_ms: float, rest_ms: float, now_ms: float, exact: bool) -> bool:
+    """Whether a customer last seen then goes into a snapshot.
+
+    Unseen for its plan's rest it is known no better than a new one; in a snapshot that may be overtaken
+    nothing of it is believed after `SEEN_MS`.
+    """
+    return now_ms - seen_ms < (rest_ms if exact else SEEN_MS)
+
+
 class BeliefError(ValueError):
     """Documents that have not the form that they are left in."""
 
--- a/yewstage/recovery/node.py
+++ b/yewstage/recovery/node.py
@@ -15,7 +15,7 @@
 from yewstage.net.clients import Server
 from yewstage.net.config import Config
 from yewstage.net.operated import START_S, OperatedNode
-from yewstage.recovery.memory import SEEN_MS, BeliefError
+from yewstage.recovery.memory import BeliefError, worth_leaving
 from yewstage.recovery.phase import Phases, View
 from yewstage.recovery.service import Snapshots
 from yewstage.recovery.snapshot import digest
@@ -44,9 +44,7 @@
 
     def _left_behind(self, exact: bool) -> Iterator[dict[str, Any]]:
         now, rests = self._clock.now_ms(), self._gateway.quotas.rests
-        if exact:  # one that is unseen for its rest is known no better than a new one
-            return export(self._gateway, lambda use: now - use.seen < rests[use.plan.name])
-        return export(self._gateway, lambda use: now - use.seen < SEEN_MS)
+        return export(self._gateway, lambda use: worth_leaving(use.seen, rests[use.plan.name], now, exact))
 
     async def open(self, server: Server[Any], address: tuple[str, int]) -> list[tuple[str, int]]:
         """As before; what was left by the process before is gone on from, where none hands over."""
