One gate right before an attempt's first byte; what never left takes nothing of a quota

Need: between the module's decision and a connection that is up, what the decision rested on may have changed.

- Hosts._up looked at attempt.done alone.
A dial that came up late wrote to a host that had drained, was gone, had moved or was out by hand meanwhile; for a client that had left, or had its answer from the guard, where the module's Cancel was late (events wait up to 0.25 s for news) or never came (settings without cancel); and a repeat with a key past the time for which hosts recall it (checked in _pick only).
- Core._apply tells the sockets of a drain before the module: a decision made on the older list, one event earlier, went to the drained host over a kept connection.
- A connection given up was closed in the loop's next turn, and the module's next Send written in this one: two attempts were out for that long.
Now our side is shut before the module hears.
- X-Deadline told the time of the decision, not of the writing.

A further attempt after MOOT costs nothing of the retry bank.

--- /dev/null
+++ b/tests/crossings/test_sending.py
@@ -0,0 +1,249 @@
+"""Between the decision to send and the first byte: what has changed by then holds."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import pytest
+from conftest import LOOP, Driver, Fake, on_loop, reply
+from standins.core import Answers, HeldDials, Script, an_order, core_with
+
+from yewstage import interface as api
+from yewstage.net import core as core_module
+from yewstage.net.core import Core
+from yewstage.net.discovery import parse_listing
+
+LONG_MS = 5000.0
+
+
+def told(core: Core, lifecycle: str, port: int) -> None:
+    """Discovery tells a change of the one host."""
+    entry = {"instanceId": "s-0", "hostPort": f"{LOOP}:{port}", "lifecycle": lifecycle}
+    core._apply(parse_listing({"generation": 2, "reset": False, "instances": [entry]}), "changes")
+
+
+def drains(core: Core, port: int) -> None:
+    told(core, "draining", port)
+
+
+def is_gone(core: Core, port: int) -> None:
+    told(core, "gone", port)
+
+
+def moves(core: Core, port: int) -> None:
+    told(core, "ready", port + 1 if port < 65535 else port - 1)
+
+
+def is_out_by_hand(core: Core, port: int) -> None:
+    core._hosts.hold_out(frozenset({"s-0"}))
+
+
+def client_leaves(core: Core, port: int) -> None:
+    core.left("r1")
+
+
+def guard_answers(core: Core, port: int) -> None:
+    core._guard(core._requests["r1"])
+
+
+def time_runs_out(core: Core, port: int) -> None:
+    core._requests["r1"].end_at = 0.0
+
+
+@pytest.mark.parametrize(
+    "happens", [drains, is_gone, moves, is_out_by_hand, client_leaves, guard_answers, time_runs_out])
+def test_what_happens_while_a_dial_is_under_way_keeps_the_request_from_its_host(
+    monkeypatch: pytest.MonkeyPatch, happens: Callable[[Core, int], None]
+) -> None:
+    """The module calls nothing off: some settings do not let it, and its events may wait for news."""
+    async def scenario() -> None:
+        host = Fake(lambda seen: reply(b"served"))
+        core, script = await core_with(monkeypatch, host)
+        dials = core._hosts._loop = HeldDials(core._loop)
+        core._hosts._dial_s = 10.0
+        script.plan[api.Request] = [api.Send("r1", "s-0", LONG_MS)]
+        core.request(Answers(), an_order())
+        await dials.asked.wait()
+        happens(core, host.port)
+        dials.go.set()
+        while not script.outcomes():
+            await asyncio.sleep(0)
+        assert script.outcomes() == [api.MOOT]
+        assert not core._requests or core._requests["r1"].out == 0
+        await asyncio.sleep(0.02)
+        assert not host.seen
+        host.stop()
+    on_loop(scenario, 5)
+
+
+@pytest.mark.parametrize("happens", [drains, is_gone, is_out_by_hand])
+def test_what_happens_after_the_first_byte_leaves_the_request_alone(
+    monkeypatch: pytest.MonkeyPatch, happens: Callable[[Core, int], None]
+) -> None:
+    async def scenario() -> None:
+        host = Fake(lambda seen: None)
+        core, script = await core_with(monkeypatch, host)
+        script.plan[api.Request] = [api.Send("r1", "s-0", LONG_MS)]
+        client = Answers()
+        core.request(client, an_order())
+        await host.until(lambda fake: len(fake.seen) == 1)
+        happens(core, host.port)
+        host.seen[0].writer.write(reply(b"served"))
+        assert await client.got.get() == 200
+        assert script.outcomes() == [api.OK]
+        await host.until(lambda fake: fake.closed == 1)  # and its connection is not kept
+        host.stop()
+    on_loop(scenario, 5)
+
+
+def test_a_decision_made_on_an_older_list_is_not_sent_to_a_host_that_drains(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """News and a send cross in the process: the module hears of the drain one event after its decision."""
+    async def scenario() -> None:
+        host = Fake(lambda seen: reply(b"served"))
+        core, script = await core_with(monkeypatch, host)
+        client = Answers()
+        script.plan[api.Request] = [api.Send("r1", "s-0", LONG_MS)]
+        core.request(client, an_order())
+        assert await client.got.get() == 200
+        await asyncio.sleep(0.02)  # its connection is kept, and rested
+        before = len(script.events)
+        core._handling = True  # another event is being handled
+        core.request(client, an_order())
+        drains(core, host.port)
+        core._handling = False
+        script.plan[api.Request] = [api.Send("r2", "s-0", LONG_MS)]
+        core._post(core._events.popleft())
+        assert [type(e) for e in script.events[before:]] == [api.Request, api.ServerList, api.Outcome]
+        assert script.outcomes()[-1] == api.MOOT and len(host.seen) == 1
+        host.stop()
+    on_loop(scenario, 5)
+
+
+@pytest.mark.parametrize("recalled", [True, False])
+def test_a_repeat_is_sent_only_while_the_hosts_recall_its_key(
+    monkeypatch: pytest.MonkeyPatch, recalled: bool
+) -> None:
+    async def scenario() -> None:
+        host = Fake(lambda seen: reply(b"served"))
+        core, script = await core_with(monkeypatch, host)
+        dials = core._hosts._loop = HeldDials(core._loop)
+        core._hosts._dial_s = 10.0
+        script.plan[api.Request] = [api.Send("r1", "s-0", LONG_MS, LONG_MS if recalled else 20.0)]
+        core.request(Answers(), an_order())
+        await dials.asked.wait()
+        attempt = core._requests["r1"].attempts[0]
+        assert attempt is not None
+        while not recalled and core_module.time.monotonic() < attempt.valid_until:
+            await asyncio.sleep(0.001)
+        dials.go.set()
+        while not script.outcomes():
+            await asyncio.sleep(0)
+        assert script.outcomes() == [api.OK if recalled else api.MOOT]
+        assert len(host.seen) == recalled
+        host.stop()
+    on_loop(scenario, 5)
+
+
+def test_the_module_tells_how_long_a_repeat_may_still_arrive() -> None:
+    """The window runs from the first attempt that may have run, not from the one that surely did not."""
+    driver = Driver()
+    rid, out = driver.ask("put")
+    assert [a.valid_ms for a in out if isinstance(a, api.Send)] == [float("inf")]
+    (again,) = (a for a in driver.end(rid, api.CONNECT_FAILED, 10, after=10) if isinstance(a, api.Send))
+    assert again.valid_ms == float("inf")  # nothing has run
+    (last,) = (a for a in driver.end(rid, api.RESET, 300, after=300) if isinstance(a, api.Send))
+    assert last.valid_ms == 3000 - 2 * 2 - 300  # window, two ticks, since the second one was sent
+
+
+def test_a_connection_that_came_up_for_nothing_serves_the_next(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        host = Fake(lambda seen: reply(b"served"))
+        core, script = await core_with(monkeypatch, host)
+        dials = core._hosts._loop = HeldDials(core._loop)
+        core._hosts._dial_s = 10.0
+        script.plan[api.Request] = [api.Send("r1", "s-0", LONG_MS)]
+        core.request(Answers(), an_order())
+        await dials.asked.wait()
+        core.left("r1")
+        dials.go.set()
+        while not script.outcomes():
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.02)
+        client = Answers()
+        script.plan[api.Request] = [api.Send("r2", "s-0", LONG_MS)]
+        core.request(client, an_order())
+        assert await client.got.get() == 200
+        assert (host.opened, len(host.seen)) == (1, 1)
+        host.stop()
+    on_loop(scenario, 5)
+
+
+def test_an_attempt_that_is_given_up_is_out_no_more_when_the_module_hears_of_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What the module sends next would else be a second copy, with the first one still out."""
+    async def scenario() -> None:
+        listener = socket.create_server((LOOP, 0))
+        host = Fake(lambda seen: None)
+        core, script = await core_with(monkeypatch, host)
+        core._hosts.update({"s-0": (LOOP, listener.getsockname()[1])}, set())
+        script.plan[api.Request] = [api.Send("r1", "s-0", 60.0)]
+        ended: list[bytes] = []
+        heard = Script.handle
+
+        def handle(self: Script, now_ms: float, event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Outcome):
+                peer.setblocking(False)
+                peer.recv(65536)  # the request
+                ended.append(peer.recv(1))  # the end, or BlockingIOError where there is none yet
+            return heard(self, now_ms, event)
+
+        monkeypatch.setattr(Script, "handle", handle)
+        core.request(Answers(), an_order())
+        peer, _ = await asyncio.get_running_loop().run_in_executor(None, listener.accept)
+        while not script.outcomes():
+            await asyncio.sleep(0.001)
+        assert script.outcomes() == [api.TIMED_OUT] and ended == [b""]
+        peer.close()
+        listener.close()
+        host.stop()
+    on_loop(scenario, 5)
+
+
+def test_a_connection_past_its_idle_time_is_not_written_to_before_the_sweep(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A host with a short idle limit closes it between two sweeps: what crosses that may have run."""
+    async def scenario() -> None:
+        host = Fake(lambda seen: reply(b"served"))
+        core, script = await core_with(monkeypatch, host)
+        client = Answers()
+        for serial, opened in ((1, 1), (2, 1), (3, 2)):
+            script.plan[api.Request] = [api.Send(f"r{serial}", "s-0", LONG_MS)]
+            core.request(client, an_order())
+            assert await client.got.get() == 200
+            assert host.opened == opened
+            await asyncio.sleep(0.02)
+            if serial == 2:  # no sweep comes: the core was not started
+                for connection in core._hosts._idle:
+                    connection.idle_since -= core._hosts._idle_s
+        host.stop()
+    on_loop(scenario, 5)
+
+
+def test_what_never_left_took_nothing_of_a_quota_or_a_ceiling() -> None:
+    driver = Driver(may_count=False)
+    driver.now += 60_000  # ceilings are earned anew after a start
+    rid, out = driver.ask("read", "capped", units=2, width=1)
+    (use,) = driver.gateway.quotas.uses.values()
+    took = (use.left, use.ceiling)
+    driver.give(api.ClientLeft(rid))
+    driver.give(api.Outcome(rid, 0, "h0", api.MOOT, 0.0, True))
+    assert (use.left, use.ceiling, use.own) == (took[0] + 2, took[1] + 2, 0.0)
+    rid, out = driver.ask("read", "capped", units=2, width=1)
+    driver.give(api.Outcome(rid, 0, "h0", api.FULL, 0.0, True))  # it came whole to its host
+    assert (use.left, use.ceiling) == took
--- a/yewstage/hosted/core.py
+++ b/yewstage/hosted/core.py
@@ -79,8 +79,9 @@
         resources: Resources,
         ended: Callable[[Attempt, str, Reply | None], None],
         make_room: Callable[[str], bool],
+        wanted: Callable[[Attempt], bool],
     ) -> None:
-        super().__init__(loop, int(resources.hosts.whole), tenant.dial_ms, tenant.idle_ms, ended)
+        super().__init__(loop, int(resources.hosts.whole), tenant.dial_ms, tenant.idle_ms, ended, wanted)
         self._tenant, self._resources, self._make_room = tenant.id, resources, make_room
 
     def judge(self, reply: Reply) -> str:
@@ -145,7 +146,9 @@
         self.tenant = tenant
         self._clock = resources.clock
         self._resources, self.stats, self._settled = resources, stats, settled
-        self._hosts: TenantHosts = TenantHosts(tenant, loop, resources, self._ended, make_room)
+        self._hosts: TenantHosts = TenantHosts(
+            tenant, loop, resources, self._ended, make_room, self._wanted
+        )
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._dozing = False
         self._busy_at = loop.time()
--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -28,7 +28,7 @@
 CONNECT_FAILED: Final = "connect_failed"
 RESET: Final = "reset"
 CANCELLED: Final = "cancelled"
-MOOT: Final = "moot"
+MOOT: Final = "moot"  # not sent: by the first byte nobody wanted it, or its server no new work
 SPOILT: Final = "spoilt"  # an answer came that cannot be read: it may have run, and says little of the server
 # A kept connection was reset by its next request: it may have run, the server is no worse
 STALE: Final = "stale"
@@ -37,6 +37,7 @@
 CUT: Final = "cut"
 NO_ROOM: Final = "no_room"  # a bound of our own kept it from being sent: it says nothing of the server
 NEVER_RAN: Final = frozenset((FULL, CONNECT_FAILED, MOOT, UNSENT, NO_ROOM))
+NEVER_ARRIVED: Final = frozenset((MOOT, UNSENT, NO_ROOM))  # and took nothing of a quota or a ceiling
 
 
 @dataclass(slots=True, frozen=True)
@@ -285,9 +286,10 @@
     request: str
     server: str
     timeout_ms: float
+    valid_ms: float = math.inf  # how long its last byte may still reach the server: a repeat with a key, say
 
-    def __init__(self, request: str, server: str, timeout_ms: float) -> None:
-        self.request, self.server, self.timeout_ms = request, server, timeout_ms
+    def __init__(self, request: str, server: str, timeout_ms: float, valid_ms: float = math.inf) -> None:
+        self.request, self.server, self.timeout_ms, self.valid_ms = request, server, timeout_ms, valid_ms
 
 
 @dataclass(slots=True)
--- a/yewstage/limits/quotas.py
+++ b/yewstage/limits/quotas.py
@@ -211,6 +211,13 @@
         use.left -= units
         use.most -= units
 
+    def give_back(self, use: Use, units: float, over: bool) -> None:
+        """A try of which no attempt left took nothing of its ceiling, nor, unless `over`, of its quota."""
+        use.ceiling += units  # `ceiling_has` holds it to what is full
+        if not over:
+            self.spend(use, -units)
+            self.sync(use)
+
     def has(self, use: Use, units: float) -> bool:
         plan = use.plan
         if plan.parallel and use.open >= max(1, plan.parallel // use.width):
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -173,9 +173,11 @@
         self._handling = False
         self._holding = 0.0  # until when events wait for news of the hosts at most; 0: they don't
         self.draining = False
+        self._shut = False  # nothing new is taken any more
 
     def fail_all(self) -> None:
-        """Answer all that is open as failed: the process is about to end."""
+        """Answer all that is open as failed, and refuse what still comes: the process is about to end."""
+        self._shut = True
         for request in list(self._requests.values()):
             self._give_up(request)
 
@@ -188,6 +190,10 @@
 
     def request(self, client: Client, order: Order) -> str | None:
         """Take a request; its id tells `left` which one is meant. None: its own id is in use."""
+        if self._shut:
+            # Danger: sent on now it would still be out when the process ends, and its answer lost.
+            client.answer(503)
+            return ""
         # Guards against one client in another's name: hosts know a request by its id alone.
         if order.wire_id in self._wire_ids:
             return None
@@ -277,7 +283,8 @@
         gone = {s.name for s in listing.servers if s.status == "removed"}
         if kind != "changes":  # a whole list replaces the old one
             gone |= self._hosts.names() - {s.name for s in listing.servers}
-        self._hosts.update(listing.addresses, gone)
+        draining = frozenset(s.name for s in listing.servers if s.status == "draining")
+        self._hosts.update(listing.addresses, gone, draining)
         if listing.servers or kind != "changes":
             event = api.ServerList(kind, listing.servers)
             if self._holding:
@@ -298,15 +305,22 @@
             return
         wait_s = min(act.timeout_ms / 1000, left_s) if act.timeout_ms else left_s
         order = request.order
-        payload = b"%bX-Deadline: %dm\r\n\r\n%b" % (order.head, max(wait_s * 1000, 1), order.body)
-        attempt = Attempt(act.request, number, act.server, payload, time.monotonic())
+        now = time.monotonic()
+        attempt = Attempt(act.request, number, act.server, order.head, order.body, now,
+                          now + act.valid_ms / 1000)
+        attempt.timeout_s = wait_s
         if order.upload is not None:
-            attempt.upload, attempt.timeout_s = order.upload, wait_s
+            attempt.upload = order.upload
             wait_s = wait_s if order.upload.whole else left_s
         request.attempts.append(attempt)
         request.out += 1
         self._hosts.send(attempt, max(wait_s, 0.0))
 
+    def _wanted(self, attempt: Attempt) -> bool:
+        """Asked right before an attempt's first byte: whether its client still waits, with time left."""
+        request = self._requests.get(attempt.request)
+        return request is not None and request.client is not None and time.monotonic() < request.end_at
+
     def _ended(self, attempt: Attempt, result: str, reply: Reply | None) -> None:
         request = self._requests[attempt.request]
         request.out -= 1
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -1,12 +1,21 @@
-"""Upstream hosts: connections and the pool of each, socket results as outcomes."""
+"""Upstream hosts: connections and the pool of each, socket results as outcomes.
+
+Every attempt passes one gate right before its first byte (`Hosts._gate`): between the module's decision and
+a connection that is up, its client may have left, its time or the hosts' memory of its key may have run out,
+and its host may have been told to take no new work. What the gate holds back ends as never sent.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import errno
+import os
 import select
+import socket
+import time
 from collections.abc import Callable
 from functools import partial
+from math import inf
 from typing import Any, ClassVar, Final, Protocol
 
 from yewstage import interface as api
@@ -26,12 +35,14 @@
 class Attempt:
     """One Send until its one outcome."""
 
-    __slots__ = ("request", "number", "server", "payload", "sent_at", "connection", "dial", "slot", "timer",
-                 "dial_timer", "done", "upload", "timeout_s", "coming")
+    __slots__ = ("request", "number", "server", "head", "body", "sent_at", "valid_until", "connection",
+                 "dial", "slot", "timer", "dial_timer", "done", "upload", "timeout_s", "coming")
 
-    def __init__(self, request: str, number: int, server: str, payload: bytes, sent_at: float) -> None:
+    def __init__(self, request: str, number: int, server: str, head: bytes, body: bytes, sent_at: float,
+                 valid_until: float) -> None:
         self.request, self.number, self.server = request, number, server
-        self.payload, self.sent_at = payload, sent_at
+        self.head, self.body, self.sent_at = head, body, sent_at
+        self.valid_until = valid_until  # its last byte must have left by then, by time.monotonic
         self.connection: _Connection | None = None
         self.dial: asyncio.Task[Any] | None = None
         self.coming: _Connection | None = None  # what the dial has made
@@ -41,7 +52,12 @@
         self.done = False
         # Of what is passed on as it comes:
         self.upload: Upload | None = None  # the rest of its body
-        self.timeout_s = 0.0  # from the body's last byte on
+        self.timeout_s = 0.0  # from the decision on, or from the body's last byte
+
+    def payload(self, now: float) -> bytes:
+        """Its bytes as they are written now: X-Deadline tells how long we still wait."""
+        wait_ms = max((self.sent_at + self.timeout_s - now) * 1000, 1)
+        return b"%bX-Deadline: %dm\r\n\r\n%b" % (self.head, wait_ms, self.body)
 
 
 class Upload(Protocol):
@@ -58,11 +74,12 @@
 
 
 class _Host:
-    __slots__ = ("name", "address", "idle")
+    __slots__ = ("name", "address", "idle", "drains")
 
     def __init__(self, name: str, address: tuple[str, int]) -> None:
         self.name, self.address = name, address
         self.idle: list[_Connection] = []  # the freshest last
+        self.drains = False  # told to: what is out goes on, nothing new begins
 
 
 class Hosts:
@@ -71,10 +88,14 @@
     connection: ClassVar[type[Any]]  # what is made of each dial
 
     def __init__(self, loop: asyncio.AbstractEventLoop, most: int, dial_ms: float, idle_ms: float,
-                 ended: Callable[[Attempt, str, Reply | None], None]) -> None:
-        self._loop, self._most, self._ended = loop, most, ended
+                 ended: Callable[[Attempt, str, Reply | None], None],
+                 wanted: Callable[[Attempt], bool] = lambda attempt: True) -> None:
+        """`wanted` is asked right before an attempt's first byte: whether somebody still waits for it."""
+        self.loop = self._loop = loop
+        self._most, self._ended, self._wanted = most, ended, wanted
         self._dial_s, self._idle_s = dial_ms / 1000, IDLE_SHARE * idle_ms / 1000
         self._hosts: dict[str, _Host] = {}
+        self._out: frozenset[str] = frozenset()  # by hand: no new work
         self._connections: set[_Connection] = set()
         self._idle: dict[_Connection, None] = {}  # of all hosts, the longest idle first
         self._dials = 0
@@ -92,8 +113,10 @@
         for connection in list(self._connections):
             connection.drop()
 
-    def update(self, addresses: dict[str, tuple[str, int]], gone: set[str]) -> None:
-        """Where to dial each host, and which to dial no more. What is out goes on."""
+    def update(self, addresses: dict[str, tuple[str, int]], gone: set[str],
+               draining: frozenset[str] = frozenset()) -> None:
+        """Where to dial each host, which of these take nothing new, and which to dial no more. What is out
+        goes on."""
         for name in gone:
             host = self._hosts.pop(name, None)
             if host is not None:
@@ -103,13 +126,16 @@
             if host is None or host.address != address:
                 if host is not None:
                     self._close_idle(host)
-                self._hosts[name] = _Host(name, address)
+                host = self._hosts[name] = _Host(name, address)
+            host.drains = name in draining
 
-    def rest(self, name: str) -> None:
-        """Close a host's idle connections: it is out by hand, and may be restarted."""
-        host = self._hosts.get(name)
-        if host is not None:
-            self._close_idle(host)
+    def hold_out(self, names: frozenset[str]) -> None:
+        """The hosts that are out by hand from now on. What is kept to one is closed: it may be restarted."""
+        before, self._out = self._out, names
+        for name in names - before:
+            host = self._hosts.get(name)
+            if host is not None:
+                self._close_idle(host)
 
     def names(self) -> set[str]:
         """The hosts that can be dialled."""
@@ -121,6 +147,9 @@
         if host is None:
             self._end(attempt, api.CONNECT_FAILED)
             return
+        if not self._gate(attempt, host):
+            self._end(attempt, api.MOOT)
+            return
         attempt.slot = self._timeouts.add(attempt, timeout_s)
         connection = self._rested(host)
         if connection is not None:
@@ -128,11 +157,23 @@
         else:
             self._dial(host, attempt)
 
+    def _gate(self, attempt: Attempt, host: _Host) -> bool:
+        """Whether an attempt may begin on a host now, and not only when the module decided so.
+
+        Danger: a dial may come up a second later. Its client has gone, its host drains or is gone, or hosts
+        recall the key of what it repeats no longer: it would run for nobody, past a drain's grace, or twice.
+        """
+        return (not host.drains and host.name not in self._out and self._hosts.get(host.name) is host
+                and time.monotonic() < attempt.valid_until and self._wanted(attempt))
+
     def _rested(self, host: _Host) -> _Connection | None:
         """The freshest idle connection on which nothing has followed its last answer."""
-        before = self._loop.time() - REST_S
+        now = self._loop.time()
+        before, oldest = now - REST_S, now - self._idle_s
         for i in range(len(host.idle) - 1, -1, -1):
             connection = host.idle[i]
+            if connection.idle_since < oldest:
+                break  # the sweep has not come by yet; the host may be closing it and those before it
             if connection.idle_since <= before and connection.quiet():
                 del host.idle[i]
                 del self._idle[connection]
@@ -142,8 +183,9 @@
     def cancel(self, attempt: Attempt) -> None:
         """Give an attempt up by ending its connection."""
         if not attempt.done:
+            result = api.MOOT if attempt.connection is None else api.CANCELLED
             self._abandon(attempt)
-            self._end(attempt, api.CANCELLED)
+            self._end(attempt, result)
 
     def _dial(self, host: _Host, attempt: Attempt) -> None:
         # Guards the descriptors. The bound is ours, so what it stops is not told as the host's failure.
@@ -153,7 +195,7 @@
         self._dials += 1
         attempt.dial = self._loop.create_task(
             self._loop.create_connection(partial(self._make, attempt, host), *host.address))
-        attempt.dial.add_done_callback(partial(self._dialled, attempt))
+        attempt.dial.add_done_callback(partial(self._dialled, attempt, host))
         attempt.dial_timer = self._loop.call_later(self._dial_s, self._dial_overdue, attempt)
 
     def _make(self, attempt: Attempt, host: _Host) -> asyncio.Protocol:
@@ -180,7 +222,7 @@
         connection.host.idle.remove(connection)
         connection.drop()
 
-    def _dialled(self, attempt: Attempt, task: asyncio.Task[Any]) -> None:
+    def _dialled(self, attempt: Attempt, host: _Host, task: asyncio.Task[Any]) -> None:
         self._dial_over()
         attempt.dial = None
         if attempt.dial_timer is not None:
@@ -197,20 +239,33 @@
         elif error is not None:
             self._end(attempt, api.UNSENT)
         else:
-            self._up(attempt, task.result()[1])
+            self._up(attempt, host, task.result()[1])
 
     def _dial_over(self) -> None:
         """A dial has come up, failed or been called off."""
         self._dials -= 1
 
-    def _up(self, attempt: Attempt, connection: _Connection) -> None:
+    def _up(self, attempt: Attempt, host: _Host, connection: _Connection) -> None:
         if attempt.done or self._stopped:
             connection.drop()
         elif connection.transport.is_closing():  # it broke before this turn of the loop
             self._end(attempt, api.UNSENT)
+        elif not self._gate(attempt, host):
+            self._keep(connection)  # it is up, and may serve another
+            self._end(attempt, api.MOOT)
         else:
             connection.begin(attempt)
 
+    def _keep(self, connection: _Connection) -> None:
+        """A connection that carries nothing waits for its next attempt, where its host may get any."""
+        host = connection.host
+        if self._hosts.get(host.name) is host and not host.drains and host.name not in self._out:
+            connection.idle_since = self._loop.time()
+            host.idle.append(connection)
+            self._idle[connection] = None
+        else:
+            connection.drop()
+
     def _overdue(self, attempt: Attempt) -> None:
         # Guards against our own stall: the answer may be here and unread. Timers run before sockets are read,
         # so the time-out itself waits for one more turn of the loop.
@@ -225,6 +280,13 @@
         self._abandon(attempt)
         self._end(attempt, result)
 
+    def expired(self, attempt: Attempt) -> None:
+        """The hosts' memory of a key is over; a repeat of it that has not left whole by now must not."""
+        connection = attempt.connection
+        if not attempt.done and connection is not None and connection.unsent:
+            self._abandon(attempt)
+            self._end(attempt, api.UNSENT)
+
     def _dial_overdue(self, attempt: Attempt) -> None:
         attempt.dial_timer = self._loop.call_later(GRACE_S, self._dial_time_out, attempt)
 
@@ -240,7 +302,7 @@
             attempt.dial.cancel()
         if attempt.connection is not None:
             attempt.connection.attempt = None
-            attempt.connection.drop()
+            attempt.connection.give_up()
 
     def _end(self, attempt: Attempt, result: str, reply: Reply | None = None) -> None:
         if attempt.done:
@@ -283,11 +345,8 @@
 
     def replied(self, connection: _Connection, attempt: Attempt, reply: Reply, reusable: bool) -> None:
         """A whole answer: the connection is free again, the attempt is over."""
-        host = connection.host
-        if reusable and not connection.unsent and self._hosts.get(host.name) is host:
-            connection.idle_since = self._loop.time()
-            host.idle.append(connection)
-            self._idle[connection] = None
+        if reusable and not connection.unsent:
+            self._keep(connection)
         else:
             connection.drop()
         self._end(attempt, self.judge(reply), reply)
@@ -333,6 +392,7 @@
     def __init__(self, pool: Hosts, host: _Host) -> None:
         super().__init__()
         self._pool, self.host = pool, host
+        self._loop = pool.loop
         self.attempt: Attempt | None = None
         self.kept = False  # the attempt is not the first one on it
         self.idle_since = 0.0
@@ -341,9 +401,12 @@
         """Write an attempt's request."""
         self.attempt, attempt.connection = attempt, self
         self.kept = self.idle_since > 0
-        self.write(attempt.payload)
+        now = time.monotonic()
+        self.write(attempt.payload(now))
         if attempt.upload is not None:
             self.upload(attempt)
+        if self.unsent and attempt.valid_until < inf:
+            self._loop.call_later(max(attempt.valid_until - now, 0.0), self._pool.expired, attempt)
 
     def upload(self, attempt: Attempt) -> None:
         """Write the rest of its body as it comes."""
@@ -354,6 +417,21 @@
         self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
         self._pool.opened(self)
 
+    def give_up(self) -> None:
+        """End what is out on it at once, and the connection with this turn of the loop.
+
+        Danger: the loop closes a dropped connection in its next turn, and by then a further attempt is on its
+        way to another host: two would be out. Where the host had sent something unread, the close resets.
+        """
+        if not self.transport.is_closing():
+            descriptor = os.dup(self.transport.get_extra_info("socket").fileno())
+            with socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, descriptor) as own:
+                try:
+                    own.shutdown(socket.SHUT_WR)
+                except OSError:
+                    pass  # the host was quicker
+        self.drop()
+
     def quiet(self) -> bool:
         """Whether nothing has come that is still unread: data that would pass for the next answer, or the end
         of the connection, after which what is written may have run."""
--- a/yewstage/net/node.py
+++ b/yewstage/net/node.py
@@ -30,7 +30,7 @@
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(config.settings, config.seed, loop, Pulse(loop))
         most = int(UPSTREAM_SHARE * config.sockets)
-        self._flow_hosts = self.hosts(loop, most, config.dial_ms, config.idle_ms, self._ended)
+        self._flow_hosts = self.hosts(loop, most, config.dial_ms, config.idle_ms, self._ended, self._wanted)
         self._flow_hosts.begun = self._begun
         self._hosts = self._flow_hosts
         self._discovery = Discovery(loop, config.discovery, self._listed, config.known.generation,
--- a/yewstage/net/operated.py
+++ b/yewstage/net/operated.py
@@ -199,10 +199,9 @@
         self._loop.call_later(LOOK_S, self._look)
 
     def _hold_out(self, names: set[str]) -> None:
+        self._hosts.hold_out(frozenset(names))
         for name in names ^ self._held_out:
             self._post(api.HostOut(name, name in names))
-            if name in names:
-                self._hosts.rest(name)  # it may be restarted: what is kept would end as a reset
         self._held_out = set(names)
 
     # What is counted
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -8,6 +8,7 @@
 import random
 from bisect import bisect_left, bisect_right
 from collections import deque
+from math import inf
 
 from yewstage import interface as api
 from yewstage.fleet import Fleet, Host
@@ -54,7 +55,7 @@
     """A request that is owed an answer, or whose attempts are still out."""
 
     __slots__ = ("req", "cls", "use", "aim_at", "end_at", "attempts", "out", "answered", "stream", "work",
-                 "tries")
+                 "tries", "over", "unsent")
 
     def __init__(self, req: api.Request, cls: api.RequestClass, use: Use, aim_at: float, end_at: float,
                  work: float, tries: int) -> None:
@@ -62,7 +63,8 @@
         self.aim_at, self.end_at = aim_at, end_at
         self.attempts: list[_Attempt] = []
         self.out = 0  # attempts that are open
-        self.answered = self.stream = False
+        self.answered = self.stream = self.over = False  # over: beyond its quota, of which it took nothing
+        self.unsent = 0  # attempts that never left whole
 
 
 class _Cell:
@@ -292,7 +294,7 @@
             return
         held = _Held(req, cls, use, aim_at, end_at, self.latency[cls.name] * max(req.units, 0.0),
                      self.s.try_limit)
-        host = self._pick(held) if held.aim_at > self.now else None
+        host = self._pick(held) if aim_at > self.now else None
         if host is None:
             self._refuse_new(req, use, api.NO_HOST if held.aim_at > self.now else api.LATE, over)
             return
@@ -300,7 +302,9 @@
         self.bank = min(self.bank + RETRY_SHARE, RETRY_BANK)
         use.ceiling -= req.units
         use.open += 1
-        if not over:
+        if over:
+            held.over = True
+        else:
             self.quotas.spend(use, req.units)
         self.quotas.sync(use)
         self._send(held, host)
@@ -456,13 +460,15 @@
                     region = places.pop()
         return self.fleet.pick(held.req.pool, held.work, held.cls.effect == "safe", tried, region)
 
-    def _send(self, held: _Held, host: Host) -> None:
+    def _send(self, held: _Held, host: Host, valid_ms: float = inf) -> None:
         """One attempt, given up when it can no longer be in time, or when it is better asked for again.
 
         Danger: an answer that never comes costs its whole aim, whoever lost it: a path, a stuck or a slow
         server. While answers get lost beside fast ones, what may be repeated ends early. Hurts: long jobs.
         """
-        timeout = max(held.aim_at - self.now - self.s.tick_ms, min(1.0, held.end_at - self.now))
+        timeout = held.aim_at - self.now - self.s.tick_ms
+        if timeout < 1.0:
+            timeout = max(timeout, min(1.0, held.end_at - self.now))
         if self.lost > LOST and held.cls.effect != "unsafe" and self.bank >= 1:
             early = max(timeout / 2, PATIENCE * self._usual(held))
             if len(held.attempts) + 1 < held.tries and early + self._usual(held) < timeout:
@@ -470,7 +476,7 @@
         held.attempts.append(_Attempt(host, self.now))
         held.out += 1
         self.fleet.began(host, held.work)
-        self.out.append(api.Send(held.req.id, host.name, timeout))
+        self.out.append(api.Send(held.req.id, host.name, timeout, valid_ms))
 
     def _answer(self, held: _Held) -> None:
         """The final answer of a request that will not be served."""
@@ -485,11 +491,17 @@
         """No more is sent; attempts still out are called off, and awaited."""
         if held is None:
             return
-        if held.out and self.s.cancel and not held.stream and not held.answered:
-            self.out.extend(api.Cancel(held.req.id, i) for i, a in enumerate(held.attempts) if a.open)
+        if held.out:
+            if self.s.cancel and not held.stream and not held.answered:
+                self.out.extend(api.Cancel(held.req.id, i) for i, a in enumerate(held.attempts) if a.open)
+            held.answered = True
+            return
         held.answered = True
-        if not held.out and self.held.pop(held.req.id, None) is not None:
+        if self.held.pop(held.req.id, None) is not None:
             held.use.open -= 1
+            if held.unsent and held.unsent == len(held.attempts):
+                # Danger: a client that leaves during a dial would use up a quota that nothing was sent for.
+                self.quotas.give_back(held.use, held.req.units, held.over)
 
     def _stream_started(self, event: api.StreamStarted) -> None:
         held = self.held.get(event.request)
@@ -512,7 +524,9 @@
         held.out -= 1
         if not attempt.streams:
             self.fleet.ended(attempt.host)
-        attempt.ran = event.result not in api.NEVER_RAN
+        if event.result in api.NEVER_RAN:
+            attempt.ran = False
+            held.unsent += event.result in api.NEVER_ARRIVED
         if event.result != api.MOOT:
             self._sample(held, attempt, event)
             self._judge(held, attempt.host, event)
@@ -536,16 +550,28 @@
         A connection that broke at once has cost the servers next to nothing; all else costs a whole attempt.
         """
         price = 1.0
-        if event.result in BROKEN:
+        if event.result == api.MOOT:
+            price = 0.0  # its server was told to drain before the first byte: nothing was sent
+        elif event.result in BROKEN:
             price = min(event.took_ms / max(self._usual(held), 1e-6), 1.0)
         if self.bank < price or held.aim_at - self.now <= max(self._usual(held), 2 * self.s.tick_ms):
             return False
         host = self._pick(held)
         if host is not None:
             self.bank -= price
-            self._send(held, host)
+            self._send(held, host, self._valid_ms(held))
         return host is not None
 
+    def _valid_ms(self, held: _Held) -> float:
+        """How long a repeat may still reach a host: with a key, as long as hosts recall what may have run.
+
+        Danger: a connection may take its time to come up, and the host would run it a second time.
+        """
+        ran = [a.sent for a in held.attempts if a.ran]
+        if held.cls.effect != "keyed" or not ran:
+            return inf
+        return ran[0] + held.cls.window_ms - 2 * self.s.tick_ms - self.now
+
     # --- Timers -------------------------------------------------------------------------------------------
 
     def _sweep(self) -> None:
