One way to close towards a client, and a client that leaves is seen in every state

- While a further request waited behind an open one nothing was read, so the client's end was not seen: who sent much at once and went had its requests sent on one by one, for nobody.
Same while no host took a body.
A client that ended its side without reading its answers was closed only once they had left.
- Idle closes, the drain's, and those for room closed over requests that had arrived and lay unread; a last answer was closed over what had come behind it, and the reset can take the answer along.
- The drain answered the open request and dropped what was pipelined behind it; closed connections that had just come up; took 16 of the connections in the listener's queue, and reset the others.
- Shutdown._end failed what was open and ended the process 20 ms later, read or not; a request that came in these 20 ms was sent on.

Change: net/closing.py. A connection ends by a shut of our side, then a bounded lingering close; before that a look at the system's buffer tells whether something has come that can be served. Behind requests that wait 256 KiB are read unparsed (4 MiB on all connections), beyond that they are forgotten and the connection ends after the last answer: the client's end is always read. Connections that are not read are polled for a hang-up each 40 ms. Whoever gives way for room has nothing unread or unsent. The drain sets Connection: close on the last answer only, hears new connections for 0.4 s, empties the listener's queue; at the end all is failed, what still comes refused, and the process ends when clients have read, or 0.2 s later, 0.1 s before SIGKILL.

Ruled out: an answer written in the turn of an abort is not lost, uvloop writes before it closes (tests kept); answers without a length that end in a reset, a second answer at a close: tests of before hold.

--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -21,7 +21,8 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[1]
-NET = ("deadlines", "http1", "hosts", "core", "clients", "flows", "counter", "discovery", "node", "operated")
+NET = ("deadlines", "http1", "hosts", "core", "requests", "closing", "clients", "flows", "counter",
+       "discovery", "node", "operated")
 COMPILED = (  # what an ordinary request passes through, and every class that inherits from one of these
     "yewstage/interface.py", "yewstage/policy.py", "yewstage/fleet.py",
     "yewstage/limits/parts.py", "yewstage/limits/quotas.py",
--- /dev/null
+++ b/tests/crossings/test_clients_that_leave.py
@@ -0,0 +1,174 @@
+"""A client that has gone, in every state of its connection: nothing more begins for it, nothing is kept."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+import struct
+from pathlib import Path
+
+import pytest
+from conftest import Rig, Seen, instance, message, on_loop, read_message, reply
+from standins.raw import Peer, RawHost
+
+RESET = struct.pack("ii", 1, 0)
+
+
+def silent(seen: Seen) -> None:
+    return None
+
+
+def leave(writer: asyncio.StreamWriter, how: str) -> None:
+    """End a client's connection: in good order, by half of it, or by a reset."""
+    sock = writer.get_extra_info("socket")
+    if how == "half":
+        writer.write_eof()
+        return
+    if how == "reset":
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    writer.transport.abort()
+
+
+@pytest.mark.parametrize("how", ["close", "half", "reset"])
+@pytest.mark.parametrize("size", [0, 60_000])
+def test_one_that_sends_much_at_once_and_goes(tmp_path: Path, how: str, size: int) -> None:
+    """What stands behind the open request is never sent on, however much of it lies unread."""
+    async def scenario() -> None:
+        async with Rig(tmp_path, silent) as rig:
+            (host,) = rig.hosts
+            _, writer = await rig.connect()
+            writer.write(message(rid=b"open"))
+            await host.until(lambda fake: len(fake.seen) == 1)
+            for i in range(12):
+                writer.write(message("put", rid=b"behind-%d" % i, body=b"x" * size))
+            await asyncio.sleep(0.05)  # what the system takes of it has gone out
+            leave(writer, how)
+            await host.until(lambda fake: fake.closed == 1)  # the gateway has seen it, and gave the open up
+            _, other = await rig.connect()
+            other.write(message(rid=b"other"))
+            await host.until(lambda fake: len(fake.seen) > 1)  # whatever came before it would be here by now
+            assert [seen.headers["x-request-id"] for seen in host.seen] == ["open", "other"]
+            other.close()
+            writer.transport.abort()
+    on_loop(scenario, 10)
+
+
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_one_that_goes_while_no_host_takes_its_body(tmp_path: Path, how: str) -> None:
+    """Its connection is not being read then: the end is seen all the same, and the dial called off."""
+    async def scenario() -> None:
+        with Blocked() as host:
+            rig = Rig(tmp_path)
+            rig.others = [instance("s-0", host.port)]
+            rig.change = lambda config: config["settings"]["bounds"].update(dial_timeout_ms=20_000.0)
+            async with rig:
+                _, writer = await rig.connect()
+                head = message("put", drop="Content-Length", more="Content-Length: 30000000\r\n")
+                writer.write(head + b"x" * 200_000)
+                while not host.dialled():
+                    await asyncio.sleep(0.01)
+                await asyncio.sleep(0.1)
+                writer.write(b"x" * 1000)
+                while not held(rig):
+                    await asyncio.sleep(0.01)
+                both = sockets(rig)
+                leave(writer, how)
+                while sockets(rig) > both - 2:  # the client's and the dial's are closed
+                    await asyncio.sleep(0.01)
+    on_loop(scenario, 10)
+
+
+class Blocked:
+    """A host on whose address no connection ever comes up: its queue is full, and it takes none."""
+
+    def __enter__(self) -> Blocked:
+        self._listener = socket.socket()
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(0)
+        self.port = self._listener.getsockname()[1]
+        self._waiting = [socket.socket() for _ in range(4)]
+        for sock in self._waiting:
+            sock.setblocking(False)
+            sock.connect_ex(("127.0.0.1", self.port))
+        return self
+
+    def dialled(self) -> bool:
+        """Whether anybody but we has a connection on its way."""
+        return sum(remote == self.port for _, remote, _ in rows()) > len(self._waiting)
+
+    def __exit__(self, *exc: object) -> None:
+        for sock in (*self._waiting, self._listener):
+            sock.close()
+
+
+def rows() -> list[tuple[int, int, int]]:
+    """The system's connections: local port, remote port, bytes that lie unread."""
+    with open("/proc/net/tcp") as lines:
+        parts = [line.split() for line in lines][1:]
+    return [(int(p[1].split(":")[1], 16), int(p[2].split(":")[1], 16), int(p[4].split(":")[1], 16))
+            for p in parts]
+
+
+def held(rig: Rig) -> bool:
+    """Whether something lies unread on one of the program's connections to clients."""
+    return any(local == rig.port and remote and unread for local, remote, unread in rows())
+
+
+def sockets(rig: Rig) -> int:
+    """How many sockets the program has open."""
+    count = 0
+    for name in os.listdir(folder := f"/proc/{rig.process.pid}/fd"):
+        try:
+            count += os.readlink(f"{folder}/{name}").startswith("socket:")
+        except FileNotFoundError:
+            pass  # closed since
+    return count
+
+
+def test_one_that_ends_its_side_and_does_not_read_its_answer(tmp_path: Path) -> None:
+    """A close waits for the client to read what was answered: what is open for it must not wait, too."""
+    async def scenario() -> None:
+        ended = asyncio.Event()
+
+        async def long_answer(peer: Peer) -> None:
+            await peer.head()
+            peer.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n")
+            try:
+                while True:
+                    await peer.write(b"x" * 65536)
+            except ConnectionError:
+                ended.set()
+
+        host = await RawHost(long_answer).start()
+        async with Rig(tmp_path, silent) as rig:
+            rig.directory.instances[0]["hostPort"] = f"127.0.0.1:{host.port}"
+            await rig.directory.tell(rig.directory.instances, whole=True)
+            _, writer = await rig.connect()
+            writer.transport.pause_reading()
+            writer.write(message())
+            await asyncio.sleep(0.5)  # both sides' buffers are full
+            assert not ended.is_set()
+            writer.write_eof()
+            await ended.wait()
+            writer.transport.abort()
+        host.stop()
+    on_loop(scenario, 8)
+
+
+def test_one_that_pipelines_and_stays_gets_all_in_order(tmp_path: Path) -> None:
+    """Reading on behind an open request loses and reorders nothing, also beyond what is read ahead."""
+    async def scenario() -> None:
+        def echo(seen: Seen) -> bytes:
+            return reply(seen.headers["x-request-id"].encode() + b"/%d" % len(seen.body))
+
+        async with Rig(tmp_path, echo) as rig:
+            reader, writer = await rig.connect()
+            for i in range(40):
+                writer.write(message("put", rid=b"id-%d" % i, body=b"x" * (i % 4) * 9000))
+                if i % 8 == 7:  # 16 wait at most
+                    for j in range(i - 7, i + 1):
+                        got = await read_message(reader, writer)
+                        assert got.body == b"id-%d/%d" % (j, (j % 4) * 9000)
+            writer.close()
+    on_loop(scenario, 20)
--- /dev/null
+++ b/tests/crossings/test_closing.py
@@ -0,0 +1,221 @@
+"""The end of a client's connection: no answer is lost with it, and nothing that had come before it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+from conftest import message, on_loop
+from standins.desk import Desk, ends, reads
+
+from yewstage.net.clients import ACCEPTS, HEAR_S, IDLE_S
+from yewstage.net.life import Shutdown
+
+
+def drain(desk: Desk) -> None:
+    desk.server.close_idle()
+
+
+def sweep(desk: Desk) -> None:
+    for connection in list(desk.server.connections):
+        connection.check(asyncio.get_running_loop().time() + IDLE_S + 1)
+
+
+def another(desk: Desk) -> None:
+    """There is no descriptor for one more."""
+    desk.server._most = len(desk.server.connections)
+    desk.server._room()
+
+
+CLOSES = [drain, sweep, another]
+
+
+@pytest.mark.parametrize("closes", CLOSES)
+def test_a_request_that_has_arrived_is_served_though_its_connection_was_to_be_closed(
+    closes: Callable[[Desk], None],
+) -> None:
+    async def scenario() -> None:
+        desk = Desk()
+        client = desk.connect()
+        client.sendall(message(rid=b"first"))
+        await desk.takes(1)
+        desk.answer_all()
+        assert await reads(client) == [b"first"]
+        await asyncio.sleep(0.01)
+        client.setblocking(True)
+        client.sendall(message(rid=b"crossing"))  # the system has it; the loop has had no turn since
+        closes(desk)
+        await desk.takes(2)
+        desk.answer_all()
+        assert await reads(client) == [b"crossing"]
+        client.close()
+    on_loop(scenario, 5)
+
+
+@pytest.mark.parametrize("closes", CLOSES)
+def test_an_answer_that_was_just_written_leaves_whole(closes: Callable[[Desk], None]) -> None:
+    async def scenario() -> None:
+        desk = Desk()
+        client = desk.connect()
+        client.sendall(message(rid=b"x" * 100))
+        await desk.takes(1)
+        desk.answer_all()  # the loop writes at the end of its turn
+        closes(desk)
+        assert await reads(client) == [b"x" * 100]
+        client.close()
+    on_loop(scenario, 5)
+
+
+@pytest.mark.parametrize("closes", [drain, sweep])
+def test_a_request_that_comes_after_the_close_is_not_taken_and_resets_nothing(
+    closes: Callable[[Desk], None],
+) -> None:
+    """Its client sees an end in good order, without an answer, and asks elsewhere."""
+    async def scenario() -> None:
+        desk = Desk()
+        client = desk.connect()
+        client.sendall(message(rid=b"first"))
+        await desk.takes(1)
+        desk.answer_all()
+        await asyncio.sleep(0.01)
+        closes(desk)
+        client.sendall(message(rid=b"late"))
+        assert await reads(client, 2) == [b"first"]
+        assert desk.taken == [b"first"]
+        client.close()
+        while desk.server.connections:
+            await asyncio.sleep(0.01)
+    on_loop(scenario, 5)
+
+
+def test_an_answer_that_closes_is_not_taken_along_by_what_came_behind_its_request() -> None:
+    async def scenario() -> None:
+        desk = Desk()
+        client = desk.connect()
+        client.sendall(message(rid=b"first", more="Connection: close\r\n"))
+        await desk.takes(1)
+        client.sendall(b"GET / HTTP/1.1\r\n" + b"x" * 3000)
+        await asyncio.sleep(0.01)
+        desk.answer_all()
+        client.sendall(b"x" * 3000)  # unread when the answer is written
+        assert await reads(client) == [b"first"]
+        assert await ends(client)
+        client.close()
+        while desk.server.connections:
+            await asyncio.sleep(0.01)
+    on_loop(scenario, 5)
+
+
+def test_what_a_client_sends_after_the_end_is_read_for_a_while_and_no_longer() -> None:
+    async def scenario() -> None:
+        desk = Desk()
+        client = desk.connect()
+        client.sendall(message(rid=b"first", more="Connection: close\r\n"))
+        await desk.takes(1)
+        desk.answer_all()
+        assert await reads(client, 2) == [b"first"]
+        loop = asyncio.get_running_loop()
+        with pytest.raises(ConnectionError):  # it neither stops nor closes
+            while True:
+                await loop.sock_sendall(client, b"x" * 10_000)
+                await asyncio.sleep(0.001)
+        assert not desk.server.connections and desk.taken == [b"first"]
+        client.close()
+    on_loop(scenario, 10)
+
+
+def test_a_drain_answers_what_waits_behind_an_open_request() -> None:
+    async def scenario() -> None:
+        desk = Desk()
+        client = desk.connect()
+        client.sendall(message(rid=b"open"))
+        await desk.takes(1)
+        client.sendall(message(rid=b"behind"))
+        await asyncio.sleep(0.01)
+        desk.draining = True
+        client.sendall(message(rid=b"unread"))
+        desk.answer_all()
+        await desk.takes(2)
+        desk.answer_all()
+        await desk.takes(3)
+        desk.answer_all()
+        assert await reads(client, 4) == [b"open", b"behind", b"unread"]
+        client.close()
+    on_loop(scenario, 5)
+
+
+def test_a_drain_leaves_a_new_connection_time_for_its_first_request() -> None:
+    async def scenario() -> None:
+        desk = Desk()
+        client, silent = desk.connect(), desk.connect()
+        while len(desk.server.connections) < 2:
+            await asyncio.sleep(0)
+        desk.draining = True
+        assert not desk.server.close_idle()
+        await asyncio.sleep(0.01)
+        client.sendall(message(rid=b"first"))
+        await desk.takes(1)
+        desk.answer_all()
+        assert await reads(client, 2) == [b"first"]
+        while not desk.server.close_idle():
+            await asyncio.sleep(HEAR_S / 10)
+            client.close()
+        assert await ends(silent)
+        silent.close()
+    on_loop(scenario, 5)
+
+
+def test_the_end_of_listening_takes_all_that_has_come() -> None:
+    async def scenario() -> None:
+        desk = Desk()
+        clients = [desk.connect() for _ in range(3 * ACCEPTS)]
+        for i, client in enumerate(clients):
+            client.sendall(message(rid=b"%d" % i))
+        desk.server.stop_accepting()
+        await desk.takes(len(clients))
+        desk.answer_all()
+        assert [await reads(client) for client in clients] == [[b"%d" % i] for i in range(len(clients))]
+        for client in clients:
+            client.close()
+    on_loop(scenario, 10)
+
+
+def test_the_process_ends_after_its_last_answers_have_left() -> None:
+    """A client that is slow to read its last answer, or never does, holds the end up for a bounded time."""
+    async def scenario() -> None:
+        desk = Desk()
+        shutdown = Shutdown(Failing(desk), desk.server, asyncio.get_running_loop())
+        client, never = desk.connect(), desk.connect()
+        for sock in (client, never):
+            sock.sendall(message(rid=b"open"))
+        await desk.takes(2)
+        shutdown._core.draining = desk.draining = True
+        shutdown._stop_accepting()
+        shutdown._end()
+        client.sendall(message(rid=b"behind"))  # unread when the answers are written
+        assert not shutdown.done.is_set()
+        await asyncio.sleep(0.04)
+        assert not shutdown.done.is_set()  # nobody has closed yet
+        assert (await reads(client, 1)) == [b"failed"]
+        client.close()
+        await shutdown.done.wait()
+        never.close()
+    on_loop(scenario, 5)
+
+
+class Failing:
+    """A core that fails all that is open with an answer of its own."""
+
+    draining = False
+
+    def __init__(self, desk: Desk) -> None:
+        self._desk = desk
+
+    def longest_s(self) -> float:
+        return 1.0
+
+    def fail_all(self) -> None:
+        failed, self._desk.open = self._desk.open, {}
+        for client, _ in failed.values():
+            client.answer(200, b"failed")
--- /dev/null
+++ b/tests/crossings/test_shutdown.py
@@ -0,0 +1,101 @@
+"""SIGTERM and what may come just then: the real program, from outside."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+
+import pytest
+from conftest import Fake, Rig, Seen, message, on_loop, read_message, reply
+from standins.core import Answers, an_order, core_with
+
+from yewstage import interface as api
+
+
+def silent(seen: Seen) -> None:
+    return None
+
+
+async def drains(rig: Rig) -> None:
+    """Send SIGTERM, and wait until the program knows."""
+    rig.process.send_signal(signal.SIGTERM)
+    while not any("draining" in line for line in rig.log):
+        await asyncio.sleep(0.01)
+
+
+def test_what_is_pipelined_behind_an_open_request_is_answered_too(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, silent) as rig:
+            (host,) = rig.hosts
+            reader, writer = await rig.connect()
+            for i in range(3):
+                writer.write(message(rid=b"id-%d" % i))
+            await host.until(lambda fake: len(fake.seen) == 1)
+            await drains(rig)
+            for i in range(3):
+                await host.until(lambda fake, count=i + 1: len(fake.seen) == count)
+                host.seen[i].writer.write(reply(b"served %d" % i))
+                answer = await read_message(reader, writer)
+                assert answer.body == b"served %d" % i
+                assert ("connection" in answer.headers) == (i == 2)
+            assert await reader.read() == b""
+            writer.close()
+            assert await rig.process.wait() == 0
+    on_loop(scenario, 10)
+
+
+@pytest.mark.parametrize("again", [None, signal.SIGTERM, signal.SIGHUP])
+def test_hosts_that_hang_through_it_cost_a_failure_that_arrives_whole(
+    tmp_path: Path, again: signal.Signals | None
+) -> None:
+    """Also over further bytes of the client, and with a second signal meanwhile."""
+    async def scenario() -> None:
+        async with Rig(tmp_path, silent) as rig:
+            reader, writer = await rig.connect()
+            writer.write(message("put", rid=b"hangs", deadline="60000m"))
+            await rig.hosts[0].until(lambda fake: len(fake.seen) == 1)
+            await drains(rig)
+            if again is not None:
+                rig.process.send_signal(again)
+            writer.write(message("put", rid=b"behind", deadline="60000m"))
+            statuses = [(await read_message(reader, writer)).line.split()[1] for _ in range(2)]
+            assert statuses == ["504", "503"]  # what had not been sent on may be asked again elsewhere
+            assert await reader.read() == b""  # an end in good order
+            writer.close()
+            assert await rig.process.wait() == 0
+            assert [seen.headers["x-request-id"] for seen in rig.hosts[0].seen] == ["hangs"]
+    on_loop(scenario, 10)
+
+
+def test_nothing_is_sent_on_once_all_that_was_open_has_been_failed(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        host = Fake(lambda seen: reply(b"served"))
+        core, script = await core_with(monkeypatch, host)
+        client = Answers()
+        core.request(client, an_order())
+        core.fail_all()
+        assert await client.got.get() == 504
+        before = len(script.events)
+        script.plan[api.Request] = [api.Send("r2", "s-0", 5000)]
+        core.request(client, an_order())
+        assert await client.got.get() == 503
+        await asyncio.sleep(0.02)
+        assert len(script.events) == before and not host.seen
+        host.stop()
+    on_loop(scenario, 5)
+
+
+def test_a_connection_that_comes_up_during_the_drain_is_heard(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, lambda seen: reply(b"served")) as rig:
+            await drains(rig)
+            reader, writer = await rig.connect()
+            await asyncio.sleep(0.3)  # still within what clients are let in for
+            writer.write(message())
+            answer = await read_message(reader, writer)
+            assert (answer.body, answer.headers["connection"]) == (b"served", "close")
+            assert await reader.read() == b""
+            writer.close()
+            assert await rig.process.wait() == 0
+    on_loop(scenario, 10)
--- /dev/null
+++ b/tests/standins/desk.py
@@ -0,0 +1,89 @@
+"""Who takes the requests of a server in this process, and answers them when the test says so."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from conftest import GRADES, LOOP, PACKAGES, instance
+
+from yewstage.net.config import parse
+from yewstage.net.core import Client, Order
+from yewstage.net.flows import FlowServer
+
+
+class Desk:
+    """Takes requests. Clients are plain sockets: what they send has arrived when `sendall` returns, and lies
+    unread until the loop gets its turn."""
+
+    def __init__(self, sockets: int = 1024) -> None:
+        self.settings = parse({
+            "listen": f"{LOOP}:0", "discovery": f"{LOOP}:1", "seed": "1",
+            "known": {"generation": 1, "reset": True, "instances": [instance("s-0", 1)]},
+            "settings": {"grades": GRADES, "packages": PACKAGES}}).settings
+        self.draining = False
+        self.open: dict[str, tuple[Client, Order]] = {}
+        self.gone: list[str] = []
+        self.taken: list[bytes] = []
+        self.server = FlowServer(self, asyncio.get_running_loop(), sockets)
+        ((_, self.port),) = self.server.start((LOOP, 0))
+
+    def request(self, client: Client, order: Order) -> str | None:
+        rid = f"r{len(self.taken)}"
+        self.taken.append(order.wire_id)
+        self.open[rid] = client, order
+        return rid
+
+    def left(self, rid: str) -> None:
+        self.gone.append(rid)
+
+    def broken(self, rid: str, status: int) -> None:
+        raise AssertionError("no body flows here")
+
+    def ready(self) -> bool:
+        return True
+
+    def connect(self) -> socket.socket:
+        """A client that is up for the system; the server has not seen it yet."""
+        sock = socket.create_connection((LOOP, self.port))
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return sock
+
+    async def takes(self, count: int) -> None:
+        """Until so many requests in all have been taken."""
+        while len(self.taken) < count:
+            await asyncio.sleep(0)
+
+    def answer_all(self) -> None:
+        """Serve what is open."""
+        answered, self.open = self.open, {}  # an answer may bring the next request of its connection
+        for client, order in answered.values():
+            client.answer(200, order.wire_id)
+
+
+async def reads(sock: socket.socket, count: int = 1) -> list[bytes]:
+    """The bodies of so many answers of status 200; a shorter list where the connection ended before."""
+    sock.setblocking(False)
+    loop, data = asyncio.get_running_loop(), b""
+    bodies: list[bytes] = []
+    while len(bodies) < count:
+        head, found, rest = data.partition(b"\r\n\r\n")
+        if found:
+            size = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
+            if len(rest) >= size:
+                assert head.startswith(b"HTTP/1.1 200 "), head
+                bodies.append(rest[:size])
+                data = rest[size:]
+                continue
+        more = await loop.sock_recv(sock, 65536)  # a reset raises here
+        if not more:
+            assert not data, "an answer was cut"
+            break
+        data += more
+    return bodies
+
+
+async def ends(sock: socket.socket) -> bool:
+    """Whether the server ends a connection in good order, with nothing more; a reset raises."""
+    sock.setblocking(False)
+    return await asyncio.get_running_loop().sock_recv(sock, 65536) == b""
--- a/yewstage/hosted/front.py
+++ b/yewstage/hosted/front.py
@@ -19,17 +19,12 @@
 from yewstage.hosted.resources import CROWDED, DRAINING, SHARE, UNHEARD, Resources
 from yewstage.hosted.stats import Stats
 from yewstage.net.clients import (
-    DEADLINE,
     IDLE_S,
-    WANTED,
-    WORD,
-    BadRequestError,
     ClientConnection,
     Server,
-    Terms,
-    _Message,
 )
 from yewstage.net.core import Order
+from yewstage.net.requests import DEADLINE, WANTED, WORD, BadRequestError, Message, Terms
 from yewstage.tenants import model
 from yewstage.tenants.router import Entry, Router
 from yewstage.tenants.target import Target, TargetError, read_target
@@ -82,7 +77,7 @@
 }
 
 
-class _TenantMessage(_Message):
+class _TenantMessage(Message):
     """One request, with the header lines that go on to the host unchanged."""
 
     __slots__ = ("rest",)
@@ -150,7 +145,6 @@
         self._peer = b""
         self._behind = 0  # pieces of data that were read and wait for others' requests
         self._taking_s = 0.0  # of the data being handled, what was charged request by request
-        self._turned_away = False  # a request was too much for its tenant before it had come whole
         self.passing = False  # the answer that is being written is a host's
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -254,6 +248,7 @@
     def _hold_request(self) -> None:
         """Hold what has come of requests that are not yet taken; one beyond its share is turned away."""
         size = 0 if self._message is None else self._message.head + self._message.size
+        size += self._ahead_size
         for item in self._queue:
             size += 0 if isinstance(item, int) else item.head + item.size
         buffer, more = self._service.resources.buffer, size - self.reading
@@ -266,14 +261,9 @@
         if not buffer.take(self.owner, more):
             buffer.charge(self.owner, more)
             if not buffer.within(self.owner, 0.0):
-                self._turned_away = True
                 self._reject(503)
                 self._pump()
 
-    def _end(self, status: int) -> None:
-        # What is still on its way of it is read: the reset of a close would take the answer along.
-        super()._end(413 if self._turned_away else status)
-
     def _own(self, owner: str) -> None:
         """The connection carries a request of this tenant now."""
         if owner != self.owner:
@@ -292,7 +282,7 @@
         self._hold_request()
         self._server.waits(self)
 
-    def _take(self, item: _Message | int) -> None:
+    def _take(self, item: Message | int) -> None:
         # Each request is its own tenant's, also where a connection carries those of several.
         began = time.perf_counter()
         self._take_one(item)
@@ -300,7 +290,7 @@
         self._spent(took)
         self._taking_s += took
 
-    def _take_one(self, item: _Message | int) -> None:
+    def _take_one(self, item: Message | int) -> None:
         self._busy = True
         self._server.owes(self)
         self._core = self._front.core
@@ -324,7 +314,7 @@
                 self._title = "gateway fault"
                 self.answer(500)
 
-    def _serve(self, message: _Message) -> None:
+    def _serve(self, message: Message) -> None:
         try:
             target = read_target(message.url, message.headers.get(b"host"), message.old)
         except TargetError as error:
@@ -374,7 +364,7 @@
         self._title = cause
         self.answer(503, retry_after_ms=NO_MODULE_MS)
 
-    def _order(self, message: _Message, target: Target, entry: Entry, slot: Slot) -> Order:
+    def _order(self, message: Message, target: Target, entry: Entry, slot: Slot) -> Order:
         """The request as its tenant's module and hosts are told of it; BadRequestError where it is none."""
         headers, tenant = message.headers, entry.tenant
         route = Router.route(entry, message.method, target.path, headers)
@@ -437,7 +427,7 @@
                 {"status": status, "title": TITLES.get(status, "bad request"), "detail": detail}
             ).encode()
             content_type = b"application/problem+json"
-        if self._service.draining:
+        if self._service.draining and not self._more():
             self._keep_alive = False
         super().answer(status, body, content_type, retry_after_ms)
         if not self.transport.is_closing():
@@ -446,7 +436,7 @@
 
 
 def _head(
-    message: _Message,
+    message: Message,
     target: Target,
     route: model.Route,
     cls: api.RequestClass,
@@ -484,7 +474,7 @@
     return b"".join(lines)
 
 
-def _rest(message: _Message) -> list[bytes]:
+def _rest(message: Message) -> list[bytes]:
     """The client's own header lines, but for those that it says are for this connection only."""
     assert isinstance(message, _TenantMessage)
     named = frozenset(
@@ -594,10 +584,7 @@
         owner = max(self._idle, key=lambda o: clients.holds(o) / clients.entitled(o), default=None)
         if owner is None:
             return False
-        oldest = next(iter(self._idle[owner]))
-        self.closed(oldest)
-        oldest.transport.abort()
-        return True
+        return self._give_up(self._idle[owner])
 
     def _asked(self) -> bool:
         """Whether a client waits to be accepted: nobody gives anything up for none."""
--- a/yewstage/hosted/service.py
+++ b/yewstage/hosted/service.py
@@ -17,9 +17,9 @@
 from yewstage.hosted.hostfiles import HostFiles
 from yewstage.hosted.resources import TURN_S, Resources
 from yewstage.hosted.stats import Stats
-from yewstage.net.clients import Terms
 from yewstage.net.core import Pulse
 from yewstage.net.discovery import Listing
+from yewstage.net.requests import Terms
 from yewstage.tenants import model, router
 from yewstage.tenants.addresses import AddressBook
 from yewstage.tenants.registry import Change, Registry, changes_between
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -1,4 +1,4 @@
-"""The server side: parses and validates requests, and gives each one exactly one answer."""
+"""The server side: takes requests off connections, and gives each one exactly one answer."""
 
 from __future__ import annotations
 
@@ -10,14 +10,17 @@
 import socket
 import time
 from collections import deque
-from functools import lru_cache, partial
+from functools import partial
+from itertools import islice
 from typing import Any, ClassVar, Final, Generic, Protocol, TypeVar, cast
 
 import httptools
 
 from yewstage import interface as api
+from yewstage.net.closing import LINGER_BYTES, LINGER_S, HangUps, unread
 from yewstage.net.core import Client, Order
 from yewstage.net.http1 import BLANKS, LONGEST_BODY, NO_BODY, NOT_UP
+from yewstage.net.requests import WANTED, BadRequestError, Message, Terms, check_framing, order
 
 log = logging.getLogger(__name__)
 Connection = TypeVar("Connection", bound="ClientConnection")
@@ -27,12 +30,16 @@
 LONGEST_HEAD: Final = 32 * 1024
 LONGEST_FRAME: Final = 2 * LONGEST_BODY  # a body as it stands on the wire, with its chunk lines
 MOST_AHEAD: Final = 16  # requests that may wait behind the open one on a connection
+# Bytes that are read, and not yet parsed, behind requests that wait: on one connection, and on all
+AHEAD_BYTES: Final = 256 * 1024
+MOST_AHEAD_BYTES: Final = 4 * 1024 * 1024
+HEAR_S: Final = 0.4  # a drain leaves a connection that has asked for nothing yet so much time to do so
+ROOM_LOOKS: Final = 8  # connections owed nothing that are looked at when one of them has to go
 # How long a head may take to come in, the first one from the connect on: slow clients need 2 s
 READ_S: Final = 2.6
 STALL_S: Final = 2.4  # how long a body may stand still
 BODY_S, BODY_RATE = 5.0, 16_384.0  # how long it may take in all, and what it must bring a second beyond that
 IDLE_S: Final = 4.0  # how long a connection is kept after its last answer
-LINGER_S, LINGER_BYTES = 1.0, 1024 * 1024  # how much of a rejected request is read before the close
 SWEEP_S: Final = 0.25
 ACCEPT_PAUSE_S: Final = 0.05
 # Spacing of the looks for connections that carry nothing, while another process takes over
@@ -44,125 +51,7 @@
            429: b"Too Many Requests", 500: b"Internal Server Error", 502: b"Bad Gateway",
            503: b"Service Unavailable", 504: b"Gateway Timeout"}
 LINES: Final = {status: b"HTTP/1.1 %d %b\r\n" % (status, reason) for status, reason in REASONS.items()}
-WANTED: Final = frozenset((b"x-request-id", b"x-class", b"plan", b"x-deadline", b"quota-info", b"x-retry",
-                    b"idempotency-key", b"content-length", b"content-type", b"transfer-encoding", b"expect"))
-WORD: Final = re.compile(rb"[!-~]{1,128}")
 ABSOLUTE: Final = re.compile(rb"^https?://[^/?#]*(?=/)", re.IGNORECASE)
-CUSTOMER: Final = re.compile(rb"0{7}[01][0-9a-fA-F]{8}")  # 33 bits
-DEADLINE: Final = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
-UNITS: Final = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
-WHOLE: Final = re.compile(r"[0-9]{1,6}")
-
-
-class BadRequestError(ValueError):
-    """A request that is turned away, and its connection closed."""
-
-    def __init__(self, text: str, status: int = 400) -> None:
-        super().__init__(text)
-        self.status = status
-
-
-class _Message:
-    """One request as parsed."""
-
-    __slots__ = ("url", "headers", "body", "size", "method", "keep_alive", "twice", "head", "read_at",
-                 "old", "body_at", "moved_at", "upload")
-
-    def __init__(self) -> None:
-        self.url = b""
-        self.headers: dict[bytes, bytes] = {}
-        self.body: list[bytes] = []
-        self.size = 0
-        self.method = b""
-        self.keep_alive = True
-        self.head = 0  # bytes of its headers
-        self.twice = False  # a header that we go by came twice
-        self.read_at = 0.0
-        self.body_at = self.moved_at = 0.0  # when its head was whole, and when more of its body came last
-        self.upload: Any = None  # its body, if that is passed on as it comes
-        self.old = False  # HTTP/1.0, where that is looked at
-
-
-class Terms:
-    """What a request may name: classes and plans as they stand in its headers, units, sets of gateways."""
-
-    def __init__(self, settings: api.Settings) -> None:
-        self.classes = {c.name.encode(): c for c in settings.classes}
-        self.plans = {p.name.encode(): p.name for p in settings.plans}
-        self._most_units, self._gateways = settings.most_units, settings.fleet_size
-        self.quota_info = lru_cache(maxsize=1024)(self._quota_info)  # a few values make up all traffic
-
-    def _quota_info(self, value: bytes) -> tuple[float, int, int]:
-        """`units=2,spread=3,first=1`. Guards quotas and ceilings, in which a wild figure would stay."""
-        fields = dict(part.strip().partition("=")[::2] for part in value.decode("latin-1").split(","))
-        units, spread, first = (fields.get(name, "") for name in ("units", "spread", "first"))
-        if not (UNITS.fullmatch(units) and WHOLE.fullmatch(spread) and WHOLE.fullmatch(first)):
-            raise BadRequestError("Quota-Info")
-        if not (0 < float(units) <= self._most_units and 1 <= int(spread) <= self._gateways
-                and int(first) < self._gateways):
-            raise BadRequestError("Quota-Info: out of range")
-        return float(units), int(spread), int(first)
-
-
-def order(message: _Message, terms: Terms) -> Order:
-    """A request for `/api/` as an `Order`; BadRequestError where it breaks the protocol."""
-    headers = message.headers
-    path, _, _ = message.url.partition(b"?")
-    customer = path.rpartition(b"/")[2]
-    if not CUSTOMER.fullmatch(customer):
-        raise BadRequestError("customer")
-    cls = terms.classes.get(headers.get(b"x-class", b""))
-    plan = terms.plans.get(headers.get(b"plan", b""))
-    if cls is None or plan is None:
-        raise BadRequestError("class or plan")
-    deadline = DEADLINE.fullmatch(headers.get(b"x-deadline", b""))
-    if deadline is None:
-        raise BadRequestError("X-Deadline")
-    time_left_ms = float(deadline[1]) / (1 if deadline[2] == b"m" else 1000)
-    units, width, first = terms.quota_info(headers.get(b"quota-info", b""))
-    # No client of a class waits for longer than its deadline, whatever it says.
-    return Order(headers.get(b"x-request-id", b""), cls.name, plan, customer.decode().lower(),
-                 min(time_left_ms, cls.deadline_ms), units, width, first, headers.get(b"x-retry") == b"1",
-                 message.read_at, _head(message, cls), b"".join(message.body), upload=message.upload)
-
-
-def check_framing(message: _Message, longest: int = LONGEST_BODY) -> None:
-    """Turn away at its head what could be read in two ways, or is longer than may be passed on.
-
-    Guards against a request hidden in another's body: which bytes are body must not be a matter of opinion.
-    """
-    length = message.headers.get(b"content-length")
-    coding = message.headers.get(b"transfer-encoding")
-    if message.twice:
-        raise BadRequestError("a header came twice")
-    if coding is not None and (length is not None or coding.strip().lower() != b"chunked"):
-        raise BadRequestError("Transfer-Encoding")
-    if length is not None and not length.isdigit():
-        raise BadRequestError("Content-Length")
-    if length is not None and int(length) > longest:
-        raise BadRequestError("Content-Length", 413)
-
-
-def _head(message: _Message, cls: api.RequestClass) -> bytes:
-    """The head for the host: method, path, query, id and key unchanged."""
-    headers, key = message.headers, message.headers.get(b"idempotency-key")
-    rid = headers.get(b"x-request-id", b"")
-    if not WORD.fullmatch(rid) or (key is not None and not WORD.fullmatch(key)):
-        raise BadRequestError("X-Request-Id or Idempotency-Key")
-    # A class that may not simply be repeated must not come as a method that may.
-    if message.method != (b"GET" if cls.effect == "safe" else b"POST"):
-        raise BadRequestError("method")
-    if (cls.effect == "keyed" and key is None) or (cls.effect == "safe" and message.size):
-        raise BadRequestError("Idempotency-Key or body")
-    lines = [b"%b %b HTTP/1.1\r\nHost: upstream\r\nX-Request-Id: %b\r\n" % (message.method, message.url, rid)]
-    if key is not None:
-        lines.append(b"Idempotency-Key: %b\r\n" % key)
-    if message.method == b"POST":
-        lines.append(b"Content-Length: %d\r\n" % message.size if message.upload is None
-                     else message.upload.framing())
-    if b"content-type" in headers:
-        lines.append(b"Content-Type: %b\r\n" % headers[b"content-type"])
-    return b"".join(lines)
 
 
 class Taker(Protocol):
@@ -203,7 +92,7 @@
     wanted = WANTED  # the headers that are kept
     longest = LONGEST_BODY  # a body that is said to be longer is turned away at its head
     longest_read = LONGEST_HEAD + LONGEST_FRAME  # of a request with its chunk lines
-    message: type[_Message] = _Message  # what one request is read into
+    message: type[Message] = Message  # what one request is read into
     _serving: Any = None  # the body of the request that is owed an answer, where it is passed on as it comes
     _held = False  # no host takes that body: read no more of it
     more = b""  # further header lines of the answer that is being written
@@ -212,8 +101,8 @@
         self._server, self._core = server, server.core
         self.transport = NOT_UP
         self._parser = httptools.HttpRequestParser(self)
-        self._message: _Message | None = None  # being read
-        self._queue: deque[_Message | int] = deque()  # whole, or the status of a bad one
+        self._message: Message | None = None  # being read
+        self._queue: deque[Message | int] = deque()  # whole, or the status of a bad one
         self._open: str | None = None  # id of the request that is owed an answer
         self._busy = False  # a request is owed an answer
         self._keep_alive = True
@@ -221,6 +110,9 @@
         self._status = 400  # for what is found to be bad while it is parsed
         self.answered = False  # at least one request
         self._pumping = self._paused = False
+        self._ahead: list[bytes] = []  # what came behind requests that wait, unparsed
+        self._ahead_size = 0
+        self._flooded = False  # more came than is kept: it is forgotten, and what waits goes last
         self._blocked = False  # the client does not read its answers
         self._taken = 0  # bytes of the message being read, or of a rejected one's rest
         self.since = 0.0  # when it was opened, became idle, or the message being read began
@@ -232,11 +124,38 @@
         self._server.opened(self)
 
     def data_received(self, data: bytes) -> None:
-        self._taken += len(data)
-        if self._ending:
+        if self._ending or self._flooded:
+            self._taken += len(data)
             if self._taken > LINGER_BYTES:
-                self.transport.abort()
+                if self._busy or self._queue:
+                    self._read_or_wait()  # it is owed answers
+                else:
+                    self.transport.abort()
+        elif self._queue:
+            self._stash(data)
+        else:
+            self._feed(data)
+            self._pump()
+
+    def _stash(self, data: bytes) -> None:
+        """Keep what comes behind requests that wait, or as much of it as there is room for.
+
+        Danger: a client that sends much at once and goes. Its end stands behind all that it sent, and shows
+        only once that is read; unread, its requests would be sent on for nobody one by one.
+        Hurts: who has more than that in the pipe gets the rest back unanswered, at the connection's end.
+        """
+        if (self._ahead_size + len(data) > AHEAD_BYTES
+                or self._server.ahead + len(data) > MOST_AHEAD_BYTES):
+            self._forget_ahead()
+            self._flooded, self._taken = True, len(data)
             return
+        self._ahead.append(data)
+        self._ahead_size += len(data)
+        self._server.ahead += len(data)
+
+    def _feed(self, data: bytes) -> None:
+        """Parse what has come."""
+        self._taken += len(data)
         if self._message is None and not self._busy and self.answered:
             self._server.waits(self)
         try:
@@ -247,11 +166,10 @@
         except httptools.HttpParserUpgrade:  # not offered: the request is answered, and is the last
             self._ending = True
             last = self._queue[-1]
-            if isinstance(last, _Message):
+            if isinstance(last, Message):
                 last.keep_alive = False
         except httptools.HttpParserError:
             self._reject(self._status)
-        self._pump()
 
     def pause_writing(self) -> None:
         self._blocked = True  # guards the memory: no further request is taken until the answers are read
@@ -261,15 +179,37 @@
         self._pump()
 
     def eof_received(self) -> None:
-        """The client has gone away; the transport closes itself."""
+        """The client has gone away; the transport closes itself once what was answered has left.
+
+        Danger: with answers that nobody reads that is never. So what is open for the client ends now, and
+        the connection in a while (`check`).
+        """
+        self._gone()
+        self._server.waits(self)
+
+    def hung_up(self) -> None:
+        """The client has gone away while it was not being read."""
+        self._gone()
+        self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.closed(self)
+        self._gone()
+
+    def _gone(self) -> None:
+        """Nobody reads what would still be answered: nothing more is taken, what is open is called off."""
         self._ending = True
         self._queue.clear()
-        if self._open is not None:
-            self._core.left(self._open)
-            self._open = None
+        self._forget_ahead()
+        self._server.hang_ups.forget(self)
+        rid, self._open = self._open, None
+        if rid is not None:
+            self._core.left(rid)
+
+    def _forget_ahead(self) -> None:
+        self._server.ahead -= self._ahead_size
+        self._ahead.clear()
+        self._ahead_size = 0
 
     # httptools; what these raise reaches data_received as an HttpParserError
 
@@ -347,28 +287,43 @@
         if not self._ending:
             self._ending = True
             self._message = None
+            self._taken = 0
             self._queue.append(status)
 
     def _pump(self) -> None:
-        """Take what waits, one request at a time; read on only while nothing waits."""
-        if self._pumping or self.transport is NOT_UP or not (self._queue or self._paused):
+        """Take what waits, one request at a time; parse on only while nothing waits."""
+        if self._pumping or self.transport is NOT_UP or not (self._queue or self._paused or self._ahead):
             return
         self._pumping = True
         try:
-            while self._queue and not self._busy and not self._blocked:
-                self._take(self._queue.popleft())
+            while True:
+                while self._queue and not self._busy and not self._blocked:
+                    self._take(self._queue.popleft())
+                if self._queue or self._ending or not self._ahead:
+                    break
+                data = b"".join(self._ahead)
+                self._forget_ahead()
+                self._feed(data)
         finally:
             self._pumping = False
         if self._queue or self._held or self._paused:
             self._read_or_wait()
 
     def _read_or_wait(self) -> None:
-        wait = bool(self._queue) or self._held
-        if wait != self._paused and not self.transport.is_closing():
-            self._paused = wait
-            (self.transport.pause_reading if wait else self.transport.resume_reading)()
+        # What is read only to be forgotten has its bound, and answers that are owed go before it.
+        wait = self._held or ((self._ending or self._flooded) and self._taken > LINGER_BYTES
+                              and (self._busy or bool(self._queue)))
+        if wait == self._paused or self.transport.is_closing():
+            return
+        self._paused = wait
+        if wait:
+            self.transport.pause_reading()
+            self._server.hang_ups.watch(self)
+        else:
+            self._server.hang_ups.forget(self)
+            self.transport.resume_reading()
 
-    def _take(self, item: _Message | int) -> None:
+    def _take(self, item: Message | int) -> None:
         self._busy = True
         self._server.owes(self)
         try:
@@ -382,7 +337,7 @@
             self._keep_alive = False  # guards against a flood on one connection: it has to come again
             self.answer(error.status)
 
-    def _serve(self, message: _Message) -> None:
+    def _serve(self, message: Message) -> None:
         if message.url[:1] != b"/":
             message.url = ABSOLUTE.sub(b"", message.url) or b"/"  # RFC 9112 section 3.2.2
         path = message.url.partition(b"?")[0]
@@ -412,7 +367,8 @@
             return
         self._server.waits(self)
         heir = self._server.heir
-        keep = self._keep_alive and (heir is not None or not self._core.draining)
+        keep = (self._keep_alive and (bool(self._queue) or not self._flooded)
+                and (heir is not None or not self._core.draining or self._more()))
         parts = [LINES.get(status) or b"HTTP/1.1 %d \r\n" % status]
         if status not in NO_BODY:
             parts.append(b"Content-Length: %d\r\n" % len(body))
@@ -427,7 +383,7 @@
         parts.append(body)
         self.transport.write(b"".join(parts))
         if not keep:
-            self._end(status)
+            self._end()
         elif heir is not None:
             self._server.loop.call_soon(self.hand_on)
         self._pump()
@@ -436,17 +392,22 @@
         """The header's line; the platform reads decimals."""
         return b"Retry-After: %.3f\r\n" % (wait_ms / 1000)
 
-    def _end(self, status: int) -> None:
-        """Close after the last answer. What a rejected client still sends is read for a while: a close with
-        unread data resets the connection, and the answer with it."""
-        unread = self._message is not None or 400 <= status < 500
+    def _more(self) -> bool:
+        """Whether more has arrived than the request that is open, so that this answer is not the last."""
+        return (bool(self._queue) or bool(self._ahead) or self._message is not None
+                or unread(self.transport))
+
+    def _end(self) -> None:
+        """Shut our side after the last answer, and read on for a while (net/closing.py)."""
+        if self.transport.is_closing():
+            return
         self._ending = True
         self._queue.clear()
+        self._forget_ahead()
         self._taken = 0
-        if unread:
-            self.transport.write_eof()
-        else:
-            self.transport.close()
+        self.since = self._server.loop.time()
+        self.transport.write_eof()
+        self._read_or_wait()
 
     def check(self, now: float) -> None:
         """Close if the client has been silent, idle or slow to send its request for too long."""
@@ -459,13 +420,14 @@
                 self._reject(408)
                 self._pump()
         elif waited > (IDLE_S if self.answered else READ_S):
-            self.transport.close()
+            self.close_if_idle()
 
     def hand_on(self) -> bool:
         """Pass the connection on to the server's heir, if it carries nothing and all answers have left."""
         heir, transport = self._server.heir, self.transport
-        if (heir is None or self._busy or self._message is not None or self._queue or self._ending
-                or transport is NOT_UP or transport.is_closing() or transport.get_write_buffer_size()):
+        if (heir is None or self._busy or self._message is not None or self._queue or self._ahead
+                or self._ending or transport is NOT_UP or transport.is_closing()
+                or transport.get_write_buffer_size()):
             return False
         heir.take(os.dup(transport.get_extra_info("socket").fileno()))
         self._ending = True
@@ -483,9 +445,18 @@
                 or now - message.body_at > BODY_S + message.size / BODY_RATE)
 
     def close_if_idle(self) -> None:
-        """Close unless a request is owed its answer or is being read."""
-        if not self._busy and self._message is None and not self._queue:
-            self.transport.close()
+        """Close unless a request is owed its answer, is being read, or has come and is unread."""
+        if not (self._busy or self._ending or self.transport.is_closing() or self._more()):
+            self._end()
+
+    def drain(self, now: float) -> None:
+        """Close if idle; one that has asked for nothing yet is left some time to do so."""
+        if self.answered or now - self.since > HEAR_S:
+            self.close_if_idle()
+
+    def spare(self) -> bool:
+        """Whether it can be closed at once with nothing lost: all answers have left, nothing has come."""
+        return not self.transport.get_write_buffer_size() and not unread(self.transport)
 
 
 def _itself(connection: ClientConnection) -> asyncio.Protocol:
@@ -500,6 +471,8 @@
     def __init__(self, core: Taker, loop: asyncio.AbstractEventLoop, sockets: int) -> None:
         self.core, self.loop = core, loop
         self.terms = self._read_terms()  # of the requests that come
+        self.hang_ups = HangUps(loop)
+        self.ahead = 0  # bytes kept behind requests that wait, on all connections
         self.connections: set[Connection] = set()
         # Owed nothing, the longest first: those that have had an answer, and those still to be heard.
         self._kept: dict[Connection, None] = {}
@@ -595,17 +568,18 @@
         self._listeners.clear()
 
     def stop_accepting(self) -> None:
-        """Close the listening socket, once what has come to it is accepted."""
-        if self._accepting:
+        """Close the listening socket, once all that has come to it is accepted."""
+        if not self._lent:
             for listener in self._listeners:
-                self._accept(listener)
+                self._accept(listener, BACKLOG)
         self._drop_listeners()
 
     def close_idle(self) -> bool:
         """Close the connections that carry nothing, or pass them on; True once none is left."""
         if self.heir is None:
+            now = self.loop.time()
             for connection in list(self.connections):
-                connection.close_if_idle()
+                connection.drain(now)
         return not self.connections and not self._pending and (self.heir is None or self.heir.took())
 
     def opened(self, connection: Connection) -> None:
@@ -653,20 +627,24 @@
         """
         if self._free():
             return True
-        oldest = next(iter(self._kept or self._unheard), None)
-        if oldest is None:
-            return False
-        self.closed(oldest)
-        oldest.transport.abort()
-        return True
+        return self._give_up(self._kept) or self._give_up(self._unheard)
+
+    def _give_up(self, idle: dict[Connection, None]) -> bool:
+        """End the one idle for longest that can be ended at once with nothing lost; whether there was one."""
+        for connection in islice(idle, ROOM_LOOKS):
+            if connection.spare():
+                self.closed(connection)
+                connection.transport.abort()
+                return True
+        return False
 
     def _free(self) -> bool:
         return len(self.connections) + len(self._coming) < self._most
 
-    def _accept(self, listener: socket.socket) -> None:
+    def _accept(self, listener: socket.socket, most: int = ACCEPTS) -> None:
         # Guards the descriptors: beyond the bound clients wait in the backlog, and a failing accept is
         # tried again later. Neither may end the listener.
-        for _ in range(ACCEPTS):
+        for _ in range(most):
             if not self._room():
                 self._pause()
                 return
--- a/yewstage/net/flows.py
+++ b/yewstage/net/flows.py
@@ -19,9 +19,10 @@
 from typing import Any, ClassVar, Final
 
 from yewstage import interface as api
-from yewstage.net.clients import BadRequestError, ClientConnection, Server
+from yewstage.net.clients import ClientConnection, Server
 from yewstage.net.hosts import Attempt, Hosts, _Connection
 from yewstage.net.http1 import LONGEST_BODY, NO_BODY, Reply
+from yewstage.net.requests import BadRequestError
 
 LONGEST_UPLOAD: Final = 33 * 1024 * 1024
 KEPT: Final = 128 * 1024  # of a body, for a further attempt
@@ -168,8 +169,7 @@
             self._queue.remove(message)
             super()._reject(status)
         elif upload.unwanted or self._open is None:
-            self._ending = True
-            self.transport.close()  # it has had its answer
+            self._end()  # it has had its answer
         else:
             self._keep_alive = False
             self._core.broken(self._open, status)
@@ -187,7 +187,8 @@
     def begin(self, reply: Reply, source: FlowHostConnection) -> None:
         """Write the head of a long answer; the rest follows by `piece` and `finish`, or `cut`."""
         self._source = source
-        keep = self._keep_alive and (self._server.heir is not None or not self._core.draining)
+        keep = (self._keep_alive and (bool(self._queue) or not self._flooded)
+                and (self._server.heir is not None or not self._core.draining or self._more()))
         old = self._parser.get_http_version() == "1.0"
         self._chunked = reply.length is None and not old
         self._keep_alive = keep and (reply.length is not None or self._chunked)
@@ -217,7 +218,7 @@
         if self._chunked:
             self.transport.write(b"0\r\n\r\n")
         if not self._keep_alive:
-            self._end(200)
+            self._end()
         elif self._server.heir is not None:
             self._server.loop.call_soon(self.hand_on)
         self._pump()
@@ -238,12 +239,12 @@
             self._source.hold(False)
         super().resume_writing()
 
-    def connection_lost(self, exc: Exception | None) -> None:
+    def _gone(self) -> None:
         self._uploads.discard(self)
         upload, self._upload = self._upload, None
         if upload is not None:
             upload.unwanted = True
-        super().connection_lost(exc)
+        super()._gone()
 
 
 class FlowServer(Server[FlowConnection]):
--- a/yewstage/net/life.py
+++ b/yewstage/net/life.py
@@ -6,13 +6,15 @@
 import logging
 import sys
 import time
+from math import inf
 from typing import Any, Protocol
 
 from yewstage.net.clients import Server
 
 ACCEPT_S = 0.5  # after SIGTERM, connections still come for 0.4 s
 LONGEST_S = 3.0  # SIGKILL comes 0.7 s after the longest deadline, or this if that is less, at the soonest
-LAST_S = 0.4
+LAST_S = 0.4  # after the longest deadline all that is open is answered as failed
+FLUSH_S = 0.2  # how long these last answers may take to leave; SIGKILL comes 0.1 s after that at the soonest
 CHECK_S = 0.02
 LINES_PER_S = 20
 
@@ -61,6 +63,7 @@
                  most_s: float = LONGEST_S) -> None:
         self._core, self._server, self._loop, self._most_s = core, server, loop, most_s
         self.done = asyncio.Event()
+        self._ends_at = inf
 
     def begin(self) -> None:
         """The signal."""
@@ -77,12 +80,14 @@
 
     def _check(self) -> None:
         # An answer closes its connection while we drain, so with the last connection all is answered.
-        if self._server.close_idle():
+        if self._server.close_idle() or self._loop.time() > self._ends_at:
             self.done.set()
         else:
             self._loop.call_later(CHECK_S, self._check)
 
     def _end(self) -> None:
-        # Guards against SIGKILL: what is open then would be lost, an answer now is none too late.
+        # Guards against SIGKILL: what is open then would be lost, an answer now is none too late. The checks
+        # go on, so the process ends with the last client that has read its answer, or after FLUSH_S: an exit
+        # over answers that have not left, or over unread bytes, would take them along.
         self._core.fail_all()
-        self._loop.call_later(CHECK_S, self.done.set)
+        self._ends_at = self._loop.time() + FLUSH_S
