Settings that are turned down say what was found and what may stand there

Need: an error names field, found, allowed; Settings.check and the configuration's reader left out what was found, and for names that stand twice, which. No value is turned down that was taken before.

--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -102,33 +102,39 @@
     tip_after_ms: float = 0.0
 
     def check(self) -> None:
-        """Refuse settings that make no sense, naming the field."""
+        """Refuse settings that make no sense: the field, what was found, what may stand there."""
         if not self.classes:
-            raise ValueError("classes: at least one is needed")
+            raise ValueError("classes: found none, expected at least one")
         if self.fleet_size < 1:
-            raise ValueError("fleet_size: must be 1 or more")
+            raise ValueError(f"fleet_size: found {self.fleet_size}, expected 1 or more")
         if self.most_customers < 1:
-            raise ValueError("most_customers: must be 1 or more")
-        if len({c.name for c in self.classes}) < len(self.classes):
-            raise ValueError("classes: a name stands there twice")
-        if len({p.name for p in self.plans}) < len(self.plans):
-            raise ValueError("plans: a name stands there twice")
+            raise ValueError(f"most_customers: found {self.most_customers}, expected 1 or more")
+        for what, names in (("classes", [c.name for c in self.classes]),
+                            ("plans", [p.name for p in self.plans])):
+            twice = sorted({name for name in names if names.count(name) > 1})
+            if twice:
+                raise ValueError(f"{what}: found {twice[0]!r} twice, expected each name once")
         if not 0 <= self.me < self.fleet_size:
-            raise ValueError("me: must lie in 0 .. fleet_size - 1")
+            raise ValueError(f"me: found {self.me}, expected 0 to {self.fleet_size - 1}, below fleet_size")
         for c in self.classes:
-            if c.aim_ms <= 0 or c.deadline_ms <= 0:
-                raise ValueError(f"classes[{c.name}].aim_ms, deadline_ms: must be above 0")
+            for name in ("aim_ms", "deadline_ms"):
+                if getattr(c, name) <= 0:
+                    raise ValueError(f"classes[{c.name}].{name}: found {getattr(c, name):g}, "
+                                     "expected above 0")
             if c.effect not in ("safe", "keyed", "unsafe"):
-                raise ValueError(f"classes[{c.name}].effect: {c.effect!r} is not safe, keyed or unsafe")
+                raise ValueError(f"classes[{c.name}].effect: found {c.effect!r}, "
+                                 "expected safe, keyed or unsafe")
             if c.key_scope not in ("all", "zone", "cell"):
-                raise ValueError(f"classes[{c.name}].key_scope: {c.key_scope!r} is not all, zone or cell")
+                raise ValueError(f"classes[{c.name}].key_scope: found {c.key_scope!r}, "
+                                 "expected all, zone or cell")
         for p in self.plans:
             for name in ("rate", "burst", "ceiling_rate", "ceiling_burst", "ceiling_slack", "parallel"):
                 if getattr(p, name) < 0:
-                    raise ValueError(f"plans[{p.name}].{name}: must not be negative")
+                    raise ValueError(f"plans[{p.name}].{name}: found {getattr(p, name):g}, "
+                                     "expected 0 or more")
         for name in ("cold_ms", "fall_multiple", "tip_after_ms", "tick_ms", "try_limit"):
             if getattr(self, name) < 0:
-                raise ValueError(f"{name}: must not be negative")
+                raise ValueError(f"{name}: found {getattr(self, name):g}, expected 0 or more")
 
 
 @dataclass(slots=True, frozen=True)
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -110,7 +110,7 @@
     """A field of the form HOST:PORT."""
     host, colon, port = str(raw.get(field, "")).rpartition(":")
     if not colon or not host or not (port.isascii() and port.isdigit() and int(port) < 65536):
-        raise ConfigError(f"{field}: {raw.get(field)!r} is not HOST:PORT")
+        raise ConfigError(f"{field}: found {raw.get(field)!r}, expected HOST:PORT")
     return host.strip("[]"), int(port)
 
 
@@ -132,7 +132,7 @@
 def _object(raw: Mapping[str, object], field: str) -> dict[str, object]:
     value = raw.get(field)
     if not isinstance(value, dict):
-        raise ConfigError(f"{field}: must be an object")
+        raise ConfigError(f"{field}: found {value!r:.40}, expected an object")
     return value
 
 
@@ -180,7 +180,7 @@
     except ValueError as error:
         raise ConfigError(f"settings: {key}: {error}") from None
     if value <= 0:
-        raise ConfigError(f"settings: {key}: must be above 0")
+        raise ConfigError(f"settings: {key}: found {value:g}, expected above 0")
     return value
 
 
@@ -188,13 +188,14 @@
     try:
         return int(str(raw.get("seed", "")), 16)
     except ValueError:
-        raise ConfigError(f"seed: {raw.get('seed')!r} is not a hex number") from None
+        raise ConfigError(f"seed: found {raw.get('seed')!r}, expected a hex number") from None
 
 
 def _sockets(raw: Mapping[str, object]) -> int:
     limits = raw.get("limits") or {}
     value = limits.get("sockets", DEFAULT_SOCKETS) if isinstance(limits, dict) else None
     if not isinstance(value, int) or value < LEAST_SOCKETS:
-        raise ConfigError(f"limits.sockets: must be a whole number of {LEAST_SOCKETS} or more")
+        raise ConfigError(f"limits.sockets: found {value!r}, expected a whole number of {LEAST_SOCKETS} "
+                          "or more")
     allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]  # the system's own limit may be lower
     return value if allowed == resource.RLIM_INFINITY else min(value, allowed)
