Lab: a cold host bears its budget and chance, N + 2 root N + 2, whoever of the fleet sends it

Need: the operators' terms let a cold host fall by the sum over all processes, with only 2 x root N + 2 beyond the budget of N for chance.

Change: Host._push reckons the budget in requests of the mean work that came, and adds the slack. A test feeds budgets of 1, 4, 25 and 100 up to the last request that is borne, and one more.

--- a/tests/lab/test_virtual.py
+++ b/tests/lab/test_virtual.py
@@ -6,6 +6,8 @@
 
 from yewstage.lab.traffic import ClassTraffic, PlanTraffic, TrafficModel, tries
 from yewstage.lab.virtual.counter import CounterModel
+from yewstage.lab.virtual.hosts import Host, HostModel, Job
+from yewstage.lab.virtual.loop import Loop
 from yewstage.lab.virtual.world import DayModel, World
 
 READ = ClassTraffic("read", 0.7, 300.0, 5000.0, 20_000.0, 3.0)
@@ -96,6 +98,20 @@
     assert 0 < host.most_push <= 1 and not host.fallen
 
 
+@pytest.mark.parametrize("budget", [1, 4, 25, 100])
+def test_a_cold_host_bears_its_budget_and_chance_and_no_more(budget: int) -> None:
+    """From all gateways together: it does not matter whose requests they are."""
+    loop = Loop(1.0)
+    model = HostModel(cores=1, cold_from=0.5, cold_ms=1e9, fall_multiple=2.0, fall_ms=1000.0, waiting=1000)
+    host = Host(loop, "h", "a", model, started_ms=1.0)
+    work = model.fall_multiple * model.cold_from * model.fall_ms / budget  # so many are its budget
+    bears = max(int(budget + 2 * budget**0.5 + 2 + 1e-6), 2)
+    for count in range(bears + 1):
+        assert not host.fallen, count
+        host.came(Job(f"r{count}", work, lambda result: None))
+    assert host.fallen
+
+
 @pytest.mark.parametrize("trouble", ["none", "cut", "killed", "no counter"])
 def test_every_try_is_answered_before_its_client_gives_up(trouble: str) -> None:
     world = day()
--- a/yewstage/lab/virtual/hosts.py
+++ b/yewstage/lab/virtual/hosts.py
@@ -9,6 +9,7 @@
 from yewstage.lab.clock import Clock
 
 READY, DRAINING = "ready", "draining"
+CHANCE = 2.0  # of a cold host's budget of N requests, N + CHANCE x (root N + 1) push nobody over
 
 
 @dataclass(slots=True, frozen=True)
@@ -53,6 +54,7 @@
         self._running: list[Job] = []
         self._recent: deque[tuple[float, float]] = deque()  # work that came while cold, and when
         self._recent_sum = 0.0
+        self._work = 0.0  # of all attempts that came
         self.most_push = 0.0  # the most that came in a window, as a share of what makes it fall
 
     def warmth(self) -> float:
@@ -69,6 +71,7 @@
     def came(self, job: Job) -> None:
         """One attempt has come whole."""
         self.asked += 1
+        self._work += job.work
         self._push(job.work)
         if self.state == DRAINING:
             self._end(job, "draining")
@@ -110,7 +113,12 @@
         self._recent_sum += work
         while self._recent[0][0] <= now - span:
             self._recent_sum -= self._recent.popleft()[1]
-        push = self._recent_sum / (self.model.fall_multiple * self.capacity() * span)
+        if not self._work:
+            return
+        # What comes beyond the budget by chance, since gateways do not draw together, pushes nobody over.
+        mean = self._work / self.asked
+        budget = self.model.fall_multiple * self.capacity() * span / mean
+        push = self._recent_sum / mean / (budget + CHANCE * budget**0.5 + CHANCE)
         self.most_push = max(self.most_push, push)
         if push > 1 and len(self._recent) > 2:  # one or two large requests alone push nobody over
             self.fallen = True
