Who gives way for room has gone before the next client is accepted

Need: idle clients may fill the descriptors while discovery is down, and must not take what hosts, counter and discovery were to have.

Change: its room comes with its close; one goes at a time, and only while somebody waits. A full server that nobody waits for goes on listening. The hosted service's front, which had a way of its own, does the same.

--- a/tests/crossings/test_clients_that_leave.py
+++ b/tests/crossings/test_clients_that_leave.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import socket
 import struct
 from pathlib import Path
@@ -11,6 +10,7 @@
 import pytest
 from conftest import Rig, Seen, instance, message, on_loop, read_message, reply
 from standins.raw import Peer, RawHost
+from standins.system import Blocked, held, sockets
 
 RESET = struct.pack("ii", 1, 0)
 
@@ -79,53 +79,6 @@
     on_loop(scenario, 10)
 
 
-class Blocked:
-    """A host on whose address no connection ever comes up: its queue is full, and it takes none."""
-
-    def __enter__(self) -> Blocked:
-        self._listener = socket.socket()
-        self._listener.bind(("127.0.0.1", 0))
-        self._listener.listen(0)
-        self.port = self._listener.getsockname()[1]
-        self._waiting = [socket.socket() for _ in range(4)]
-        for sock in self._waiting:
-            sock.setblocking(False)
-            sock.connect_ex(("127.0.0.1", self.port))
-        return self
-
-    def dialled(self) -> bool:
-        """Whether anybody but we has a connection on its way."""
-        return sum(remote == self.port for _, remote, _ in rows()) > len(self._waiting)
-
-    def __exit__(self, *exc: object) -> None:
-        for sock in (*self._waiting, self._listener):
-            sock.close()
-
-
-def rows() -> list[tuple[int, int, int]]:
-    """The system's connections: local port, remote port, bytes that lie unread."""
-    with open("/proc/net/tcp") as lines:
-        parts = [line.split() for line in lines][1:]
-    return [(int(p[1].split(":")[1], 16), int(p[2].split(":")[1], 16), int(p[4].split(":")[1], 16))
-            for p in parts]
-
-
-def held(rig: Rig) -> bool:
-    """Whether something lies unread on one of the program's connections to clients."""
-    return any(local == rig.port and remote and unread for local, remote, unread in rows())
-
-
-def sockets(rig: Rig) -> int:
-    """How many sockets the program has open."""
-    count = 0
-    for name in os.listdir(folder := f"/proc/{rig.process.pid}/fd"):
-        try:
-            count += os.readlink(f"{folder}/{name}").startswith("socket:")
-        except FileNotFoundError:
-            pass  # closed since
-    return count
-
-
 def test_one_that_ends_its_side_and_does_not_read_its_answer(tmp_path: Path) -> None:
     """A close waits for the client to read what was answered: what is open for it must not wait, too."""
     async def scenario() -> None:
--- /dev/null
+++ b/tests/crossings/test_descriptors.py
@@ -0,0 +1,77 @@
+"""Idle clients that fill the descriptors while discovery is silent."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from conftest import Rig, Seen, instance, message, on_loop, read_message, reply
+from standins.desk import Desk, reads
+from standins.system import sockets
+
+MOST = 128
+
+
+def serve(seen: Seen) -> bytes:
+    return reply(b"served")
+
+
+def test_those_who_ask_get_in_and_what_discovery_tells_at_its_return_holds(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve, serve, sockets=MOST) as rig:
+            drained, stays = rig.hosts
+            speaks = rig.directory.fake.behave
+            rig.directory.fake.behave = lambda seen: None
+            rig.directory.waiting.clear()
+            idle = []
+            for i in range(2 * MOST):  # half of them have asked once
+                idle.append(await rig.connect())
+                if i % 2:
+                    reader, writer = idle[-1]
+                    writer.write(message(rid=b"once-%d" % i))
+                    assert (await read_message(reader, writer)).body == b"served"
+            for i in range(30):
+                assert await rig.status(message(rid=b"ask-%d" % i)) == 200
+            assert sockets(rig) < MOST
+            # It has given the silent watch up by now or does so; the next call is answered.
+            rig.directory.generation = 7
+            rig.directory.instances = [instance("s-0", drained.port, "draining"),
+                                       instance("s-1", stays.port)]
+            rig.directory.fake.behave = lambda seen: (
+                rig.directory.listing(rig.directory.instances, True) if "after=1&" in seen.line
+                else speaks(seen))
+            await rig.directory.fake.until(lambda fake: any("after=7&" in seen.line for seen in fake.seen))
+            before = len(drained.seen)
+            for i in range(10):
+                assert await rig.status(message(rid=b"told-%d" % i)) == 200
+            assert not [seen.headers["x-request-id"] for seen in drained.seen[before:]]
+            assert sockets(rig) < MOST
+            assert not any("accept failed" in line for line in rig.log)
+            for _, writer in idle:
+                writer.close()
+    on_loop(scenario, 15)  # a silent watch alone took 22 s before
+
+
+def test_who_gives_way_has_gone_before_the_next_one_is_accepted() -> None:
+    """A close takes a turn of the loop: what hosts, counter and discovery were to have is not lent out."""
+    async def scenario() -> None:
+        desk = Desk()
+        desk.server._most = 10
+        held = [desk.connect() for _ in range(10)]
+        while len(desk.server.connections) < 10:
+            await asyncio.sleep(0)
+        more = [desk.connect() for _ in range(5)]
+        before = sockets()
+        (listener,) = desk.server._listeners
+        desk.server._accept(listener)
+        assert sockets() == before
+        for i, client in enumerate(more):
+            client.sendall(message(rid=b"%d" % i))
+        while len(desk.taken) < 5:
+            assert sockets() <= before
+            await asyncio.sleep(0)
+        desk.answer_all()
+        assert [await reads(client) for client in more] == [[b"%d" % i] for i in range(5)]
+        for client in (*held, *more):
+            client.close()
+    on_loop(scenario, 5)
--- /dev/null
+++ b/tests/standins/system.py
@@ -0,0 +1,55 @@
+"""What the system tells of the real program's sockets, and a host on which no connection comes up."""
+
+from __future__ import annotations
+
+import os
+import socket
+
+from conftest import Rig
+
+
+class Blocked:
+    """A host on whose address no connection ever comes up: its queue is full, and it takes none."""
+
+    def __enter__(self) -> Blocked:
+        self._listener = socket.socket()
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(0)
+        self.port = self._listener.getsockname()[1]
+        self._waiting = [socket.socket() for _ in range(4)]
+        for sock in self._waiting:
+            sock.setblocking(False)
+            sock.connect_ex(("127.0.0.1", self.port))
+        return self
+
+    def dialled(self) -> bool:
+        """Whether anybody but we has a connection on its way."""
+        return sum(remote == self.port for _, remote, _ in rows()) > len(self._waiting)
+
+    def __exit__(self, *exc: object) -> None:
+        for sock in (*self._waiting, self._listener):
+            sock.close()
+
+
+def rows() -> list[tuple[int, int, int]]:
+    """The system's connections: local port, remote port, bytes that lie unread."""
+    with open("/proc/net/tcp") as lines:
+        parts = [line.split() for line in lines][1:]
+    return [(int(p[1].split(":")[1], 16), int(p[2].split(":")[1], 16), int(p[4].split(":")[1], 16))
+            for p in parts]
+
+
+def held(rig: Rig) -> bool:
+    """Whether something lies unread on one of the program's connections to clients."""
+    return any(local == rig.port and remote and unread for local, remote, unread in rows())
+
+
+def sockets(rig: Rig | None = None) -> int:
+    """How many sockets the program has open, or this process."""
+    count = 0
+    for name in os.listdir(folder := f"/proc/{rig.process.pid if rig else 'self'}/fd"):
+        try:
+            count += os.readlink(f"{folder}/{name}").startswith("socket:")
+        except FileNotFoundError:
+            pass  # closed since
+    return count
--- a/yewstage/hosted/front.py
+++ b/yewstage/hosted/front.py
@@ -7,7 +7,6 @@
 import logging
 import re
 import secrets
-import select
 import socket
 import time
 from collections import deque
@@ -576,6 +575,8 @@
         """
         if self._free() or not self._asked():
             return True
+        if self._leaving:
+            return False  # its room comes with its close; nobody else need give any
         clients = self.service.resources.clients
         if not self._idle and not self._reclaim():
             return False
@@ -584,14 +585,8 @@
         owner = max(self._idle, key=lambda o: clients.holds(o) / clients.entitled(o), default=None)
         if owner is None:
             return False
-        return self._give_up(self._idle[owner])
-
-    def _asked(self) -> bool:
-        """Whether a client waits to be accepted: nobody gives anything up for none."""
-        poll = select.poll()
-        for listener in self._listeners:
-            poll.register(listener, select.POLLIN)
-        return bool(poll.poll(0))
+        self._give_up(self._idle[owner])
+        return False
 
     def _reclaim(self) -> bool:
         """Have a request answered early whose tenant holds more connections than its part, all busy."""
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -7,6 +7,7 @@
 import logging
 import os
 import re
+import select
 import socket
 import time
 from collections import deque
@@ -476,6 +477,7 @@
         self._accepting = self._lent = False
         self._pending: set[asyncio.Task[Any]] = set()
         self._coming: set[Connection] = set()  # accepted, and not yet up
+        self._leaving: set[Connection] = set()  # told to go, for room, and not yet gone
         self.heir: Heir | None = None  # accepts in our place, and takes connections over
 
     def _read_terms(self) -> Terms | None:
@@ -550,7 +552,7 @@
         """Take over a client's connection that has had answers of another process."""
         connection = self.connection(self)
         connection.answered = True
-        if not self._room():
+        if not self._room() and not self._leaving:
             os.close(descriptor)  # guards the descriptors: its client asks again on a new one
             return
         self._bring_up(connection, socket.socket(fileno=descriptor))
@@ -597,11 +599,13 @@
     def closed(self, connection: Connection) -> None:
         """A connection is gone; there is room for another."""
         self.connections.discard(connection)
+        self._leaving.discard(connection)
         self.owes(connection)
         self._resume()
 
     def _resume(self) -> None:
-        if self._listeners and not self._accepting and not self._lent and self._room():
+        if (self._listeners and not self._accepting and not self._lent
+                and (self._room() or not self._asked())):
             self._accepting = True
             for listener in self._listeners:
                 self.loop.add_reader(listener, self._accept, listener)
@@ -613,7 +617,7 @@
                 self.loop.remove_reader(listener)
 
     def _room(self) -> bool:
-        """Whether there is a descriptor for one more, if need be of one that is owed nothing.
+        """Whether there is a descriptor for one more now; if not, one that is owed nothing goes, if any can.
 
         Guards those who ask against those who only hold connections: silent, half-sent or asked once. One
         that had an answer goes first: its client asks again elsewhere, while the first request on a new
@@ -621,13 +625,27 @@
         """
         if self._free():
             return True
-        return self._give_up(self._kept) or self._give_up(self._unheard)
+        if not self._leaving and self._asked() and not self._give_up(self._kept):
+            self._give_up(self._unheard)
+        return False
+
+    def _asked(self) -> bool:
+        """Whether a client waits to be accepted: nobody gives anything up for none."""
+        poll = select.poll()
+        for listener in self._listeners:
+            poll.register(listener, select.POLLIN)
+        return bool(poll.poll(0))
 
     def _give_up(self, idle: dict[Connection, None]) -> bool:
-        """End the one idle for longest that can be ended at once with nothing lost; whether there was one."""
+        """End the one idle for longest that can be ended at once with nothing lost; whether there was one.
+
+        Danger: its descriptor is free with the next turn of the loop, and who is accepted before that takes
+        one that hosts, counter or discovery were to have. So its room comes with its close (`closed`).
+        """
         for connection in islice(idle, ROOM_LOOKS):
             if connection.spare():
-                self.closed(connection)
+                self.owes(connection)
+                self._leaving.add(connection)
                 connection.transport.abort()
                 return True
         return False
@@ -640,7 +658,8 @@
         # tried again later. Neither may end the listener.
         for _ in range(most):
             if not self._room():
-                self._pause()
+                if self._asked():  # else the next one finds us listening
+                    self._pause()
                 return
             try:
                 accepted, _ = listener.accept()
