--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -177,7 +177,7 @@
         self._server.waits(self)
 
     def has_left(self, behind: bool) -> bool:
-        # A look at the system's buffer for each request would cost a twentieth of it.
+        # Not for every request: a look at the system's buffer is a system call.
         return (behind or not self.answered) and hung_up(self.transport)
 
     def hung_up(self) -> None:
