--- a/tests/crossings/test_watch.py
+++ b/tests/crossings/test_watch.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import socket
 import time
 
 import pytest
-from conftest import LOOP, Fake, Seen, instance, on_loop, reply
+from conftest import LOOP, Seen, on_loop, reply
+from standins.agent import Agent, listing
 from standins.core import HeldDials
 
 from yewstage.net import discovery as discovery_module
@@ -26,11 +26,6 @@
 TOLD_S, TOLD_AFTER_SIGHUP_S = 6.0, 4.0  # the operators' terms
 
 
-def listing(generation: int, *names: str, whole: bool = True) -> bytes:
-    raw = {"generation": generation, "reset": whole, "instances": [instance(n, 1) for n in names]}
-    return reply(json.dumps(raw).encode())
-
-
 def test_the_longest_way_to_a_change_is_shorter_than_the_terms() -> None:
     """A watch falls silent right before a change; then a dial, or a call, fails in the slowest way."""
     silent = WAIT_MS / 1000 + SILENT_S + GRACE_S
@@ -43,33 +38,6 @@
     assert moved < TOLD_AFTER_SIGHUP_S
 
 
-class Agent:
-    """An agent whose answers are given one by one; None is silence, b"" a reset."""
-
-    def __init__(self, *answers: bytes | None) -> None:
-        self.answers = list(answers)
-        self.fake = Fake(self._behave)
-        self.told: asyncio.Queue[Listing] = asyncio.Queue()
-
-    def _behave(self, seen: Seen) -> bytes | None:
-        return self.answers.pop(0) if self.answers else None
-
-    async def start(self, generation: int = 0) -> Agent:
-        await self.fake.start()
-        self.discovery = Discovery(asyncio.get_running_loop(), (LOOP, self.fake.port), self.told.put_nowait,
-                                   generation, 1)
-        self.discovery.start()
-        return self
-
-    def waits(self) -> list[int]:
-        """How long each call was to wait for news; -1: it asked for the whole list."""
-        return [int(seen.line.split()[1].partition("wait_ms=")[2] or -1) for seen in self.fake.seen]
-
-    def stop(self) -> None:
-        self.discovery.stop()
-        self.fake.stop()
-
-
 @pytest.fixture
 def quick(monkeypatch: pytest.MonkeyPatch) -> None:
     """The same clock, ten times as fast."""
--- /dev/null
+++ b/tests/standins/agent.py
@@ -0,0 +1,46 @@
+"""A discovery client at an agent whose answers are given one by one."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from conftest import LOOP, Fake, Seen, instance, reply
+
+from yewstage.net.discovery import Discovery, Listing
+
+
+def listing(generation: int, *names: str, whole: bool = True) -> bytes:
+    raw = {"generation": generation, "reset": whole, "instances": [instance(n, 1) for n in names]}
+    return reply(json.dumps(raw).encode())
+
+
+class Agent:
+    """An agent whose answers are given one by one; None is silence, b"" a reset."""
+
+    def __init__(self, *answers: bytes | None) -> None:
+        self.answers = list(answers)
+        self.fake = Fake(self._behave)
+        self.told: asyncio.Queue[Listing] = asyncio.Queue()
+
+    def _behave(self, seen: Seen) -> bytes | None:
+        return self.answers.pop(0) if self.answers else None
+
+    async def start(self, generation: int = 0) -> Agent:
+        await self.fake.start()
+        self.discovery = Discovery(asyncio.get_running_loop(), (LOOP, self.fake.port), self.told.put_nowait,
+                                   generation, 1)
+        self.discovery.start()
+        return self
+
+    def waits(self) -> list[int]:
+        """How long each call was to wait for news; -1: it asked for the whole list."""
+        return [int(seen.line.split()[1].partition("wait_ms=")[2] or -1) for seen in self.fake.seen]
+
+    def asked(self) -> list[str]:
+        """What was asked for, without the wait."""
+        return [seen.line.split()[1].partition("&")[0] for seen in self.fake.seen]
+
+    def stop(self) -> None:
+        self.discovery.stop()
+        self.fake.stop()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,49 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import json
 
 import pytest
-from conftest import Fake, Seen, instance, on_loop, reply
+from conftest import on_loop, reply
+from standins.agent import Agent, listing
 
 from yewstage.net.discovery import Discovery, Listing
 
 
-def listing(generation: int, *names: str, whole: bool = True) -> bytes:
-    raw = {"generation": generation, "reset": whole, "instances": [instance(n, 1) for n in names]}
-    return reply(json.dumps(raw).encode())
-
-
-class Watch:
-    """A discovery client at a fake agent whose answers are given one by one; None is silence, b"" a reset."""
-
-    def __init__(self, *answers: bytes | None) -> None:
-        self.answers = list(answers)
-        self.fake = Fake(self._behave)
-        self.told: asyncio.Queue[Listing] = asyncio.Queue()
-
-    def _behave(self, seen: Seen) -> bytes | None:
-        return self.answers.pop(0) if self.answers else None
-
-    async def start(self, generation: int = 0) -> Watch:
-        await self.fake.start()
-        loop = asyncio.get_running_loop()
-        self.discovery = Discovery(loop, ("127.0.0.1", self.fake.port), self.told.put_nowait, generation, 1)
-        self.discovery.start()
-        return self
-
-    def asked(self) -> list[str]:
-        """What was asked for, without the wait."""
-        return [seen.line.split()[1].partition("&")[0] for seen in self.fake.seen]
-
-    def stop(self) -> None:
-        self.discovery.stop()
-        self.fake.stop()
-
-
 def test_what_is_known_already_is_not_asked_for_again() -> None:
     async def scenario() -> None:
-        watch = await Watch(listing(43, "b", whole=False)).start(41)
+        watch = await Agent(listing(43, "b", whole=False)).start(41)
         assert [s.name for s in (await watch.told.get()).servers] == ["b"]
         await watch.fake.until(lambda fake: len(fake.seen) == 2)
         assert watch.asked() == ["/v1/endpoints?after=41", "/v1/endpoints?after=43"]
@@ -57,7 +25,7 @@
     """The whole list is the dearest call there is: a 503 loses nothing of what is known."""
     async def scenario() -> None:
         busy = reply(b"", 503)
-        watch = await Watch(listing(7, "a"), busy, busy, busy, listing(8, "b", whole=False)).start()
+        watch = await Agent(listing(7, "a"), busy, busy, busy, listing(8, "b", whole=False)).start()
         assert (await watch.told.get()).whole
         assert not (await watch.told.get()).whole
         assert watch.asked()[:5] == ["/v1/endpoints", *["/v1/endpoints?after=7"] * 4]
@@ -68,7 +36,7 @@
 @pytest.mark.parametrize("spoilt", [reply(b"{"), listing(3, "a", whole=False)])
 def test_what_cannot_be_read_means_the_whole_list(spoilt: bytes) -> None:
     async def scenario() -> None:
-        watch = await Watch(listing(7, "a"), spoilt, listing(9, "b")).start()
+        watch = await Agent(listing(7, "a"), spoilt, listing(9, "b")).start()
         await watch.told.get()
         assert (await watch.told.get()).whole
         assert watch.asked()[:3] == ["/v1/endpoints", "/v1/endpoints?after=7", "/v1/endpoints"]
@@ -104,7 +72,7 @@
 def test_a_connection_that_is_closing_is_not_written_to() -> None:
     """What the loop has not yet told of: the watch is begun anew, and nothing is raised."""
     async def scenario() -> None:
-        watch = await Watch(listing(1, "a"), None, listing(2, "b")).start()
+        watch = await Agent(listing(1, "a"), None, listing(2, "b")).start()
         await watch.told.get()
         await watch.fake.until(lambda fake: len(fake.seen) == 2)
         watch.discovery._connection.transport.abort()
