An attempt is given up also where no descriptor is left for the shut before it

Found on the second reading: _Connection.give_up duplicates the descriptor to shut our side at once; with the system's bound reached os.dup raises, the attempt had no outcome, and its request waited for its guard. The new test, with a dup that fails so, fails without this change. The connection is dropped all the same.

--- a/tests/crossings/test_sending.py
+++ b/tests/crossings/test_sending.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import errno
+import os
 import socket
 import time
 from collections.abc import Callable
@@ -218,6 +220,23 @@
     on_loop(scenario, 5)
 
 
+def test_an_attempt_is_given_up_though_no_descriptor_is_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        def none_left(descriptor: int) -> int:
+            raise OSError(errno.EMFILE, "Too many open files")
+
+        host = Fake(lambda seen: None)
+        core, script = await core_with(monkeypatch, host)
+        script.plan[api.Request] = [api.Send("r1", "s-0", 60.0)]
+        core.request(Answers(), an_order())
+        await host.until(lambda fake: len(fake.seen) == 1)
+        monkeypatch.setattr(os, "dup", none_left)
+        await host.until(lambda fake: fake.closed == 1)
+        assert script.outcomes() == [api.TIMED_OUT]
+        host.stop()
+    on_loop(scenario, 5)
+
+
 def test_a_connection_past_its_idle_time_is_not_written_to_before_the_sweep(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -423,13 +423,13 @@
         Danger: the loop closes a dropped connection in its next turn, and by then a further attempt is on its
         way to another host: two would be out. Where the host had sent something unread, the close resets.
         """
-        if not self.transport.is_closing():
-            descriptor = os.dup(self.transport.get_extra_info("socket").fileno())
-            with socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, descriptor) as own:
-                try:
+        try:
+            if not self.transport.is_closing():
+                descriptor = os.dup(self.transport.get_extra_info("socket").fileno())
+                with socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, descriptor) as own:
                     own.shutdown(socket.SHUT_WR)
-                except OSError:
-                    pass  # the host was quicker
+        except OSError:
+            pass  # the host was quicker, or no descriptor is left: the attempt has to end all the same
         self.drop()
 
     def quiet(self) -> bool:
