--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -76,6 +76,7 @@
             await asyncio.sleep(0.002)
         kinds = [type(e) for e in script.events[began:]]
         assert kinds == [api.ServerList, *([api.ServerList] if answers else []), api.Request]
+        await host.until(lambda fake: len(told) >= (3 if answers else 2))  # perhaps a turn later
         waits = [int(query.rpartition("=")[2]) for query in told[1:]]
         assert waits[0] == 0 and len(waits) == (2 if answers else 1)
         assert all(WAIT_MS / 2 <= wait <= WAIT_MS for wait in waits[1:])  # a watch again, as long as ever
