--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 
 lint: $(SET_UP)
 	.venv/bin/ruff check .
+	.venv/bin/ruff format --check .
 	.venv/bin/mypy
 	.venv/bin/lint-imports --no-cache
 
--- a/benchmarks/cold.py
+++ b/benchmarks/cold.py
@@ -24,8 +24,9 @@
 from yewstage.fleet import Fleet, Host
 
 CLASS = api.RequestClass("read", aim_ms=2500, deadline_ms=10000)
-SETTINGS = api.Settings(classes=(CLASS,), tick_ms=4, cold_from=0.16, cold_ms=17_000, fall_multiple=2,
-                        tip_after_ms=1500)
+SETTINGS = api.Settings(
+    classes=(CLASS,), tick_ms=4, cold_from=0.16, cold_ms=17_000, fall_multiple=2, tip_after_ms=1500
+)
 HOSTS, MEAN_MS, UTIL = 10, 250.0, 0.8
 BEFORE_MS, AFTER_MS, SWEEP_MS, LIST_MS = 2000.0, 5000.0, 100.0, 300.0
 RESTARTED = 0.7  # part of the gateways that knows nothing when the host starts
@@ -107,10 +108,25 @@
 
 
 # Gateways, N, and the part of the seeds that is played: the dear ones take seconds each.
-CASES = ((3, 1, 1.0), (3, 3, 0.4), (3, 10, 0.1), (3, 30, 0.02), (3, 100, 0.005),
-         (20, 1, 0.2), (20, 3, 0.1), (20, 10, 0.05), (20, 100, 0.004),
-         (30, 1, 0.2), (30, 3, 0.1), (30, 10, 0.05), (30, 100, 0.004),
-         (200, 1, 0.02), (200, 3, 0.02), (200, 10, 0.01), (200, 100, 0.002))
+CASES = (
+    (3, 1, 1.0),
+    (3, 3, 0.4),
+    (3, 10, 0.1),
+    (3, 30, 0.02),
+    (3, 100, 0.005),
+    (20, 1, 0.2),
+    (20, 3, 0.1),
+    (20, 10, 0.05),
+    (20, 100, 0.004),
+    (30, 1, 0.2),
+    (30, 3, 0.1),
+    (30, 10, 0.05),
+    (30, 100, 0.004),
+    (200, 1, 0.02),
+    (200, 3, 0.02),
+    (200, 10, 0.01),
+    (200, 100, 0.002),
+)
 
 
 def main() -> None:
@@ -127,8 +143,11 @@
                 used = pool.map(partial(play, gateways, allowed, restarts), range(count))
                 beyond = [sum(share > 1 for share in column) / count for column in zip(*used, strict=True)]
                 most = [max(column) for column in zip(*used, strict=True)]
-                print(f"{gateways:8}  {restarts!s:8}  {allowed:3}  {count:5}  {beyond[0]:8.4f}"
-                      f"  {beyond[1]:6.4f}        {most[0]:8.2f}  {most[1]:4.2f}", flush=True)
+                print(
+                    f"{gateways:8}  {restarts!s:8}  {allowed:3}  {count:5}  {beyond[0]:8.4f}"
+                    f"  {beyond[1]:6.4f}        {most[0]:8.2f}  {most[1]:4.2f}",
+                    flush=True,
+                )
 
 
 if __name__ == "__main__":
--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -21,12 +21,28 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[1]
-NET = ("deadlines", "http1", "hosts", "core", "requests", "closing", "clients", "flows", "counter",
-       "discovery", "node", "operated")
+NET = (
+    "deadlines",
+    "http1",
+    "hosts",
+    "core",
+    "requests",
+    "closing",
+    "clients",
+    "flows",
+    "counter",
+    "discovery",
+    "node",
+    "operated",
+)
 COMPILED = (  # what an ordinary request passes through, and every class that inherits from one of these
-    "yewstage/interface.py", "yewstage/policy.py", "yewstage/fleet.py",
-    "yewstage/limits/parts.py", "yewstage/limits/quotas.py",
-    *(f"yewstage/net/{name}.py" for name in NET), "yewstage/recovery/node.py",
+    "yewstage/interface.py",
+    "yewstage/policy.py",
+    "yewstage/fleet.py",
+    "yewstage/limits/parts.py",
+    "yewstage/limits/quotas.py",
+    *(f"yewstage/net/{name}.py" for name in NET),
+    "yewstage/recovery/node.py",
 )
 LONGEST_S = 600
 KEY, NOTE = "sources.sha256", "compiled.txt"
@@ -93,8 +109,13 @@
         )
         # Where it runs, nothing can be written: without this each start would compile the sources again, half
         # of a start's time. By hash and not looked at again, since a copy may change their times.
-        compileall.compile_dir(folder / "yewstage", quiet=1, stripdir=folder, prependdir=target,
-                               invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH)
+        compileall.compile_dir(
+            folder / "yewstage",
+            quiet=1,
+            stripdir=folder,
+            prependdir=target,
+            invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH,
+        )
         (folder / NOTE).write_text(note)
         (folder / KEY).write_text(wanted)
         if target.exists():
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,20 +18,34 @@
 from yewstage.policy import Gateway
 
 SAFE = api.RequestClass("read", aim_ms=1000, deadline_ms=4000, worth=3)
-KEYED = api.RequestClass("put", aim_ms=1000, deadline_ms=4000, worth=5, effect="keyed", key_scope="zone",
-                         window_ms=3000)
+KEYED = api.RequestClass(
+    "put", aim_ms=1000, deadline_ms=4000, worth=5, effect="keyed", key_scope="zone", window_ms=3000
+)
 UNSAFE = api.RequestClass("pay", aim_ms=1000, deadline_ms=4000, worth=5, effect="unsafe")
 PLAN = api.Plan("basic", rate=2, burst=6)
-CAPPED = api.Plan("capped", rate=5, burst=10, worth=1.4, over_worth=0.2, ceiling_rate=10, ceiling_burst=20,
-                  ceiling_slack=2)
+CAPPED = api.Plan(
+    "capped", rate=5, burst=10, worth=1.4, over_worth=0.2, ceiling_rate=10, ceiling_burst=20, ceiling_slack=2
+)
 OPEN = api.Plan("open")
 
 
 def settings(**changes: object) -> api.Settings:
     base = api.Settings(
-        classes=(SAFE, KEYED, UNSAFE), plans=(PLAN, CAPPED, OPEN), fleet_size=3, zone="a", try_limit=4,
-        cancel=True, max_retry_after_ms=2000, may_count=True, tick_ms=2,
-        drain_grace_ms=500, cold_from=0.2, cold_ms=10000, fall_multiple=3, tip_after_ms=2000)
+        classes=(SAFE, KEYED, UNSAFE),
+        plans=(PLAN, CAPPED, OPEN),
+        fleet_size=3,
+        zone="a",
+        try_limit=4,
+        cancel=True,
+        max_retry_after_ms=2000,
+        may_count=True,
+        tick_ms=2,
+        drain_grace_ms=500,
+        cold_from=0.2,
+        cold_ms=10000,
+        fall_multiple=3,
+        tip_after_ms=2000,
+    )
     return dataclasses.replace(base, **changes)
 
 
@@ -53,18 +67,34 @@
         self.log += [(self.now, act) for act in out]
         return out
 
-    def ask(self, cls: str = "read", plan: str = "open", customer: str = "c", left: float = 4000,
-            units: float = 1, after: float = 0.0, width: int = 3) -> tuple[str, list[api.Action]]:
+    def ask(
+        self,
+        cls: str = "read",
+        plan: str = "open",
+        customer: str = "c",
+        left: float = 4000,
+        units: float = 1,
+        after: float = 0.0,
+        width: int = 3,
+    ) -> tuple[str, list[api.Action]]:
         self.serial += 1
         rid = f"r{self.serial}"
         return rid, self.give(api.Request(rid, cls, plan, customer, left, units, width, 0), after)
 
-    def end(self, rid: str, result: str = api.OK, took: float = 50, attempt: int | None = None,
-            true_units: float = 0.0, after: float = 0.0) -> list[api.Action]:
+    def end(
+        self,
+        rid: str,
+        result: str = api.OK,
+        took: float = 50,
+        attempt: int | None = None,
+        true_units: float = 0.0,
+        after: float = 0.0,
+    ) -> list[api.Action]:
         sends = [a for _, a in self.log if isinstance(a, api.Send) and a.request == rid]
         n = len(sends) - 1 if attempt is None else attempt
-        return self.give(api.Outcome(rid, n, sends[n].server, result, took, result == api.OK,
-                                     true_units=true_units), after)
+        return self.give(
+            api.Outcome(rid, n, sends[n].server, result, took, result == api.OK, true_units=true_units), after
+        )
 
     def sweep(self, times: int = 1, every: float = 100) -> None:
         for _ in range(times):
@@ -86,12 +116,21 @@
 RID = b"9b1f03aa5c7e2d41"
 GRADES = [
     {"name": "read", "objective_ms": 3000.0, "deadline_ms": 6000.0, "worth": 3.0, "effect": "safe"},
-    {"name": "put", "objective_ms": 5500.0, "deadline_ms": 6000.0, "worth": 2.0, "effect": "keyed",
-     "key_scope": "all", "window_ms": 4000.0},
+    {
+        "name": "put",
+        "objective_ms": 5500.0,
+        "deadline_ms": 6000.0,
+        "worth": 2.0,
+        "effect": "keyed",
+        "key_scope": "all",
+        "window_ms": 4000.0,
+    },
     {"name": "pay", "objective_ms": 3000.0, "deadline_ms": 6000.0, "worth": 2.0, "effect": "unsafe"},
 ]
-PACKAGES = [{"name": "team", "refill": 500.0, "burst": 1000.0, "worth_factor": 1.0},
-            {"name": "small", "refill": 1.0, "burst": 4.0, "worth_factor": 1.0, "over_cost": 1.0}]
+PACKAGES = [
+    {"name": "team", "refill": 500.0, "burst": 1000.0, "worth_factor": 1.0},
+    {"name": "small", "refill": 1.0, "burst": 4.0, "worth_factor": 1.0, "over_cost": 1.0},
+]
 Behave = Callable[["Seen"], bytes | None]
 
 
@@ -99,13 +138,30 @@
     return b"HTTP/1.1 %d X\r\n%bContent-Length: %d\r\n\r\n%b" % (status, headers, len(body), body)
 
 
-def message(cls: str = "read", *, customer: str = "00000000b4d65521", plan: str = "team", body: bytes = b"",
-            deadline: str = "6000m", rid: bytes = RID, method: str = "", drop: str = "", more: str = "",
-            key: bool = True, target: str = "") -> bytes:
+def message(
+    cls: str = "read",
+    *,
+    customer: str = "00000000b4d65521",
+    plan: str = "team",
+    body: bytes = b"",
+    deadline: str = "6000m",
+    rid: bytes = RID,
+    method: str = "",
+    drop: str = "",
+    more: str = "",
+    key: bool = True,
+    target: str = "",
+) -> bytes:
     """A client's request as bytes; `drop` leaves a header out, `more` adds lines."""
     method = method or ("GET" if cls == "read" else "POST")
-    lines = {"Host": "origin.svc", "X-Request-Id": rid.decode(), "X-Class": cls, "Plan": plan,
-             "X-Deadline": deadline, "Quota-Info": "units=2,spread=1,first=0"}
+    lines = {
+        "Host": "origin.svc",
+        "X-Request-Id": rid.decode(),
+        "X-Class": cls,
+        "Plan": plan,
+        "X-Deadline": deadline,
+        "Quota-Info": "units=2,spread=1,first=0",
+    }
     if method == "POST":
         lines["Content-Length"] = str(len(body))
         if key:
@@ -225,8 +281,16 @@
 
 
 def instance(name: str, port: int, lifecycle: str = "ready") -> dict:
-    return {"instanceId": name, "hostPort": f"{LOOP}:{port}", "zone": "a", "machineType": "m", "cell": 0,
-            "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0}
+    return {
+        "instanceId": name,
+        "hostPort": f"{LOOP}:{port}",
+        "zone": "a",
+        "machineType": "m",
+        "cell": 0,
+        "lifecycle": lifecycle,
+        "weight": 1.0,
+        "startedAtMs": 0,
+    }
 
 
 class Rig:
@@ -258,16 +322,31 @@
     def write_config(self) -> Path:
         """The file that the program reads at its start and on SIGHUP."""
         config = {
-            "name": "n0", "listen": f"{LOOP}:{self.port}", "discovery": f"{LOOP}:{self.directory.fake.port}",
+            "name": "n0",
+            "listen": f"{LOOP}:{self.port}",
+            "discovery": f"{LOOP}:{self.directory.fake.port}",
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **self.limits},
             "counter": f"{LOOP}:{self.counter.port}",
             "known": {"generation": 0, "reset": True, "instances": []},
             "settings": {
-                "grades": GRADES, "packages": PACKAGES, "fleet_size": 1, "me": 0, "zone": "a", "tick_ms": 4.0,
-                "bounds": {"try_limit": 3, "cancel": True, "retry_after": True, "max_retry_after_ms": 1000.0,
-                           "dial_timeout_ms": 250.0, "conn_idle_ms": 30000.0},
-                "family_info": {"may_count": True, "count_wait_ms": 30.0, "trued_up": True, "most_units": 4}}}
+                "grades": GRADES,
+                "packages": PACKAGES,
+                "fleet_size": 1,
+                "me": 0,
+                "zone": "a",
+                "tick_ms": 4.0,
+                "bounds": {
+                    "try_limit": 3,
+                    "cancel": True,
+                    "retry_after": True,
+                    "max_retry_after_ms": 1000.0,
+                    "dial_timeout_ms": 250.0,
+                    "conn_idle_ms": 30000.0,
+                },
+                "family_info": {"may_count": True, "count_wait_ms": 30.0, "trued_up": True, "most_units": 4},
+            },
+        }
         if self.operated:
             config["operator"] = f"{LOOP}:0"
         config = json.loads(json.dumps(config))  # a test's changes are its own
@@ -309,9 +388,18 @@
     async def run(self, path: Path) -> asyncio.subprocess.Process:
         """Start the program with a configuration."""
         return await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "yewstage", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "ROUTER_CONFIG": str(path), "TMPDIR": str(self.folder),
-                 "ROUTER_DISCOVERY": f"{LOOP}:{self.directory.fake.port}"})
+            sys.executable,
+            "-m",
+            "yewstage",
+            cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE,
+            env={
+                **os.environ,
+                "ROUTER_CONFIG": str(path),
+                "TMPDIR": str(self.folder),
+                "ROUTER_DISCOVERY": f"{LOOP}:{self.directory.fake.port}",
+            },
+        )
 
     async def launch(self) -> None:
         """Start the program, again on the same port if it ran before, and wait until it is ready."""
@@ -372,7 +460,9 @@
 
 def on_loop(scenario: Callable[[], Coroutine], limit_s: float = 30.0) -> None:
     """Run a scenario; one that waits for what never happens fails at the limit."""
+
     async def bounded() -> None:
         async with asyncio.timeout(limit_s):
             await scenario()
+
     uvloop.run(bounded())  # as the program does: its loop fires timers before it reads sockets
--- a/tests/crossings/test_clients_that_leave.py
+++ b/tests/crossings/test_clients_that_leave.py
@@ -34,6 +34,7 @@
 @pytest.mark.parametrize("size", [0, 60_000])
 def test_one_that_sends_much_at_once_and_goes(tmp_path: Path, how: str, size: int) -> None:
     """What stands behind the open request is never sent on, however much of it lies unread."""
+
     async def scenario() -> None:
         async with Rig(tmp_path, silent) as rig:
             (host,) = rig.hosts
@@ -51,12 +52,14 @@
             assert [seen.headers["x-request-id"] for seen in host.seen] == ["open", "other"]
             other.close()
             writer.transport.abort()
+
     on_loop(scenario, 10)
 
 
 @pytest.mark.parametrize("how", ["close", "reset"])
 def test_one_that_goes_while_no_host_takes_its_body(tmp_path: Path, how: str) -> None:
     """Its connection is not being read then: the end is seen all the same, and the dial called off."""
+
     async def scenario() -> None:
         with Blocked() as host:
             rig = Rig(tmp_path)
@@ -76,11 +79,13 @@
                 leave(writer, how)
                 while sockets(rig) > both - 2:  # the client's and the dial's are closed
                     await asyncio.sleep(0.01)
+
     on_loop(scenario, 10)
 
 
 def test_one_that_ends_its_side_and_does_not_read_its_answer(tmp_path: Path) -> None:
     """A close waits for the client to read what was answered: what is open for it must not wait, too."""
+
     async def scenario() -> None:
         ended = asyncio.Event()
 
@@ -106,11 +111,13 @@
             await ended.wait()
             writer.transport.abort()
         host.stop()
+
     on_loop(scenario, 8)
 
 
 def test_long_bodies_behind_open_requests_have_their_turn(tmp_path: Path) -> None:
     """More than is read ahead waits with the client, and nothing of it is lost."""
+
     async def scenario() -> None:
         got: list[tuple[str, int]] = []
         go_on = asyncio.Event()
@@ -137,11 +144,13 @@
             assert [size for _, size in got] == [0, 100, 3_000_000, 10, 700_000, 0]
             writer.close()
         host.stop()
+
     on_loop(scenario, 20)
 
 
 def test_one_that_pipelines_and_stays_gets_all_in_order(tmp_path: Path) -> None:
     """Reading on behind an open request loses and reorders nothing."""
+
     async def scenario() -> None:
         def echo(seen: Seen) -> bytes:
             return reply(seen.headers["x-request-id"].encode() + b"/%d" % len(seen.body))
@@ -153,4 +162,5 @@
             for i in range(40):
                 assert (await read_message(reader, writer)).body == b"id-%d/%d" % (i, 30_000 + i)
             writer.close()
+
     on_loop(scenario, 20)
--- a/tests/crossings/test_closing.py
+++ b/tests/crossings/test_closing.py
@@ -50,6 +50,7 @@
         desk.answer_all()
         assert await reads(client) == [b"crossing"]
         client.close()
+
     on_loop(scenario, 5)
 
 
@@ -64,6 +65,7 @@
         closes(desk)
         assert await reads(client) == [b"x" * 100]
         client.close()
+
     on_loop(scenario, 5)
 
 
@@ -72,6 +74,7 @@
     closes: Callable[[Desk], None],
 ) -> None:
     """Its client sees an end in good order, without an answer, and asks elsewhere."""
+
     async def scenario() -> None:
         desk = Desk()
         client = desk.connect()
@@ -86,6 +89,7 @@
         client.close()
         while desk.server.connections:
             await asyncio.sleep(0.01)
+
     on_loop(scenario, 5)
 
 
@@ -104,6 +108,7 @@
         client.close()
         while desk.server.connections:
             await asyncio.sleep(0.01)
+
     on_loop(scenario, 5)
 
 
@@ -122,6 +127,7 @@
                 await asyncio.sleep(0.001)
         assert not desk.server.connections and desk.taken == [b"first"]
         client.close()
+
     on_loop(scenario, 10)
 
 
@@ -142,6 +148,7 @@
         desk.answer_all()
         assert await reads(client, 4) == [b"open", b"behind", b"unread"]
         client.close()
+
     on_loop(scenario, 5)
 
 
@@ -163,6 +170,7 @@
             client.close()
         assert await ends(silent)
         silent.close()
+
     on_loop(scenario, 5)
 
 
@@ -178,11 +186,13 @@
         assert [await reads(client) for client in clients] == [[b"%d" % i] for i in range(len(clients))]
         for client in clients:
             client.close()
+
     on_loop(scenario, 10)
 
 
 def test_the_process_ends_after_its_last_answers_have_left() -> None:
     """A client that is slow to read its last answer, or never does, holds the end up for a bounded time."""
+
     async def scenario() -> None:
         desk = Desk()
         shutdown = Shutdown(Failing(desk), desk.server, asyncio.get_running_loop())
@@ -201,6 +211,7 @@
         client.close()
         await shutdown.done.wait()
         never.close()
+
     on_loop(scenario, 5)
 
 
--- a/tests/crossings/test_descriptors.py
+++ b/tests/crossings/test_descriptors.py
@@ -35,11 +35,12 @@
             assert sockets(rig) < MOST
             # It has given the silent watch up by now or does so; the next call is answered.
             rig.directory.generation = 7
-            rig.directory.instances = [instance("s-0", drained.port, "draining"),
-                                       instance("s-1", stays.port)]
+            rig.directory.instances = [instance("s-0", drained.port, "draining"), instance("s-1", stays.port)]
             rig.directory.fake.behave = lambda seen: (
-                rig.directory.listing(rig.directory.instances, True) if "after=1&" in seen.line
-                else speaks(seen))
+                rig.directory.listing(rig.directory.instances, True)
+                if "after=1&" in seen.line
+                else speaks(seen)
+            )
             await rig.directory.fake.until(lambda fake: any("after=7&" in seen.line for seen in fake.seen))
             before = len(drained.seen)
             for i in range(10):
@@ -49,11 +50,13 @@
             assert not any("accept failed" in line for line in rig.log)
             for _, writer in idle:
                 writer.close()
+
     on_loop(scenario, 15)  # a silent watch alone took 22 s before
 
 
 def test_who_gives_way_has_gone_before_the_next_one_is_accepted() -> None:
     """A close takes a turn of the loop: what hosts, counter and discovery were to have is not lent out."""
+
     async def scenario() -> None:
         desk = Desk()
         desk.server._most = 10
@@ -74,4 +77,5 @@
         assert [await reads(client) for client in more] == [[b"%d" % i] for i in range(5)]
         for client in (*held, *more):
             client.close()
+
     on_loop(scenario, 5)
--- a/tests/crossings/test_sending.py
+++ b/tests/crossings/test_sending.py
@@ -59,11 +59,13 @@
 
 
 @pytest.mark.parametrize(
-    "happens", [drains, is_gone, moves, is_out_by_hand, client_leaves, guard_answers, time_runs_out])
+    "happens", [drains, is_gone, moves, is_out_by_hand, client_leaves, guard_answers, time_runs_out]
+)
 def test_what_happens_while_a_dial_is_under_way_keeps_the_request_from_its_host(
     monkeypatch: pytest.MonkeyPatch, happens: Callable[[Core, int], None]
 ) -> None:
     """The module calls nothing off: some settings do not let it, and its events may wait for news."""
+
     async def scenario() -> None:
         host = Fake(lambda seen: reply(b"served"))
         core, script = await core_with(monkeypatch, host)
@@ -81,6 +83,7 @@
         await asyncio.sleep(0.02)
         assert not host.seen
         host.stop()
+
     on_loop(scenario, 5)
 
 
@@ -101,6 +104,7 @@
         assert script.outcomes() == [api.OK]
         await host.until(lambda fake: fake.closed == 1)  # and its connection is not kept
         host.stop()
+
     on_loop(scenario, 5)
 
 
@@ -108,6 +112,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """News and a send cross in the process: the module hears of the drain one event after its decision."""
+
     async def scenario() -> None:
         host = Fake(lambda seen: reply(b"served"))
         core, script = await core_with(monkeypatch, host)
@@ -126,6 +131,7 @@
         assert [type(e) for e in script.events[before:]] == [api.Request, api.ServerList, api.Outcome]
         assert script.outcomes()[-1] == api.MOOT and len(host.seen) == 1
         host.stop()
+
     on_loop(scenario, 5)
 
 
@@ -151,6 +157,7 @@
         assert script.outcomes() == [api.OK if recalled else api.MOOT]
         assert len(host.seen) == recalled
         host.stop()
+
     on_loop(scenario, 5)
 
 
@@ -185,6 +192,7 @@
         assert await client.got.get() == 200
         assert (host.opened, len(host.seen)) == (1, 1)
         host.stop()
+
     on_loop(scenario, 5)
 
 
@@ -192,6 +200,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """What the module sends next would else be a second copy, with the first one still out."""
+
     async def scenario() -> None:
         listener = socket.create_server((LOOP, 0))
         host = Fake(lambda seen: None)
@@ -217,6 +226,7 @@
         peer.close()
         listener.close()
         host.stop()
+
     on_loop(scenario, 5)
 
 
@@ -234,6 +244,7 @@
         await host.until(lambda fake: fake.closed == 1)
         assert script.outcomes() == [api.TIMED_OUT]
         host.stop()
+
     on_loop(scenario, 5)
 
 
@@ -241,6 +252,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A host with a short idle limit closes it between two sweeps: what crosses that may have run."""
+
     async def scenario() -> None:
         host = Fake(lambda seen: reply(b"served"))
         core, script = await core_with(monkeypatch, host)
@@ -255,6 +267,7 @@
                 for connection in core._hosts._idle:
                     connection.idle_since -= core._hosts._idle_s
         host.stop()
+
     on_loop(scenario, 5)
 
 
@@ -277,6 +290,7 @@
     monkeypatch: pytest.MonkeyPatch, behind: bool
 ) -> None:
     """Both came while we stood still; the loop reads the request first. Without a stall there is no look."""
+
     async def scenario() -> None:
         host = Fake(lambda seen: reply(b"served"))
         core, script = await core_with(monkeypatch, host)
@@ -301,6 +315,7 @@
         client.close()
         server.stop_accepting()
         host.stop()
+
     on_loop(scenario, 5)
 
 
@@ -328,6 +343,7 @@
         assert len(host.seen) == 1
         server.stop_accepting()
         host.stop()
+
     on_loop(scenario, 5)
 
 
@@ -358,4 +374,5 @@
         counter.stop()
         for sock in (*peers, peer, listener):
             sock.close()
+
     on_loop(scenario, 5)
--- a/tests/crossings/test_shutdown.py
+++ b/tests/crossings/test_shutdown.py
@@ -42,6 +42,7 @@
             assert await reader.read() == b""
             writer.close()
             assert await rig.process.wait() == 0
+
     on_loop(scenario, 10)
 
 
@@ -50,6 +51,7 @@
     tmp_path: Path, again: signal.Signals | None
 ) -> None:
     """Also over further bytes of the client, and with a second signal meanwhile."""
+
     async def scenario() -> None:
         async with Rig(tmp_path, silent) as rig:
             reader, writer = await rig.connect()
@@ -65,6 +67,7 @@
             writer.close()
             assert await rig.process.wait() == 0
             assert [seen.headers["x-request-id"] for seen in rig.hosts[0].seen] == ["hangs"]
+
     on_loop(scenario, 10)
 
 
@@ -83,6 +86,7 @@
         await asyncio.sleep(0.02)
         assert len(script.events) == before and not host.seen
         host.stop()
+
     on_loop(scenario, 5)
 
 
@@ -98,4 +102,5 @@
             assert await reader.read() == b""
             writer.close()
             assert await rig.process.wait() == 0
+
     on_loop(scenario, 10)
--- a/tests/crossings/test_watch.py
+++ b/tests/crossings/test_watch.py
@@ -53,28 +53,36 @@
     quick: None, state: str
 ) -> None:
     """It tells at once what was missed, and whether anybody answers at all on the new connection."""
+
     async def scenario() -> None:
-        failure = {"silent": None, "reset": b"", "503": reply(b"", 503), "spoilt": SPOILT,
-                   "half": listing(3, "c", whole=False)[:-10],
-                   "closed": reply(b"", 503, headers=b"Connection: close\r\n")}[state]
-        agent = await Agent(listing(1, "a"), failure,
-                            listing(2, "b", whole=state == "spoilt")).start()
+        failure = {
+            "silent": None,
+            "reset": b"",
+            "503": reply(b"", 503),
+            "spoilt": SPOILT,
+            "half": listing(3, "c", whole=False)[:-10],
+            "closed": reply(b"", 503, headers=b"Connection: close\r\n"),
+        }[state]
+        agent = await Agent(listing(1, "a"), failure, listing(2, "b", whole=state == "spoilt")).start()
         assert [(await agent.told.get()).generation for _ in range(2)] == [1, 2]
         await agent.fake.until(lambda fake: len(fake.seen) == 4)
         first, failed, missed, watch = agent.waits()
         assert first == -1 and failed > 0 and watch > 0
         assert missed == (-1 if state == "spoilt" else 0)
         agent.stop()
+
     on_loop(scenario, 5)
 
 
 def test_a_version_that_falls_means_the_whole_list(quick: None) -> None:
     """Discovery was started anew: what it calls 2 is not what we called 2."""
+
     async def scenario() -> None:
         agent = await Agent(listing(9, "a"), listing(2, "b", whole=False), listing(2, "c")).start()
         assert [(await agent.told.get()).generation for _ in range(2)] == [9, 2]
         assert agent.waits()[2] == -1
         agent.stop()
+
     on_loop(scenario, 5)
 
 
@@ -91,6 +99,7 @@
         dials.go.set()
         assert (await agent.told.get()).generation == 1
         agent.stop()
+
     on_loop(scenario, 5)
 
 
@@ -109,11 +118,13 @@
         assert not old.fake.seen
         old.fake.stop()
         new.stop()
+
     on_loop(scenario, 5)
 
 
 def test_a_stall_of_our_own_is_no_silence_of_the_agents(quick: None) -> None:
     """The answer came in time and lies unread: timers fire first, and must not end the watch."""
+
     async def scenario() -> None:
         listener = socket.create_server((LOOP, 0))
         told: asyncio.Queue[Listing] = asyncio.Queue()
@@ -141,11 +152,13 @@
         discovery.stop()
         for sock in (agent, listener, ours, theirs):
             sock.close()
+
     on_loop(scenario, 5)
 
 
 def test_an_agent_that_needs_its_time_is_not_asked_forever(quick: None) -> None:
     """What was given up once is waited for longer: else a slow whole list would never be had."""
+
     async def scenario() -> None:
         agent = Agent()
         calls: list[Seen] = []
@@ -161,6 +174,7 @@
         await agent.start()
         assert (await agent.told.get()).generation == 1
         agent.stop()
+
     on_loop(scenario, 5)
 
 
--- a/tests/handover/test_state.py
+++ b/tests/handover/test_state.py
@@ -24,8 +24,9 @@
     d.give(api.ServerList("changes", (server(5, up_since_ms=d.now),)), after=5000)
     for i in range(40 * customers // 10):
         cls, plan = r.choice(["read", "put"]), r.choice(["capped", "basic", "open"])
-        rid, out = d.ask(cls, plan, f"c{i % customers}", units=r.choice([1, 2, 4]),
-                         after=r.expovariate(1 / 30))
+        rid, out = d.ask(
+            cls, plan, f"c{i % customers}", units=r.choice([1, 2, 4]), after=r.expovariate(1 / 30)
+        )
         for act in of(out, api.Send):
             bad, slow = trouble and act.server == "h1", trouble and act.server == "h2"
             d.end(rid, api.RESET if bad else api.OK, took=400 if slow else 50, after=1.0)
@@ -127,10 +128,17 @@
 
 def _spoilt() -> list[tuple[str, object]]:
     return [
-        ("version", 99), ("scalars", {"q": 1.0}), ("warm_rate", "1"), ("warm_rate", None),
+        ("version", 99),
+        ("scalars", {"q": 1.0}),
+        ("warm_rate", "1"),
+        ("warm_rate", None),
         ("cells", [[[], "open", 1.0, 1.0, 1.0, "x"]]),
-        ("latency", {"read": math.inf}), ("latency", []), ("cells", [["read", "open", 1.0]]),
-        ("hosts", {"h1": [1.0]}), ("hosts", {"h1": ["x"] * 9}), ("asked_at", {"open": True}),
+        ("latency", {"read": math.inf}),
+        ("latency", []),
+        ("cells", [["read", "open", 1.0]]),
+        ("hosts", {"h1": [1.0]}),
+        ("hosts", {"h1": ["x"] * 9}),
+        ("asked_at", {"open": True}),
     ]
 
 
@@ -145,10 +153,15 @@
     assert known(fresh.gateway) == before
 
 
-@pytest.mark.parametrize("change", [
-    lambda uses: uses[0].__setitem__(2, 0),
-    lambda uses: uses[0].pop(), lambda uses: uses[0].__setitem__(4, 1.5), lambda uses: uses[0].append(1.0),
-])
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda uses: uses[0].__setitem__(2, 0),
+        lambda uses: uses[0].pop(),
+        lambda uses: uses[0].__setitem__(4, 1.5),
+        lambda uses: uses[0].append(1.0),
+    ],
+)
 def test_a_customer_that_cannot_be_read_is_told(change) -> None:
     documents = known(busy().gateway)
     change(next(d for d in documents if d["t"] == "customers")["uses"])
--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -29,6 +29,7 @@
 
 def test_nothing_is_turned_back_while_versions_follow_each_other(tmp_path: Path) -> None:
     """Clients that keep their connections and clients that come anew, through three upgrades."""
+
     async def scenario() -> None:
         async with Rig(tmp_path, serve, operated=True) as rig:
             stop = asyncio.Event()
@@ -59,6 +60,7 @@
             assert min(served) > 20
             assert {s.headers["x-request-id"][0] for s in rig.hosts[0].seen} == {"k", "n"}
             assert len({s.headers["x-request-id"] for s in rig.hosts[0].seen}) == len(rig.hosts[0].seen)
+
     on_loop(scenario)
 
 
@@ -83,9 +85,11 @@
             for kept, kept_writer, rid in ((reader, writer, b"next"), (half, half_writer, b"more")):
                 kept_writer.write(message(rid=rid))
                 await rig.hosts[0].until(
-                    lambda fake, rid=rid: fake.seen[-1].headers["x-request-id"].encode() == rid)
+                    lambda fake, rid=rid: fake.seen[-1].headers["x-request-id"].encode() == rid
+                )
                 rig.hosts[0].seen[-1].writer.write(reply(b"new"))
                 assert (await read_message(kept, kept_writer)).body == b"new"
+
     on_loop(scenario)
 
 
@@ -110,6 +114,7 @@
             assert (await rig.figures())["skipped_hosts"] == 1
             old.send_signal(signal.SIGTERM)
             assert await old.wait() == 0
+
     on_loop(scenario)
 
 
@@ -121,6 +126,7 @@
             await rig.upgrade()
             assert await rig.call("set-down s-old") == "ACK\n"
             assert (await rig.call("set-down s-never")).startswith("NAK")
+
     on_loop(scenario)
 
 
@@ -142,6 +148,7 @@
             assert await rig.status(message(rid=b"after")) == 200
             await rig.upgrade()
             assert await rig.status(message(rid=b"new")) == 200
+
     on_loop(scenario)
 
 
@@ -157,11 +164,13 @@
             await asyncio.sleep(0.05)
             await rig.upgrade()
             assert await rig.status(message(rid=b"after")) == 200
+
     on_loop(scenario)
 
 
 def test_an_old_process_that_does_not_answer_is_served_beside(tmp_path: Path) -> None:
     """A stand-in holds the socket and says nothing: the new process listens beside whoever serves."""
+
     async def scenario() -> None:
         async with Rig(tmp_path, serve, operated=True) as rig:
             mute = listen(str(tmp_path))
@@ -172,6 +181,7 @@
             for i in range(10):
                 assert await rig.status(message(rid=b"id-%d" % i)) == 200
             mute.close()
+
     on_loop(scenario)
 
 
@@ -181,6 +191,7 @@
         assert (tmp_path / NAME).exists()
         async with Rig(tmp_path, serve, operated=True) as rig:
             assert await rig.status(message()) == 200
+
     on_loop(scenario)
 
 
@@ -210,11 +221,13 @@
         channel._lost = ended.set
         other.close()
         await ended.wait()
+
     on_loop(scenario)
 
 
 def test_hosts_connection_count_and_address_stay(tmp_path: Path) -> None:
     """The address is the same, and a client that connects in the middle of it waits for the new process."""
+
     async def scenario() -> None:
         async with Rig(tmp_path, serve, operated=True) as rig:
             port = rig.port
@@ -223,4 +236,5 @@
             reader, writer = await asyncio.open_connection(LOOP, port)
             assert await asked(reader, writer, b"x") == "200"
             writer.close()
+
     on_loop(scenario)
--- a/tests/lab/test_virtual.py
+++ b/tests/lab/test_virtual.py
@@ -29,8 +29,9 @@
 def test_first_tries_do_not_depend_on_what_is_played() -> None:
     traffic = TrafficModel(per_s=50.0, length_s=2.0, plans=(WIDE,), classes=(READ,))
     asked = tries(traffic, 10, 1)
-    assert [(t.at_ms, t.gateway, t.units) for t in asked] == [(t.at_ms, t.gateway, t.units)
-                                                             for t in tries(traffic, 10, 1)]
+    assert [(t.at_ms, t.gateway, t.units) for t in asked] == [
+        (t.at_ms, t.gateway, t.units) for t in tries(traffic, 10, 1)
+    ]
     assert {t.gateway for t in asked} == set(range(10))
 
 
@@ -130,8 +131,9 @@
 
 
 def test_ceilings_hold_while_200_gateways_hear_nothing_of_the_counter_for_6_s() -> None:
-    traffic = TrafficModel(per_s=250.0, length_s=8.0, plans=(TIGHT,), classes=(READ, BOOK), heavy=0.9,
-                           heavy_x=6.0)
+    traffic = TrafficModel(
+        per_s=250.0, length_s=8.0, plans=(TIGHT,), classes=(READ, BOOK), heavy=0.9, heavy_x=6.0
+    )
     world = World(DayModel(200, 130, traffic), seed=4)
     world.run(1.0)
     world.counter.stop()
--- a/tests/operate/test_calls.py
+++ b/tests/operate/test_calls.py
@@ -47,8 +47,21 @@
     assert answer(b"set-down s-1", Gateway(wrong="s-1: who?")) == b"NAK s-1: who?\n"
 
 
-@pytest.mark.parametrize("line", [b"", b"stop", b"check now", b"set-down", b"set-down a b", b"set-up \x01",
-                                  b"\xff\xfe", b"SET-DOWN s-1", b"set-down " + b"x" * 300, b"vars\tx"])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"",
+        b"stop",
+        b"check now",
+        b"set-down",
+        b"set-down a b",
+        b"set-up \x01",
+        b"\xff\xfe",
+        b"SET-DOWN s-1",
+        b"set-down " + b"x" * 300,
+        b"vars\tx",
+    ],
+)
 def test_what_is_no_call_is_told_so_and_changes_nothing(line: bytes) -> None:
     gateway = Gateway()
     said = answer(line, gateway)
--- a/tests/operate/test_operated.py
+++ b/tests/operate/test_operated.py
@@ -23,16 +23,29 @@
 
 def test_figures_are_what_clients_and_hosts_saw(tmp_path: Path) -> None:
     async def scenario() -> None:
-        async with Rig(tmp_path, lambda seen: serve(seen) if "put" not in seen.line else None,
-                       operated=True) as rig:
+        async with Rig(
+            tmp_path, lambda seen: serve(seen) if "put" not in seen.line else None, operated=True
+        ) as rig:
             assert await rig.call("check") == "ACK\n"
             for i in range(3):
                 assert await rig.status(message(rid=b"id-%d" % i)) == 200
-            assert await rig.status(message("put", plan="small", customer="000000000000000a", rid=b"a",
-                                            body=b"x" * 60000, deadline="250m",
-                                            target="/api/put/000000000000000a")) >= 500
-            slow = asyncio.create_task(rig.ask(message("put", rid=b"slow", deadline="5000m",
-                                                       target="/api/put/00000000b4d65521")))
+            assert (
+                await rig.status(
+                    message(
+                        "put",
+                        plan="small",
+                        customer="000000000000000a",
+                        rid=b"a",
+                        body=b"x" * 60000,
+                        deadline="250m",
+                        target="/api/put/000000000000000a",
+                    )
+                )
+                >= 500
+            )
+            slow = asyncio.create_task(
+                rig.ask(message("put", rid=b"slow", deadline="5000m", target="/api/put/00000000b4d65521"))
+            )
             await rig.hosts[0].until(lambda fake: len(fake.seen) == 5)
             figures = await rig.figures()
             assert figures["passed"] == {"read": 3, "put": 0, "pay": 0}
@@ -43,11 +56,13 @@
             rig.hosts[0].seen[-1].writer.write(reply(b"late"))
             assert (await slow).body == b"late"
             assert (await rig.figures())["in_progress"] == 0
+
     on_loop(scenario)
 
 
 def test_a_host_that_is_out_gets_nothing_until_it_is_back(tmp_path: Path) -> None:
     """Whatever discovery says of it meanwhile; and over a restart of the gateway, as over an upgrade."""
+
     async def scenario() -> None:
         async with Rig(tmp_path, serve, serve, operated=True) as rig:
             assert (await rig.call("set-down s-9")).startswith("NAK")
@@ -70,6 +85,7 @@
                 assert await rig.status(message(rid=b"back-%d" % i)) == 200
             assert rig.hosts[0].seen
             assert (await rig.figures())["skipped_hosts"] == 0
+
     on_loop(scenario)
 
 
@@ -87,11 +103,14 @@
             assert await reader.read() == b"ACK\n"
             for _, writer in held:
                 writer.close()
+
     on_loop(scenario)
 
 
-NEXT = [GRADES[1], {"name": "read-next", "objective_ms": 3000.0, "deadline_ms": 6000.0, "worth": 3.0,
-                    "effect": "unsafe"}]
+NEXT = [
+    GRADES[1],
+    {"name": "read-next", "objective_ms": 3000.0, "deadline_ms": 6000.0, "worth": 3.0, "effect": "unsafe"},
+]
 
 
 def test_classes_change_at_sighup_and_open_requests_keep_theirs(tmp_path: Path) -> None:
@@ -116,10 +135,13 @@
                     seen.writer.write(reply(b"", 500))
             await _seen(rig, 3)
             assert (await new).line.split()[1] == "502"
-            last = max((s for h in rig.hosts for s in h.seen if s.headers["x-request-id"] == "old"),
-                       key=lambda s: int(s.headers["x-deadline"][:-1]) * -1)
+            last = max(
+                (s for h in rig.hosts for s in h.seen if s.headers["x-request-id"] == "old"),
+                key=lambda s: int(s.headers["x-deadline"][:-1]) * -1,
+            )
             last.writer.write(reply(b"served"))
             assert (await old).body == b"served"
+
     on_loop(scenario)
 
 
@@ -135,6 +157,7 @@
         for part in way:
             at = at[int(part)] if isinstance(at, list) else at[part]
         del at[last]
+
     return change
 
 
@@ -145,21 +168,25 @@
         for part in way:
             at = at[int(part)] if isinstance(at, list) else at[part]
         at[last] = value
+
     return change
 
 
-@pytest.mark.parametrize(("change", "said"), [
-    (_without("settings.grades.1.effect"), "settings.grades[].effect: is missing"),
-    (_without("settings.bounds.try_limit"), "settings.bounds.try_limit: is missing"),
-    (_without("settings.packages"), "settings.packages: is missing"),
-    (_without("seed"), "seed: is missing"),
-    (_with("settings.grades.0.deadline_ms", -5), "deadline_ms: found -5, expected above 0"),
-    (_with("settings.bounds.try_limit", 0), "bounds.try_limit: found 0, expected above 0"),
-    (_with("settings.bounds.try_limit", -1), "bounds.try_limit: found -1, expected above 0"),
-    (_with("settings.grades.1.name", "read"), "classes: found 'read' twice, expected each name once"),
-    (_with("settings.packages.0.refill", 1.0), "plans cannot change in service"),
-    (_with("settings.grades.0.effect", "maybe"), "effect: found 'maybe', expected safe, keyed or unsafe"),
-])
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        (_without("settings.grades.1.effect"), "settings.grades[].effect: is missing"),
+        (_without("settings.bounds.try_limit"), "settings.bounds.try_limit: is missing"),
+        (_without("settings.packages"), "settings.packages: is missing"),
+        (_without("seed"), "seed: is missing"),
+        (_with("settings.grades.0.deadline_ms", -5), "deadline_ms: found -5, expected above 0"),
+        (_with("settings.bounds.try_limit", 0), "bounds.try_limit: found 0, expected above 0"),
+        (_with("settings.bounds.try_limit", -1), "bounds.try_limit: found -1, expected above 0"),
+        (_with("settings.grades.1.name", "read"), "classes: found 'read' twice, expected each name once"),
+        (_with("settings.packages.0.refill", 1.0), "plans cannot change in service"),
+        (_with("settings.grades.0.effect", "maybe"), "effect: found 'maybe', expected safe, keyed or unsafe"),
+    ],
+)
 def test_a_file_that_is_no_good_leaves_the_old_settings_whole(tmp_path: Path, change, said: str) -> None:
     async def scenario() -> None:
         async with Rig(tmp_path, serve, operated=True) as rig:
@@ -170,6 +197,7 @@
             assert await rig.status(message()) == 200
             figures = await rig.figures()
             assert (figures["loads"], figures["load_errors"]) == (0, 1)
+
     on_loop(scenario)
 
 
@@ -182,4 +210,5 @@
             second = await rig.run(tmp_path / "second.json")
             _, said = await second.communicate()
             assert second.returncode == 2 and b"listen: " in said
+
     on_loop(scenario)
--- a/tests/standins/agent.py
+++ b/tests/standins/agent.py
@@ -28,8 +28,9 @@
 
     async def start(self, generation: int = 0) -> Agent:
         await self.fake.start()
-        self.discovery = Discovery(asyncio.get_running_loop(), (LOOP, self.fake.port), self.told.put_nowait,
-                                   generation, 1)
+        self.discovery = Discovery(
+            asyncio.get_running_loop(), (LOOP, self.fake.port), self.told.put_nowait, generation, 1
+        )
         self.discovery.start()
         return self
 
--- a/tests/standins/core.py
+++ b/tests/standins/core.py
@@ -40,8 +40,9 @@
     def __init__(self) -> None:
         self.got: asyncio.Queue[int] = asyncio.Queue()
 
-    def answer(self, status: int, body: bytes = b"", content_type: bytes = b"", retry_after_ms: float = 0.0
-               ) -> None:
+    def answer(
+        self, status: int, body: bytes = b"", content_type: bytes = b"", retry_after_ms: float = 0.0
+    ) -> None:
         self.got.put_nowait(status)
 
     def has_left(self, behind: bool) -> bool:
@@ -50,9 +51,20 @@
 
 def an_order(deadline_ms: float = 5000) -> Order:
     an_order.serial += 1
-    return Order(b"%d" % an_order.serial, "pay", "team", "0" * 16, deadline_ms, 1, 1, 0, False,
-                 time.monotonic(),
-                 b"POST /api/0 HTTP/1.1\r\nX-Request-Id: a\r\nContent-Length: 0\r\n", b"")
+    return Order(
+        b"%d" % an_order.serial,
+        "pay",
+        "team",
+        "0" * 16,
+        deadline_ms,
+        1,
+        1,
+        0,
+        False,
+        time.monotonic(),
+        b"POST /api/0 HTTP/1.1\r\nX-Request-Id: a\r\nContent-Length: 0\r\n",
+        b"",
+    )
 
 
 an_order.serial = 0
@@ -62,10 +74,15 @@
     """A core whose module is a script and whose one host is `s-0`; discovery does not answer."""
     monkeypatch.setattr(core_module, "Gateway", Script)
     await host.start()
-    config = parse({
-        "listen": f"{LOOP}:0", "discovery": f"{LOOP}:{host.port}", "seed": "1",
-        "known": {"generation": 1, "reset": True, "instances": [instance("s-0", host.port)]},
-        "settings": {"grades": GRADES, "packages": PACKAGES, "bounds": {"try_limit": 2}}})
+    config = parse(
+        {
+            "listen": f"{LOOP}:0",
+            "discovery": f"{LOOP}:{host.port}",
+            "seed": "1",
+            "known": {"generation": 1, "reset": True, "instances": [instance("s-0", host.port)]},
+            "settings": {"grades": GRADES, "packages": PACKAGES, "bounds": {"try_limit": 2}},
+        }
+    )
     core = Node(config, asyncio.get_running_loop())
     core._apply(config.known, "kept")
     core._loop.call_soon(core._pulse._beat)
--- a/tests/standins/desk.py
+++ b/tests/standins/desk.py
@@ -17,10 +17,15 @@
     unread until the loop gets its turn."""
 
     def __init__(self, sockets: int = 1024) -> None:
-        self.settings = parse({
-            "listen": f"{LOOP}:0", "discovery": f"{LOOP}:1", "seed": "1",
-            "known": {"generation": 1, "reset": True, "instances": [instance("s-0", 1)]},
-            "settings": {"grades": GRADES, "packages": PACKAGES}}).settings
+        self.settings = parse(
+            {
+                "listen": f"{LOOP}:0",
+                "discovery": f"{LOOP}:1",
+                "seed": "1",
+                "known": {"generation": 1, "reset": True, "instances": [instance("s-0", 1)]},
+                "settings": {"grades": GRADES, "packages": PACKAGES},
+            }
+        ).settings
         self.draining = False
         self.open: dict[str, tuple[Client, Order]] = {}
         self.gone: list[str] = []
--- a/tests/standins/system.py
+++ b/tests/standins/system.py
@@ -35,8 +35,9 @@
     """The system's connections: local port, remote port, bytes that lie unread."""
     with open("/proc/net/tcp") as lines:
         parts = [line.split() for line in lines][1:]
-    return [(int(p[1].split(":")[1], 16), int(p[2].split(":")[1], 16), int(p[4].split(":")[1], 16))
-            for p in parts]
+    return [
+        (int(p[1].split(":")[1], 16), int(p[2].split(":")[1], 16), int(p[4].split(":")[1], 16)) for p in parts
+    ]
 
 
 def held(rig: Rig) -> bool:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -18,11 +18,13 @@
         await watch.fake.until(lambda fake: len(fake.seen) == 2)
         assert watch.asked() == ["/v1/endpoints?after=41", "/v1/endpoints?after=43"]
         watch.stop()
+
     on_loop(scenario)
 
 
 def test_an_agent_that_turns_away_is_asked_for_changes_still() -> None:
     """The whole list is the dearest call there is: a 503 loses nothing of what is known."""
+
     async def scenario() -> None:
         busy = reply(b"", 503)
         watch = await Agent(listing(7, "a"), busy, busy, busy, listing(8, "b", whole=False)).start()
@@ -30,6 +32,7 @@
         assert not (await watch.told.get()).whole
         assert watch.asked()[:5] == ["/v1/endpoints", *["/v1/endpoints?after=7"] * 4]
         watch.stop()
+
     on_loop(scenario)
 
 
@@ -41,11 +44,13 @@
         assert (await watch.told.get()).whole
         assert watch.asked()[:3] == ["/v1/endpoints", "/v1/endpoints?after=7", "/v1/endpoints"]
         watch.stop()
+
     on_loop(scenario)
 
 
 def test_an_agent_that_breaks_connections_as_they_come_up_is_asked_again() -> None:
     """Such a connection is closing before it can be written to; the watch must not hang on it."""
+
     async def scenario() -> None:
         told: asyncio.Queue[Listing] = asyncio.Queue()
         broken = [0]
@@ -66,11 +71,13 @@
         assert broken[0] == 5
         discovery.stop()
         server.close()
+
     on_loop(scenario, 10)
 
 
 def test_a_connection_that_is_closing_is_not_written_to() -> None:
     """What the loop has not yet told of: the watch is begun anew, and nothing is raised."""
+
     async def scenario() -> None:
         watch = await Agent(listing(1, "a"), None, listing(2, "b")).start()
         await watch.told.get()
@@ -79,4 +86,5 @@
         watch.discovery._ask()
         assert (await watch.told.get()).generation == 2
         watch.stop()
+
     on_loop(scenario, 10)
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -80,6 +80,7 @@
                 assert await reader.readexactly(LONG - 1000) == b"b" * (LONG - 1000)
             figures = await rig.figures()
             assert (figures["passed"]["read"], figures["in_progress"]) == (2, 0)
+
     on_loop(scenario)
 
 
@@ -87,6 +88,7 @@
 @pytest.mark.parametrize("form", ["chunks", "bytes", "close", "old"])
 def test_every_form_of_an_answer_comes_whole(tmp_path: Path, size: int, form: str) -> None:
     """In chunks with extensions and trailers, in chunks of a byte, up to the close, as HTTP/1.0 has it."""
+
     async def scenario() -> None:
         body = bytes(i % 253 for i in range(size))
 
@@ -107,6 +109,7 @@
             assert head.startswith("HTTP/1.1 200")
             got = await (chunks(reader) if "chunked" in head else reader.readexactly(size))
             assert got == body
+
     on_loop(scenario)
 
 
@@ -119,6 +122,7 @@
 
         async with rig_of(tmp_path, script) as rig:
             assert await rig.status(message("put")) == 502
+
     on_loop(scenario, 5)
 
 
@@ -135,6 +139,7 @@
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
             assert "chunked" not in head and "Connection: close" in head
             assert await reader.read(-1) == b"z" * LONG
+
     on_loop(scenario)
 
 
@@ -172,6 +177,7 @@
             figures = await rig.figures()
             assert (figures["passed"]["read"], figures["bad_gateway"]["read"]) == (0, 1)
             assert await rig.status(b"GET /ready HTTP/1.1\r\n\r\n") == 200
+
     on_loop(scenario)
 
 
@@ -192,11 +198,13 @@
             writer.close()
             await ended.wait()
             assert (await rig.figures())["in_progress"] == 0
+
     on_loop(scenario)
 
 
 def test_a_slow_client_holds_the_host_back_and_still_gets_all(tmp_path: Path) -> None:
     """What a client does not read is not gathered: the host is held back instead."""
+
     async def scenario() -> None:
         size, written = 32 * 1024 * 1024, [0]
 
@@ -224,6 +232,7 @@
                 assert got
                 left -= got
             assert (await rig.figures())["passed"]["read"] == 1
+
     on_loop(scenario)
 
 
@@ -236,6 +245,7 @@
 
         async with rig_of(tmp_path, script) as rig:
             assert await rig.status(message("put")) == 502
+
     on_loop(scenario)
 
 
@@ -262,13 +272,15 @@
             for rid in (b"one", b"two"):
                 head, body = put(size, rid)
                 if form == "chunks":
-                    head = message("put", rid=rid, drop="Content-Length",
-                                   more="Transfer-Encoding: chunked\r\n")
+                    head = message(
+                        "put", rid=rid, drop="Content-Length", more="Transfer-Encoding: chunked\r\n"
+                    )
                 writer.write(head + (chunked(body, 3000) if form == "chunks" else body))
                 assert (await read_message(reader, writer)).body == b"ok"
             assert [got for _, got in seen] == [body, body]
             assert ["one" in seen[0][0], "two" in seen[1][0]] == [True, True]
             assert (await rig.figures())["upstream_tries"] == 2
+
     on_loop(scenario)
 
 
@@ -283,6 +295,7 @@
             writer.write(body[150_000:])
             assert (await read_message(reader, writer)).line.split()[1] == "200"
             assert seen[0][1] == body
+
     on_loop(scenario)
 
 
@@ -296,6 +309,7 @@
             reader, writer = await rig.connect()
             writer.write(b"".join(put(200_000, deadline="400m")))
             assert (await read_message(reader, writer)).line.split()[1] in ("502", "504")
+
     on_loop(scenario, 8)
 
 
@@ -315,6 +329,7 @@
             assert len(seen) == statuses.count("200")
             writer.write(message(rid=b"next"))
             assert (await read_message(reader, writer)).body == b"ok"
+
     on_loop(scenario)
 
 
@@ -330,6 +345,7 @@
             assert (answer.line.split()[1], answer.headers["connection"]) == ("408", "close")
             assert not seen
             assert (await rig.figures())["in_progress"] == 0
+
     on_loop(scenario)
 
 
@@ -352,6 +368,7 @@
                 await asyncio.sleep(0.01)
             assert len(ended[0]) < 1_000_000
             assert (await rig.figures())["in_progress"] == 0
+
     on_loop(scenario)
 
 
@@ -361,6 +378,7 @@
     tmp_path: Path, size: int, status: str, turns_away: bool
 ) -> None:
     """Turned away, or reset, before the last byte: kept whole it goes to another, else it is refused."""
+
     async def scenario() -> None:
         seen: list[tuple[str, bytes]] = []
         first: list[str] = []
@@ -389,6 +407,7 @@
             writer.write(body[-1:])
             assert (await read_message(reader, writer)).line.split()[1] == status
             assert [got for _, got in seen] == ([body] if status == "200" else [])
+
     on_loop(scenario)
 
 
@@ -417,6 +436,7 @@
             await flooding
             assert (await rig.figures())["bad_gateway"]["put"] == 1
             assert (await rig.figures())["upstream_tries"] == 0
+
     on_loop(scenario)
 
 
@@ -442,6 +462,7 @@
             assert (await read_message(reader, writer)).body == b"first"
             assert (await read_message(reader, writer)).body == b"ok"
             assert seen[0][1] == body
+
     on_loop(scenario)
 
 
@@ -458,6 +479,7 @@
             assert seen[0][0].startswith("POST /api/00000000b4d65521?x=/ HTTP/1.1")
             assert [body for _, body in seen] == [b"abc", b"abc"]
             assert "X-Request-Id: tr\r\n" in seen[1][0]
+
     on_loop(scenario)
 
 
@@ -471,4 +493,5 @@
                 writer.write(piece)
                 await asyncio.sleep(0.9)
             assert (await read_message(reader, writer)).body == b"ok"
+
     on_loop(scenario)
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -39,6 +39,7 @@
         await asyncio.sleep(0.05)
         assert client.got.empty() and len(host.seen) == 1
         host.stop()
+
     on_loop(scenario)
 
 
@@ -52,14 +53,22 @@
     monkeypatch: pytest.MonkeyPatch, answers: bool
 ) -> None:
     """The watch that was open brings the first; the second comes at once when asked for, or in vain."""
+
     async def scenario() -> None:
         told: list[str] = []
 
         def agent(seen: Seen) -> bytes | None:
             told.append(seen.line.split()[1])
             if len(told) == 2 and answers:
-                return reply(json.dumps({"generation": 3, "reset": False, "instances": [
-                    instance("s-0", 9, lifecycle="draining")]}).encode())
+                return reply(
+                    json.dumps(
+                        {
+                            "generation": 3,
+                            "reset": False,
+                            "instances": [instance("s-0", 9, lifecycle="draining")],
+                        }
+                    ).encode()
+                )
             return None
 
         host = Fake(agent)
@@ -82,6 +91,7 @@
         assert all(WAIT_MS / 2 <= wait <= WAIT_MS for wait in waits[1:])  # a watch again, as long as ever
         core.stop()
         host.stop()
+
     on_loop(scenario)
 
 
@@ -92,6 +102,7 @@
         core.request(Answers(), an_order())
         assert isinstance(script.events[-1], api.Request)
         host.stop()
+
     on_loop(scenario)
 
 
@@ -112,6 +123,7 @@
         core.request(served, an_order())
         assert await served.got.get() == 200
         host.stop()
+
     on_loop(scenario)
 
 
@@ -120,8 +132,11 @@
         host = Fake(lambda seen: None)
         core, script = await core_with(monkeypatch, host)
         client = Answers()
-        script.plan[api.Request] = [api.Send("r1", "s-0", 1000), api.Send("r1", "nowhere", 1000),
-                                    api.Send("r1", "s-0", 1000)]  # the third is beyond the limit of two
+        script.plan[api.Request] = [
+            api.Send("r1", "s-0", 1000),
+            api.Send("r1", "nowhere", 1000),
+            api.Send("r1", "s-0", 1000),
+        ]  # the third is beyond the limit of two
         core.request(client, an_order())
         assert script.outcomes() == [api.CONNECT_FAILED, api.MOOT]
         await host.until(lambda fake: bool(fake.seen))
@@ -132,6 +147,7 @@
         assert await client.got.get() == 502
         assert not core._requests
         host.stop()
+
     on_loop(scenario)
 
 
@@ -177,8 +193,9 @@
 
 
 @pytest.mark.parametrize("more", [b"HTTP/1.1 200", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"])
-def test_a_connection_on_which_more_has_begun_is_not_used_again(monkeypatch: pytest.MonkeyPatch, more: bytes
-                                                                ) -> None:
+def test_a_connection_on_which_more_has_begun_is_not_used_again(
+    monkeypatch: pytest.MonkeyPatch, more: bytes
+) -> None:
     async def scenario() -> None:
         host = await Fake(lambda seen: reply() + more).start()
         core, script = await core_with(monkeypatch, host)
@@ -230,6 +247,7 @@
 
 def test_a_connection_that_breaks_as_it_comes_up_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
     """Nothing may be written to it: the attempt would hang until its time-out."""
+
     async def scenario() -> None:
         host = Fake(lambda seen: reply(b"served"))
         core, script = await core_with(monkeypatch, host)
@@ -241,12 +259,15 @@
         assert await client.got.get() == 503
         assert script.outcomes() == [api.UNSENT]
         host.stop()
+
     on_loop(scenario, 3)
 
 
 def test_a_dial_called_off_in_the_turn_in_which_it_comes_up_leaves_nothing(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """The loop closes such a connection without a word; it would count against our bound for good."""
+
     async def scenario() -> None:
         host = Fake(lambda seen: reply(b"served"))
         core, script = await core_with(monkeypatch, host)
@@ -271,6 +292,7 @@
         await asyncio.sleep(0.01)
         assert up and not hosts._connections
         host.stop()
+
     on_loop(scenario, 3)
 
 
@@ -291,11 +313,13 @@
         (outcome,) = [e for e in script.events if isinstance(e, api.Outcome)]
         assert outcome.took_ms < 400
         host.stop()
+
     on_loop(scenario)
 
 
-async def counter_with(monkeypatch: pytest.MonkeyPatch, fake: Fake, wait_ms: float
-                       ) -> tuple[Counter, asyncio.Queue[api.CountReply]]:
+async def counter_with(
+    monkeypatch: pytest.MonkeyPatch, fake: Fake, wait_ms: float
+) -> tuple[Counter, asyncio.Queue[api.CountReply]]:
     monkeypatch.setattr(counter_module, "CONNECTIONS", 1)
     await fake.start()
     got: asyncio.Queue[api.CountReply] = asyncio.Queue()
@@ -318,17 +342,21 @@
         assert got.empty()
         counter.stop()
         fake.stop()
+
     on_loop(scenario)
 
 
-@pytest.mark.parametrize(("behave", "result"), [
-    (lambda seen: b"", api.CUT),  # broken after the call was written: it may have been added
-    (lambda seen: reply(b"", 503), api.FULL),
-    (lambda seen: reply(b"many"), api.SPOILT),
-    (lambda seen: reply(b"nan"), api.SPOILT),
-    (lambda seen: reply(b"1_0"), api.SPOILT),
-    (lambda seen: b"HTTP/1.1 2x0 OK\r\n\r\n", api.SPOILT),
-])
+@pytest.mark.parametrize(
+    ("behave", "result"),
+    [
+        (lambda seen: b"", api.CUT),  # broken after the call was written: it may have been added
+        (lambda seen: reply(b"", 503), api.FULL),
+        (lambda seen: reply(b"many"), api.SPOILT),
+        (lambda seen: reply(b"nan"), api.SPOILT),
+        (lambda seen: reply(b"1_0"), api.SPOILT),
+        (lambda seen: b"HTTP/1.1 2x0 OK\r\n\r\n", api.SPOILT),
+    ],
+)
 def test_what_a_counter_call_comes_to(monkeypatch: pytest.MonkeyPatch, behave, result: str) -> None:
     async def scenario() -> None:
         fake = Fake(behave)
@@ -338,21 +366,33 @@
         assert got.empty()
         counter.stop()
         fake.stop()
+
     on_loop(scenario)
 
 
 def test_a_counter_that_answers_late_is_still_heard(monkeypatch: pytest.MonkeyPatch) -> None:
     """A busy counter answers after the bound that the settings give; its totals are true all the same."""
+
     async def scenario() -> None:
         fake = Fake(lambda seen: None)
         await fake.start()
-        config = parse({
-            "listen": f"{LOOP}:0", "discovery": f"{LOOP}:{fake.port}", "counter": f"{LOOP}:{fake.port}",
-            "seed": "1", "settings": {"grades": GRADES, "packages": PACKAGES,
-                                      "family_info": {"may_count": True, "count_wait_ms": 250.0}}})
+        config = parse(
+            {
+                "listen": f"{LOOP}:0",
+                "discovery": f"{LOOP}:{fake.port}",
+                "counter": f"{LOOP}:{fake.port}",
+                "seed": "1",
+                "settings": {
+                    "grades": GRADES,
+                    "packages": PACKAGES,
+                    "family_info": {"may_count": True, "count_wait_ms": 250.0},
+                },
+            }
+        )
         got: asyncio.Queue[api.CountReply] = asyncio.Queue()
-        counter = Counter(asyncio.get_running_loop(), config.counter, config.settings.count_wait_ms,
-                          got.put_nowait)
+        counter = Counter(
+            asyncio.get_running_loop(), config.counter, config.settings.count_wait_ms, got.put_nowait
+        )
         counter.call(api.Count("a", 1, 1000))
         await fake.until(lambda fake: len(fake.seen) == 1)
         await asyncio.sleep(0.4)
@@ -361,11 +401,13 @@
         assert (answer.result, answer.total) == (api.OK, 7)
         counter.stop()
         fake.stop()
+
     on_loop(scenario)
 
 
 def test_a_silent_counter_is_dialled_again(monkeypatch: pytest.MonkeyPatch) -> None:
     """A counter that is cut off leaves its connection open; the calls must not go there for ever."""
+
     async def scenario() -> None:
         fake = Fake(lambda seen: None)
         counter, got = await counter_with(monkeypatch, fake, 30)
@@ -378,12 +420,15 @@
         assert fake.seen[0].writer is not fake.seen[1].writer
         counter.stop()
         fake.stop()
+
     on_loop(scenario, 10)
 
 
 def test_a_counter_connection_that_is_reset_as_it_comes_up_is_dialled_again(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Its loss is told before its dial is over; it must not stand for the slot's connection from then on."""
+
     async def scenario() -> None:
         monkeypatch.setattr(counter_module, "CONNECTIONS", 1)
         listener = socket.create_server((LOOP, 0))
@@ -414,11 +459,13 @@
         assert (await got.get()).result == api.OK
         counter.stop()
         fake.stop()
+
     on_loop(scenario, 3)
 
 
 def test_a_counter_dial_called_off_as_it_comes_up_is_begun_anew(monkeypatch: pytest.MonkeyPatch) -> None:
     """The loop tells nobody of that connection's end; its slot would hold a dead one for good."""
+
     async def scenario() -> None:
         monkeypatch.setattr(counter_module, "CONNECTIONS", 1)
         fake = Fake(lambda seen: reply(b"1"))
@@ -442,6 +489,7 @@
         assert (await got.get()).result == api.OK
         counter.stop()
         fake.stop()
+
     on_loop(scenario, 3)
 
 
@@ -462,15 +510,20 @@
         assert [(await got.get()).result, (await got.get()).result] == [api.SPOILT, api.OK]
         counter.stop()
         fake.stop()
+
     on_loop(scenario, 3)
 
 
-@pytest.mark.parametrize(("stuck", "results"), [
-    (1, {api.CUT}),  # what waits behind the call that ran out is cut with it
-    (2, {api.TIMED_OUT}),  # on more than one connection it is the counter that is slow
-])
-def test_one_silent_counter_connection_is_given_up(monkeypatch: pytest.MonkeyPatch, stuck: int,
-                                                   results: set[str]) -> None:
+@pytest.mark.parametrize(
+    ("stuck", "results"),
+    [
+        (1, {api.CUT}),  # what waits behind the call that ran out is cut with it
+        (2, {api.TIMED_OUT}),  # on more than one connection it is the counter that is slow
+    ],
+)
+def test_one_silent_counter_connection_is_given_up(
+    monkeypatch: pytest.MonkeyPatch, stuck: int, results: set[str]
+) -> None:
     async def scenario() -> None:
         monkeypatch.setattr(counter_module, "CONNECTIONS", 3)
         silent: list[asyncio.StreamWriter] = []
@@ -496,6 +549,7 @@
         assert {end.result for end in ends} == results
         counter.stop()
         fake.stop()
+
     on_loop(scenario, 5)
 
 
@@ -511,6 +565,7 @@
         await asyncio.sleep(0.2)  # longer than the rests so far
         assert fake.opened == 2  # what is stopped dials no more
         fake.stop()
+
     on_loop(scenario, 5)
 
 
@@ -533,4 +588,5 @@
             await asyncio.sleep(0.01)
         counter.stop()
         fake.stop()
+
     on_loop(scenario)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -208,8 +208,11 @@
         del open_attempts[key]
         rec = attempts[key[0]][key[1]]
         rec[1], rec[3] = True, False
-        note(d.give(api.Outcome(key[0], key[1], rec[0], api.TIMED_OUT, 1000,
-                                answers(d, key[0], served) > 0), 1))
+        note(
+            d.give(
+                api.Outcome(key[0], key[1], rec[0], api.TIMED_OUT, 1000, answers(d, key[0], served) > 0), 1
+            )
+        )
     assert all(answers(d, rid, served) == 1 for rid in asked)
     assert not gw.held
 
@@ -239,8 +242,12 @@
     d = Driver()
     with pytest.raises(TypeError, match="not an event|object expected; got str"):  # as source, compiled
         d.give("hello")
-    for changes, word in [({"classes": ()}, "classes"), ({"me": 3}, "me"), ({"fleet_size": 0}, "fleet_size"),
-                          ({"plans": (api.Plan("p", rate=-1),)}, "rate")]:
+    for changes, word in [
+        ({"classes": ()}, "classes"),
+        ({"me": 3}, "me"),
+        ({"fleet_size": 0}, "fleet_size"),
+        ({"plans": (api.Plan("p", rate=-1),)}, "rate"),
+    ]:
         with pytest.raises(ValueError, match=word):
             Gateway(settings(**changes), 1)
 
@@ -713,9 +720,19 @@
     assert d.gateway.fleet.warmth(host) < 0.3
 
 
-@pytest.mark.parametrize(("result", "times", "rests"), [
-    (api.RESET, 2, False), (api.RESET, 3, True), (api.UNSENT, 2, False), (api.UNSENT, 3, True),
-    (api.CONNECT_FAILED, 1, True), (api.STALE, 9, False), (api.SPOILT, 9, False), (api.NO_ROOM, 9, False)])
+@pytest.mark.parametrize(
+    ("result", "times", "rests"),
+    [
+        (api.RESET, 2, False),
+        (api.RESET, 3, True),
+        (api.UNSENT, 2, False),
+        (api.UNSENT, 3, True),
+        (api.CONNECT_FAILED, 1, True),
+        (api.STALE, 9, False),
+        (api.SPOILT, 9, False),
+        (api.NO_ROOM, 9, False),
+    ],
+)
 def test_what_an_outcome_says_of_its_host(result: str, times: int, rests: bool) -> None:
     """A connection's end, a spoilt answer or a bound of our own are not the host's death."""
     d = Driver(servers=1, try_limit=1)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,13 +11,15 @@
 import pytest
 
 ROOT = Path(__file__).parent.parent
-SETUP = ("bounds.try_limit=4 bounds.cancel=true bounds.retry_after=true bounds.max_retry_after_ms=1000 "
-         "family_info.may_count=true family_info.count_wait_ms=30 fleet_size=3 "
-         "grades.count=1 grades.0.name=read grades.0.objective_ms=1000 grades.0.deadline_ms=4000 "
-         "grades.0.worth=1 grades.0.effect=safe "
-         "packages.count=1 packages.0.name=basic packages.0.refill=2 packages.0.burst=6 "
-         "packages.0.over_cost=1 some.new.key=7 rules.cold_from=0.2 rules.cold_ms=10000 "
-         "rules.fall_multiple=3 rules.tip_after_ms=2000 tick_ms=2 zone=a zones=a,b")
+SETUP = (
+    "bounds.try_limit=4 bounds.cancel=true bounds.retry_after=true bounds.max_retry_after_ms=1000 "
+    "family_info.may_count=true family_info.count_wait_ms=30 fleet_size=3 "
+    "grades.count=1 grades.0.name=read grades.0.objective_ms=1000 grades.0.deadline_ms=4000 "
+    "grades.0.worth=1 grades.0.effect=safe "
+    "packages.count=1 packages.0.name=basic packages.0.refill=2 packages.0.burst=6 "
+    "packages.0.over_cost=1 some.new.key=7 rules.cold_from=0.2 rules.cold_ms=10000 "
+    "rules.fall_multiple=3 rules.tip_after_ms=2000 tick_ms=2 zone=a zones=a,b"
+)
 
 
 def opening(*names: str) -> str:
@@ -34,8 +36,15 @@
 
 def run(text: str, hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
     env = {**os.environ, "PYTHONHASHSEED": hash_seed}
-    return subprocess.run([sys.executable, "-m", "yewstage.wirehost"], input=text, capture_output=True,
-                          text=True, cwd=ROOT, env=env, check=False)
+    return subprocess.run(
+        [sys.executable, "-m", "yewstage.wirehost"],
+        input=text,
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        env=env,
+        check=False,
+    )
 
 
 def req(name: str, rid: str, customer: str = "key:c") -> str:
@@ -49,24 +58,46 @@
     assert lines[0] == "OK" and lines.count("OK") == 3
     name = re.search(r"ADD gateway/0 (\S+) \S+ \S+", done.stdout)
     assert name and name[1].isascii() and len(name[1]) <= 64
-    again = run("BATCH 900\nEND\n" + opening("gateway/0") + batch(1010, req("gateway/0", "r-a"))
-                + batch(1014, f"COUNTER_REPLY gateway/0 1 Ok 2.15 {name[1]}"))
+    again = run(
+        "BATCH 900\nEND\n"
+        + opening("gateway/0")
+        + batch(1010, req("gateway/0", "r-a"))
+        + batch(1014, f"COUNTER_REPLY gateway/0 1 Ok 2.15 {name[1]}")
+    )
     sent = re.search(r"DELIVER gateway/0 r-a ([\d.]+) (10\.0\.0\.\d:80)", again.stdout)
     assert sent and 0 < float(sent[1]) <= 1000
-    served = run("BATCH 900\nEND\n" + opening("gateway/0") + batch(1010, req("gateway/0", "r-a"))
-                 + batch(1014, f"COUNTER_REPLY gateway/0 1 Ok 2.15 {name[1]}")
-                 + batch(1100, f"ENDED gateway/0 r-a 0 {sent[2]} Ok 86.0 1 0 0 mean_ms:14.5,news:3",
-                         "CLIENT_LEFT gateway/0 r-a", "TICK_DUE gateway/0 sweep"))
+    served = run(
+        "BATCH 900\nEND\n"
+        + opening("gateway/0")
+        + batch(1010, req("gateway/0", "r-a"))
+        + batch(1014, f"COUNTER_REPLY gateway/0 1 Ok 2.15 {name[1]}")
+        + batch(
+            1100,
+            f"ENDED gateway/0 r-a 0 {sent[2]} Ok 86.0 1 0 0 mean_ms:14.5,news:3",
+            "CLIENT_LEFT gateway/0 r-a",
+            "TICK_DUE gateway/0 sweep",
+        )
+    )
     assert served.returncode == 0
     assert "REFUSE" not in served.stdout and "GIVE_UP" not in served.stdout
 
 
-@pytest.mark.parametrize("line", [
-    "REQ gateway/0 r-a read basic key:c 4000.0 1 3 0", "HELLO gateway/0", "TICK_DUE gateway/0",
-    "REQ gateway/0 r-a read basic key:c soon 1 3 0 0", "REQ gateway/0 r-a read basic key:c nan 1 3 0 0",
-    "ENDED gateway/0 r-a 0 h Odd 1 1 0 0 -", "ENDED gateway/0 r-a x h Ok 1 1 0 0 -", "CATALOG 1 1\nM a b",
-    "DIRECTORY_UPDATE gateway/0 Complete 1 9", "INBOX gateway/0 1 zz", "",
-])
+@pytest.mark.parametrize(
+    "line",
+    [
+        "REQ gateway/0 r-a read basic key:c 4000.0 1 3 0",
+        "HELLO gateway/0",
+        "TICK_DUE gateway/0",
+        "REQ gateway/0 r-a read basic key:c soon 1 3 0 0",
+        "REQ gateway/0 r-a read basic key:c nan 1 3 0 0",
+        "ENDED gateway/0 r-a 0 h Odd 1 1 0 0 -",
+        "ENDED gateway/0 r-a x h Ok 1 1 0 0 -",
+        "CATALOG 1 1\nM a b",
+        "DIRECTORY_UPDATE gateway/0 Complete 1 9",
+        "INBOX gateway/0 1 zz",
+        "",
+    ],
+)
 def test_malformed_lines_end_it_with_one_plain_line(line: str) -> None:
     done = run(opening("gateway/0") + f"BATCH 1010\n{line}\nEND\n")
     assert done.returncode not in (0, 1)
@@ -108,8 +139,9 @@
 def test_the_page_s_example_runs() -> None:
     code = re.search(r"```python\n(.*?)```", (ROOT / "docs" / "platform.md").read_text(), re.S)
     assert code
-    done = subprocess.run([sys.executable, "-c", code[1]], capture_output=True, text=True, cwd=ROOT,
-                          check=False)
+    done = subprocess.run(
+        [sys.executable, "-c", code[1]], capture_output=True, text=True, cwd=ROOT, check=False
+    )
     assert done.returncode == 0, done.stderr
     assert done.stdout.splitlines()[-1] == "served by 10.0.0.1:80"
 
--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -43,8 +43,12 @@
         return
     core.reload(config)
     server.read_terms()
-    logging.info("reloaded: discovery %s:%d, %d classes, %d attempts", *config.discovery,
-                 len(config.settings.classes), config.settings.try_limit)
+    logging.info(
+        "reloaded: discovery %s:%d, %d classes, %d attempts",
+        *config.discovery,
+        len(config.settings.classes),
+        config.settings.try_limit,
+    )
 
 
 async def serve(config: Config) -> None:
--- a/yewstage/fleet.py
+++ b/yewstage/fleet.py
@@ -51,10 +51,39 @@
 class Host:
     """What this gateway knows of one server."""
 
-    __slots__ = ("name", "zone", "cell", "nominal", "up", "born", "cold_from_ms", "open", "slow", "pool",
-                 "strikes", "fails", "down_until", "died", "credit", "credit_at", "server", "listed", "group",
-                 "home", "regions", "rank", "at", "pace", "load", "log_load", "log_nominal", "out", "place",
-                 "near", "tier")
+    __slots__ = (
+        "name",
+        "zone",
+        "cell",
+        "nominal",
+        "up",
+        "born",
+        "cold_from_ms",
+        "open",
+        "slow",
+        "pool",
+        "strikes",
+        "fails",
+        "down_until",
+        "died",
+        "credit",
+        "credit_at",
+        "server",
+        "listed",
+        "group",
+        "home",
+        "regions",
+        "rank",
+        "at",
+        "pace",
+        "load",
+        "log_load",
+        "log_nominal",
+        "out",
+        "place",
+        "near",
+        "tier",
+    )
 
     def __init__(self, server: api.Server) -> None:
         self.name = server.name
--- a/yewstage/handover/channel.py
+++ b/yewstage/handover/channel.py
@@ -26,8 +26,13 @@
 class Channel:
     """One end of a conversation."""
 
-    def __init__(self, sock: socket.socket, loop: asyncio.AbstractEventLoop,
-                 received: Callable[[dict[str, Any], int | None], None], lost: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        loop: asyncio.AbstractEventLoop,
+        received: Callable[[dict[str, Any], int | None], None],
+        lost: Callable[[], None],
+    ) -> None:
         self._sock, self._loop, self._received, self._lost = sock, loop, received, lost
         self._waiting: deque[tuple[bytes, int | None]] = deque()
         self.open = True
--- a/yewstage/handover/service.py
+++ b/yewstage/handover/service.py
@@ -124,8 +124,9 @@
 class TakeOver:
     """The new side: asks the old process for all that it has."""
 
-    def __init__(self, sock: socket.socket, loop: asyncio.AbstractEventLoop,
-                 connection: Callable[[int], None]) -> None:
+    def __init__(
+        self, sock: socket.socket, loop: asyncio.AbstractEventLoop, connection: Callable[[int], None]
+    ) -> None:
         self._connection = connection
         self._listener: int | None = None
         self._documents: list[dict[str, Any]] = []
@@ -133,8 +134,9 @@
         self._channel = Channel(sock, loop, self._received, self._lost)
 
     @classmethod
-    def find(cls, folder: str, loop: asyncio.AbstractEventLoop,
-             connection: Callable[[int], None]) -> TakeOver | None:
+    def find(
+        cls, folder: str, loop: asyncio.AbstractEventLoop, connection: Callable[[int], None]
+    ) -> TakeOver | None:
         """A conversation with the process that serves already; None where there is none. `connection` gets
         the descriptor of each client's connection that it passes on."""
         sock = connect(folder)
--- a/yewstage/handover/state.py
+++ b/yewstage/handover/state.py
@@ -60,9 +60,7 @@
     """Documents that a module cannot go on from; the text names the field."""
 
 
-def export(
-    gateway: Gateway, wanted: Callable[[Use], bool] = lambda use: True
-) -> Iterator[dict[str, Any]]:
+def export(gateway: Gateway, wanted: Callable[[Use], bool] = lambda use: True) -> Iterator[dict[str, Any]]:
     """All that a module knows but for what is open, in documents of bounded size; of its customers those that
     are `wanted`."""
     fleet = gateway.fleet
--- a/yewstage/hosted/core.py
+++ b/yewstage/hosted/core.py
@@ -146,9 +146,7 @@
         self.tenant = tenant
         self._clock = resources.clock
         self._resources, self.stats, self._settled = resources, stats, settled
-        self._hosts: TenantHosts = TenantHosts(
-            tenant, loop, resources, self._ended, make_room, self._wanted
-        )
+        self._hosts: TenantHosts = TenantHosts(tenant, loop, resources, self._ended, make_room, self._wanted)
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._dozing = False
         self._busy_at = loop.time()
--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -109,8 +109,10 @@
             raise ValueError(f"fleet_size: found {self.fleet_size}, expected 1 or more")
         if self.most_customers < 1:
             raise ValueError(f"most_customers: found {self.most_customers}, expected 1 or more")
-        for what, names in (("classes", [c.name for c in self.classes]),
-                            ("plans", [p.name for p in self.plans])):
+        for what, names in (
+            ("classes", [c.name for c in self.classes]),
+            ("plans", [p.name for p in self.plans]),
+        ):
             twice = sorted({name for name in names if names.count(name) > 1})
             if twice:
                 raise ValueError(f"{what}: found {twice[0]!r} twice, expected each name once")
@@ -119,19 +121,23 @@
         for c in self.classes:
             for name in ("aim_ms", "deadline_ms"):
                 if getattr(c, name) <= 0:
-                    raise ValueError(f"classes[{c.name}].{name}: found {getattr(c, name):g}, "
-                                     "expected above 0")
+                    raise ValueError(
+                        f"classes[{c.name}].{name}: found {getattr(c, name):g}, expected above 0"
+                    )
             if c.effect not in ("safe", "keyed", "unsafe"):
-                raise ValueError(f"classes[{c.name}].effect: found {c.effect!r}, "
-                                 "expected safe, keyed or unsafe")
+                raise ValueError(
+                    f"classes[{c.name}].effect: found {c.effect!r}, expected safe, keyed or unsafe"
+                )
             if c.key_scope not in ("all", "zone", "cell"):
-                raise ValueError(f"classes[{c.name}].key_scope: found {c.key_scope!r}, "
-                                 "expected all, zone or cell")
+                raise ValueError(
+                    f"classes[{c.name}].key_scope: found {c.key_scope!r}, expected all, zone or cell"
+                )
         for p in self.plans:
             for name in ("rate", "burst", "ceiling_rate", "ceiling_burst", "ceiling_slack", "parallel"):
                 if getattr(p, name) < 0:
-                    raise ValueError(f"plans[{p.name}].{name}: found {getattr(p, name):g}, "
-                                     "expected 0 or more")
+                    raise ValueError(
+                        f"plans[{p.name}].{name}: found {getattr(p, name):g}, expected 0 or more"
+                    )
         for name in ("cold_ms", "fall_multiple", "tip_after_ms", "tick_ms", "try_limit"):
             if getattr(self, name) < 0:
                 raise ValueError(f"{name}: found {getattr(self, name):g}, expected 0 or more")
@@ -177,9 +183,19 @@
     repeat: bool = False
     pool: str = ""  # the hosts that may serve it
 
-    def __init__(self, id: str, class_name: str, plan_name: str, customer: str, time_left_ms: float,
-                 units: float = 1.0, width: int = 1, first: int = 0, repeat: bool = False,
-                 pool: str = "") -> None:
+    def __init__(
+        self,
+        id: str,
+        class_name: str,
+        plan_name: str,
+        customer: str,
+        time_left_ms: float,
+        units: float = 1.0,
+        width: int = 1,
+        first: int = 0,
+        repeat: bool = False,
+        pool: str = "",
+    ) -> None:
         self.id, self.class_name, self.plan_name, self.customer = id, class_name, plan_name, customer
         self.time_left_ms, self.units, self.width, self.first = time_left_ms, units, width, first
         self.repeat, self.pool = repeat, pool
@@ -199,9 +215,18 @@
     true_units: float = 0.0  # 0: not told
     report: dict[str, float] = field(default_factory=dict)
 
-    def __init__(self, request: str, attempt: int, server: str, result: str, took_ms: float, final: bool,
-                 use_percent: float = 0.0, true_units: float = 0.0,
-                 report: dict[str, float] | None = None) -> None:
+    def __init__(
+        self,
+        request: str,
+        attempt: int,
+        server: str,
+        result: str,
+        took_ms: float,
+        final: bool,
+        use_percent: float = 0.0,
+        true_units: float = 0.0,
+        report: dict[str, float] | None = None,
+    ) -> None:
         self.request, self.attempt, self.server, self.result = request, attempt, server, result
         self.took_ms, self.final, self.use_percent, self.true_units = took_ms, final, use_percent, true_units
         self.report = {} if report is None else report
@@ -351,6 +376,18 @@
     text: str
 
 
-Event = (ServerList | Request | Outcome | StreamStarted | ClientLeft | TimerDue | CountReply | ProbeReply
-         | PeerMessage | HostOut | SettingsChanged | Succeeded)
+Event = (
+    ServerList
+    | Request
+    | Outcome
+    | StreamStarted
+    | ClientLeft
+    | TimerDue
+    | CountReply
+    | ProbeReply
+    | PeerMessage
+    | HostOut
+    | SettingsChanged
+    | Succeeded
+)
 Action = Send | Refuse | Fail | Cancel | Timer | Count | Subscribe | Log
--- a/yewstage/lab/report.py
+++ b/yewstage/lab/report.py
@@ -114,8 +114,7 @@
          unmet: list[str]) -> str:  # fmt: skip
     """The whole page."""
     rows = "".join(
-        f'<tr class="{v.says()}"><td>{v.rule}<td>{v.says()}<td>{v.exercised}<td>{v.broken}'
-        for v in verdicts
+        f'<tr class="{v.says()}"><td>{v.rule}<td>{v.says()}<td>{v.exercised}<td>{v.broken}' for v in verdicts
     )
     faults = "".join(
         f"<li>{at:g} s: {html.escape(what)} ({count})" for (at, what), count in sorted(series.faults.items())
--- a/yewstage/lab/traffic.py
+++ b/yewstage/lab/traffic.py
@@ -141,8 +141,17 @@
             at = min(int(np.searchsorted(sums[int(times[i] / model.shift_s)], picks[i])), customer.width - 1)
             if busy is not None and busy[i]:
                 at = -customer.first % gateways
-            found.append(Try(1000 * float(times[i]), customer, cls, float(units[i]),
-                             min(float(true[i]), 4.0 * model.most_units), cls.work_ms * float(work[i]),
-                             (customer.first + at) % gateways, float(luck[i])))
+            found.append(
+                Try(
+                    1000 * float(times[i]),
+                    customer,
+                    cls,
+                    float(units[i]),
+                    min(float(true[i]), 4.0 * model.most_units),
+                    cls.work_ms * float(work[i]),
+                    (customer.first + at) % gateways,
+                    float(luck[i]),
+                )
+            )
     found.sort(key=lambda t: (t.at_ms, t.customer.name))
     return found
--- a/yewstage/lab/virtual/gateway.py
+++ b/yewstage/lab/virtual/gateway.py
@@ -143,14 +143,25 @@
         if not one.charged:
             one.charged = True
             self.world.spent(one.asked)
-        attempt.job = Job(one.id, one.asked.work_ms,
-                          lambda result: self._result(one, attempt, host.zone, result))
+        attempt.job = Job(
+            one.id, one.asked.work_ms, lambda result: self._result(one, attempt, host.zone, result)
+        )
         note = self.world.note
         if note is not None:
             asked, cls = one.asked, one.asked.cls
-            note(host.name, "got", rid=one.id, gw=f"g{self.number}", key="", kind=cls.effect,
-                 window=cls.window_ms, units=asked.units, customer=asked.customer.name,
-                 plan=asked.customer.plan.name, cold=host.warmth() < 1)
+            note(
+                host.name,
+                "got",
+                rid=one.id,
+                gw=f"g{self.number}",
+                key="",
+                kind=cls.effect,
+                window=cls.window_ms,
+                units=asked.units,
+                customer=asked.customer.name,
+                plan=asked.customer.plan.name,
+                cold=host.warmth() < 1,
+            )
         stood = not host.fallen
         host.came(attempt.job)
         if note is not None and stood and host.fallen:
@@ -175,8 +186,17 @@
         final = one.answer is None
         if final and all(not a.open for a in one.attempts):
             self._open.pop(one.id, None)
-        self.give(api.Outcome(one.id, attempt.number, attempt.server, result, self.loop.now - attempt.sent_at,
-                              final, true_units=one.asked.true_units if result == api.OK else 0.0))
+        self.give(
+            api.Outcome(
+                one.id,
+                attempt.number,
+                attempt.server,
+                result,
+                self.loop.now - attempt.sent_at,
+                final,
+                true_units=one.asked.true_units if result == api.OK else 0.0,
+            )
+        )
 
     def _cancel(self, act: api.Cancel) -> None:
         one = self._open.get(act.request)
@@ -207,8 +227,15 @@
 
         def answered(result: str, total: float) -> None:
             if world.note is not None:
-                world.note("counter", "count", gw=f"g{self.number}", name=act.name, amount=act.amount,
-                           result=result, total=total)
+                world.note(
+                    "counter",
+                    "count",
+                    gw=f"g{self.number}",
+                    name=act.name,
+                    amount=act.amount,
+                    result=result,
+                    total=total,
+                )
             self.loop.after(world.counter_way_ms, end, api.OK if result == "ok" else api.FULL, total)
 
         self.loop.after(self.module.s.count_wait_ms, end, api.TIMED_OUT, 0.0)
--- a/yewstage/lab/virtual/play.py
+++ b/yewstage/lab/virtual/play.py
@@ -70,8 +70,10 @@
     events: list[Event] = []
     play(scenario, events)
     given = terms(scenario)
-    return (checks.judge(events, given, scenario.hold.rules),
-            measures.measure(events, START_MS, scenario.length_s, given))
+    return (
+        checks.judge(events, given, scenario.hold.rules),
+        measures.measure(events, START_MS, scenario.length_s, given),
+    )
 
 
 def _strike(played: World, strike: Strike) -> None:
--- a/yewstage/lab/virtual/world.py
+++ b/yewstage/lab/virtual/world.py
@@ -105,11 +105,22 @@
         self.note: Note | None = None  # where events go, in the form of `lab.record`; None: nowhere
         self._classes = tuple(
             api.RequestClass(c.name, c.aim_ms, c.deadline_ms, c.worth, 0.0, c.effect, "all", c.window_ms)
-            for c in day.traffic.classes)
+            for c in day.traffic.classes
+        )
         self._plans = tuple(
-            api.Plan(p.name, p.rate, p.burst, p.worth, p.over_worth, p.over_cost, p.ceiling * p.rate,
-                     p.ceiling * p.burst, max(0.1 * p.ceiling * p.burst, day.traffic.most_units))
-            for p in day.traffic.plans)
+            api.Plan(
+                p.name,
+                p.rate,
+                p.burst,
+                p.worth,
+                p.over_worth,
+                p.over_cost,
+                p.ceiling * p.rate,
+                p.ceiling * p.burst,
+                max(0.1 * p.ceiling * p.burst, day.traffic.most_units),
+            )
+            for p in day.traffic.plans
+        )
         speeds = generator(seed, "hosts").lognormal(0.0, 0.12, size=day.hosts)
         for i in range(day.hosts):
             first = self._host(f"h{i}", float(speeds[i]))
@@ -145,9 +156,21 @@
 
     def _host(self, name: str, speed: float) -> Host:
         model = self.day.host
-        host = Host(self.loop, name, self.day.zones[len(self.hosts) % len(self.day.zones)],
-                    HostModel(model.cores, model.speed * speed, model.waiting, model.cold_from, model.cold_ms,
-                              model.fall_multiple, model.fall_ms, model.handshake_ms))
+        host = Host(
+            self.loop,
+            name,
+            self.day.zones[len(self.hosts) % len(self.day.zones)],
+            HostModel(
+                model.cores,
+                model.speed * speed,
+                model.waiting,
+                model.cold_from,
+                model.cold_ms,
+                model.fall_multiple,
+                model.fall_ms,
+                model.handshake_ms,
+            ),
+        )
         self.hosts[name] = host
         return host
 
@@ -201,12 +224,26 @@
         """What a gateway is told when it starts."""
         day = self.day
         return api.Settings(
-            classes=self._classes, plans=self._plans, me=number, fleet_size=day.gateways,
-            zone=self.zone_of(number), try_limit=5, second_copies=True, cancel=True,
-            max_retry_after_ms=day.max_retry_after_ms, may_count=True,
-            most_units=day.traffic.most_units, count_wait_ms=day.count_wait_ms, trued_up=True, tick_ms=4.0,
-            drain_grace_ms=1000.0, cold_from=min(day.host.cold_from, 0.16), cold_ms=1.2 * day.host.cold_ms,
-            fall_multiple=day.host.fall_multiple, tip_after_ms=day.host.fall_ms)
+            classes=self._classes,
+            plans=self._plans,
+            me=number,
+            fleet_size=day.gateways,
+            zone=self.zone_of(number),
+            try_limit=5,
+            second_copies=True,
+            cancel=True,
+            max_retry_after_ms=day.max_retry_after_ms,
+            may_count=True,
+            most_units=day.traffic.most_units,
+            count_wait_ms=day.count_wait_ms,
+            trued_up=True,
+            tick_ms=4.0,
+            drain_grace_ms=1000.0,
+            cold_from=min(day.host.cold_from, 0.16),
+            cold_ms=1.2 * day.host.cold_ms,
+            fall_multiple=day.host.fall_multiple,
+            tip_after_ms=day.host.fall_ms,
+        )
 
     def _start(self, number: int) -> Process:
         self.starts += 1
@@ -249,8 +286,9 @@
         if store is None:
             plan: PlanTraffic = customer.plan
             store = self._quotas[customer.name] = Store(plan.rate, plan.burst, START_MS)
-            self._ceilings[customer.name] = Store(plan.ceiling * plan.rate, plan.ceiling * plan.burst,
-                                                  START_MS)
+            self._ceilings[customer.name] = Store(
+                plan.ceiling * plan.rate, plan.ceiling * plan.burst, START_MS
+            )
         return store
 
     def _first(self, one: Try) -> None:
@@ -265,9 +303,19 @@
         ask.inside = offered
         if self.note is not None:
             ask.rid = f"t{figures.first}"
-            self.note("client", "first", rid=ask.rid, due=self.loop.now, cls=one.cls.name,
-                      plan=one.customer.plan.name, customer=one.customer.name, units=one.units,
-                      true=one.true_units, worth=self._worth(one), aim=one.cls.aim_ms)
+            self.note(
+                "client",
+                "first",
+                rid=ask.rid,
+                due=self.loop.now,
+                cls=one.cls.name,
+                plan=one.customer.plan.name,
+                customer=one.customer.name,
+                units=one.units,
+                true=one.true_units,
+                worth=self._worth(one),
+                aim=one.cls.aim_ms,
+            )
         self._try(ask, one.gateway)
 
     def _offered(self, one: Try) -> bool:
@@ -304,8 +352,9 @@
 
     def _try_at(self, ask: _Ask, number: int) -> None:
         one, customer = ask.one, ask.one.customer
-        left = min(self.day.try_share * one.cls.deadline_ms,
-                   one.cls.deadline_ms - (self.loop.now - ask.begun))
+        left = min(
+            self.day.try_share * one.cls.deadline_ms, one.cls.deadline_ms - (self.loop.now - ask.begun)
+        )
         done = [False]
 
         def answer(result: str, retry_after_ms: float) -> None:
@@ -313,15 +362,34 @@
                 done[0] = True
                 if self.note is not None:
                     now = self.loop.now
-                    self.note("client", "answer", rid=rid, first=ask.rid, gw=f"g{number}", result=result,
-                              took=now - asked_at, total=now - ask.begun, wait=retry_after_ms)
+                    self.note(
+                        "client",
+                        "answer",
+                        rid=rid,
+                        first=ask.rid,
+                        gw=f"g{number}",
+                        result=result,
+                        took=now - asked_at,
+                        total=now - ask.begun,
+                        wait=retry_after_ms,
+                    )
                 self._ended(ask, number, result, retry_after_ms)
 
         process, asked_at = self.gateways[number], self.loop.now
         rid = process.request(
-            lambda rid: api.Request(rid, one.cls.name, customer.plan.name, customer.name, left, one.units,
-                                    customer.width, customer.first),
-            one, answer)
+            lambda rid: api.Request(
+                rid,
+                one.cls.name,
+                customer.plan.name,
+                customer.name,
+                left,
+                one.units,
+                customer.width,
+                customer.first,
+            ),
+            one,
+            answer,
+        )
         if self.note is not None:
             self.note("client", "ask", rid=rid, first=ask.rid, gw=f"g{number}", effect=one.cls.effect)
             self.note("client", "wrote", rid=rid, gw=f"g{number}")
--- a/yewstage/limits/quotas.py
+++ b/yewstage/limits/quotas.py
@@ -36,9 +36,35 @@
 class Use:
     """One customer's use: the count of this window, and this gateway's part of the ceiling."""
 
-    __slots__ = ("key", "plan", "width", "widest", "digest", "window", "name", "own", "added",
-                 "base", "base_own", "base_at", "base_use", "base_left", "most", "left", "left_at", "others",
-                 "calling", "in_call", "call_at", "asking", "open", "seen", "ceiling", "ceiling_at", "luck")
+    __slots__ = (
+        "key",
+        "plan",
+        "width",
+        "widest",
+        "digest",
+        "window",
+        "name",
+        "own",
+        "added",
+        "base",
+        "base_own",
+        "base_at",
+        "base_use",
+        "base_left",
+        "most",
+        "left",
+        "left_at",
+        "others",
+        "calling",
+        "in_call",
+        "call_at",
+        "asking",
+        "open",
+        "seen",
+        "ceiling",
+        "ceiling_at",
+        "luck",
+    )
 
     def __init__(self, key: tuple[str, str], plan: api.Plan, width: int, now: float, age: float) -> None:
         self.key, self.plan, self.seen = key, plan, now
@@ -77,13 +103,18 @@
         # gateways of two versions must count together while a new one is rolled out.
         self.windows = {p.name: self._window_ms(p) if p.rate > 0 else 0.0 for p in settings.plans}
         # Unseen for so long, a customer's use is no guide any longer, and its ceiling is full again.
-        self.rests = {p.name: max(FORGET_WINDOWS * (self.windows[p.name] or IDLE_MS),
-                                  1000 * p.ceiling_burst / p.ceiling_rate if p.ceiling_rate > 0 else 0.0)
-                      for p in settings.plans}
+        self.rests = {
+            p.name: max(
+                FORGET_WINDOWS * (self.windows[p.name] or IDLE_MS),
+                1000 * p.ceiling_burst / p.ceiling_rate if p.ceiling_rate > 0 else 0.0,
+            )
+            for p in settings.plans
+        }
         self.asked_at: dict[str, float] = {}  # the last request under each plan
         lengths = list(self.windows.values())
-        self.tags = {p.name: f".{i}" if lengths.count(lengths[i]) > 1 else ""
-                     for i, p in enumerate(settings.plans)}
+        self.tags = {
+            p.name: f".{i}" if lengths.count(lengths[i]) > 1 else "" for i, p in enumerate(settings.plans)
+        }
         self.uses: dict[tuple[str, str], Use] = {}  # by customer and plan
         self.ring: deque[Use] = deque()  # the same, in the order in which they are looked at for forgetting
         self.shadow = LatestTimes()  # since when ceilings fill whose customers went early
@@ -196,14 +227,14 @@
         doubt = (max(use.others, 0.0) * (self.now - use.base_at)) ** 0.5  # the others' use may vary so much
         if self.left(use) - doubt >= units or units > use.most or not self.may_call():
             return False
-        return self.rng.random() < max(use.luck, self.heard ** CROWD)
+        return self.rng.random() < max(use.luck, self.heard**CROWD)
 
     def may_call(self) -> bool:
         """Danger: the crowd at the counter is us. Unanswered calls thin out ours; what was not told waits.
 
         Holds against a slow, silent or small counter alike. Hurts: totals are older while it acts.
         """
-        return self.rng.random() < self.heard ** CROWD or self.now > self.call_at + CALL_REST_MS
+        return self.rng.random() < self.heard**CROWD or self.now > self.call_at + CALL_REST_MS
 
     @staticmethod
     def spend(use: Use, units: float) -> None:
@@ -316,8 +347,11 @@
         for _ in range(min(len(self.ring), max(LOOKS, len(self.ring) // SWEEPS))):
             use = self.ring.popleft()
             # A forgotten ceiling part starts anew from our start: only one that would be full again may go.
-            if (self.now - use.seen >= max(self.rests[use.plan.name], KEEP_MS)
-                    and not use.open and not use.asking):
+            if (
+                self.now - use.seen >= max(self.rests[use.plan.name], KEEP_MS)
+                and not use.open
+                and not use.asking
+            ):
                 self._forget(use)
             else:
                 self.ring.append(use)
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -47,10 +47,21 @@
 HAND_ON_S: Final = 0.005
 ACCEPTS: Final = 16  # connections taken in one turn of the loop: others have work to do, too
 
-REASONS: Final = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout",
-           405: b"Method Not Allowed", 409: b"Conflict", 410: b"Gone", 413: b"Content Too Large",
-           429: b"Too Many Requests", 500: b"Internal Server Error", 502: b"Bad Gateway",
-           503: b"Service Unavailable", 504: b"Gateway Timeout"}
+REASONS: Final = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    405: b"Method Not Allowed",
+    409: b"Conflict",
+    410: b"Gone",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
 LINES: Final = {status: b"HTTP/1.1 %d %b\r\n" % (status, reason) for status, reason in REASONS.items()}
 ABSOLUTE: Final = re.compile(rb"^https?://[^/?#]*(?=/)", re.IGNORECASE)
 
@@ -306,9 +317,12 @@
     def _read_or_wait(self) -> None:
         # What is read only to be forgotten has its bound, and answers that are owed go before it.
         owed = self._busy or bool(self._queue)
-        wait = (self._held or (self._ending and owed and self._taken > LINGER_BYTES)
-                or self._ahead_size > AHEAD_BYTES
-                or (self._ahead_size > 0 and self._server.ahead > MOST_AHEAD_BYTES))
+        wait = (
+            self._held
+            or (self._ending and owed and self._taken > LINGER_BYTES)
+            or self._ahead_size > AHEAD_BYTES
+            or (self._ahead_size > 0 and self._server.ahead > MOST_AHEAD_BYTES)
+        )
         if wait == self._paused or self.transport.is_closing():
             return
         self._paused = wait
@@ -351,8 +365,9 @@
             if self._busy:  # else it is answered already
                 self._open = rid
 
-    def answer(self, status: int, body: bytes = b"", content_type: bytes = b"",
-               retry_after_ms: float = 0.0) -> None:
+    def answer(
+        self, status: int, body: bytes = b"", content_type: bytes = b"", retry_after_ms: float = 0.0
+    ) -> None:
         """The one answer to the request that is open."""
         self._open, self._busy, self.answered = None, False, True
         if self._serving is not None:
@@ -389,8 +404,7 @@
 
     def _more(self) -> bool:
         """Whether more has arrived than the request that is open, so that this answer is not the last."""
-        return (bool(self._queue) or bool(self._ahead) or self._message is not None
-                or unread(self.transport))
+        return bool(self._queue) or bool(self._ahead) or self._message is not None or unread(self.transport)
 
     def _end(self) -> None:
         """Shut our side after the last answer, and read on for a while (net/closing.py)."""
@@ -420,9 +434,17 @@
     def hand_on(self) -> bool:
         """Pass the connection on to the server's heir, if it carries nothing and all answers have left."""
         heir, transport = self._server.heir, self.transport
-        if (heir is None or self._busy or self._message is not None or self._queue or self._ahead
-                or self._ending or transport is NOT_UP or transport.is_closing()
-                or transport.get_write_buffer_size()):
+        if (
+            heir is None
+            or self._busy
+            or self._message is not None
+            or self._queue
+            or self._ahead
+            or self._ending
+            or transport is NOT_UP
+            or transport.is_closing()
+            or transport.get_write_buffer_size()
+        ):
             return False
         heir.take(os.dup(transport.get_extra_info("socket").fileno()))
         self._ending = True
@@ -436,8 +458,7 @@
             return True
         if not message.body_at:  # its head has come since we last looked, and perhaps some of its body
             message.body_at = message.moved_at = message.moved_at or now
-        return (now - message.moved_at > STALL_S
-                or now - message.body_at > BODY_S + message.size / BODY_RATE)
+        return now - message.moved_at > STALL_S or now - message.body_at > BODY_S + message.size / BODY_RATE
 
     def close_if_idle(self) -> None:
         """Close unless a request is owed its answer, is being read, or has come and is unread."""
@@ -604,8 +625,7 @@
         self._resume()
 
     def _resume(self) -> None:
-        if (self._listeners and not self._accepting and not self._lent
-                and (self._room() or not self._asked())):
+        if self._listeners and not self._accepting and not self._lent and (self._room() or not self._asked()):
             self._accepting = True
             for listener in self._listeners:
                 self.loop.add_reader(listener, self._accept, listener)
@@ -676,7 +696,8 @@
         accepted.setblocking(False)
         self._coming.add(connection)
         task = self.loop.create_task(
-            self.loop.connect_accepted_socket(partial(_itself, connection), accepted))
+            self.loop.connect_accepted_socket(partial(_itself, connection), accepted)
+        )
         self._pending.add(task)
         task.add_done_callback(partial(self._accepted, connection))
 
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -72,8 +72,12 @@
     missing = sorted(before.shape - shape) if before is not None else ()
     if missing:
         raise ConfigError(f"{missing[0]}: is missing, and was there before")
-    for field, variable in (("name", "ROUTER_NAME"), ("listen", "ROUTER_LISTEN"),
-                            ("discovery", "ROUTER_DISCOVERY"), ("operator", "ROUTER_OPERATOR")):
+    for field, variable in (
+        ("name", "ROUTER_NAME"),
+        ("listen", "ROUTER_LISTEN"),
+        ("discovery", "ROUTER_DISCOVERY"),
+        ("operator", "ROUTER_OPERATOR"),
+    ):
         if environ.get(variable) and not (before is not None and field == "discovery"):
             raw[field] = environ[variable]
     config = parse(raw)
@@ -98,12 +102,19 @@
     except ValueError as error:
         raise ConfigError(f"known: {error}") from None
     return Config(
-        name=str(raw.get("name", "")), listen=address(raw, "listen"), discovery=address(raw, "discovery"),
-        counter=address(raw, "counter") if counter else None, seed=_seed(raw), sockets=_sockets(raw),
-        settings=settings, known=known, dial_ms=_positive(pairs, "bounds.dial_timeout_ms", 250.0),
+        name=str(raw.get("name", "")),
+        listen=address(raw, "listen"),
+        discovery=address(raw, "discovery"),
+        counter=address(raw, "counter") if counter else None,
+        seed=_seed(raw),
+        sockets=_sockets(raw),
+        settings=settings,
+        known=known,
+        dial_ms=_positive(pairs, "bounds.dial_timeout_ms", 250.0),
         idle_ms=_positive(pairs, "bounds.conn_idle_ms", 15000.0),
         operator=address(raw, "operator") if raw.get("operator") else None,
-        keep=_keep(_object(raw, "snapshots")) if raw.get("snapshots") is not None else None)
+        keep=_keep(_object(raw, "snapshots")) if raw.get("snapshots") is not None else None,
+    )
 
 
 def address(raw: Mapping[str, object], field: str) -> Address:
@@ -195,7 +206,8 @@
     limits = raw.get("limits") or {}
     value = limits.get("sockets", DEFAULT_SOCKETS) if isinstance(limits, dict) else None
     if not isinstance(value, int) or value < LEAST_SOCKETS:
-        raise ConfigError(f"limits.sockets: found {value!r}, expected a whole number of {LEAST_SOCKETS} "
-                          "or more")
+        raise ConfigError(
+            f"limits.sockets: found {value!r}, expected a whole number of {LEAST_SOCKETS} or more"
+        )
     allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]  # the system's own limit may be lower
     return value if allowed == resource.RLIM_INFINITY else min(value, allowed)
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -42,8 +42,9 @@
 class Client(Protocol):
     """Who is owed an answer."""
 
-    def answer(self, status: int, body: bytes = b"", content_type: bytes = b"",
-               retry_after_ms: float = 0.0) -> None:
+    def answer(
+        self, status: int, body: bytes = b"", content_type: bytes = b"", retry_after_ms: float = 0.0
+    ) -> None:
         """Pass the one final answer on."""
 
     def has_left(self, behind: bool) -> bool:
@@ -82,9 +83,23 @@
     pool: str = ""  # the hosts that may serve it
     upload: Any = None  # the rest of its body, if that is still coming (net/flows.py)
 
-    def __init__(self, wire_id: bytes, class_name: str, plan_name: str, customer: str, time_left_ms: float,
-                 units: float, width: int, first: int, repeat: bool, read_at: float, head: bytes, body: bytes,
-                 pool: str = "", upload: Any = None) -> None:
+    def __init__(
+        self,
+        wire_id: bytes,
+        class_name: str,
+        plan_name: str,
+        customer: str,
+        time_left_ms: float,
+        units: float,
+        width: int,
+        first: int,
+        repeat: bool,
+        read_at: float,
+        head: bytes,
+        body: bytes,
+        pool: str = "",
+        upload: Any = None,
+    ) -> None:
         self.wire_id, self.class_name = wire_id, class_name
         self.plan_name, self.customer = plan_name, customer
         self.time_left_ms, self.units, self.width, self.first = time_left_ms, units, width, first
@@ -92,7 +107,6 @@
         self.pool, self.upload = pool, upload
 
 
-
 class _Open:
     """A request until it is answered and its last attempt is over."""
 
@@ -160,8 +174,9 @@
 class Core:
     """Events of the sockets in, actions of the module out."""
 
-    def __init__(self, settings: api.Settings, seed: int, loop: asyncio.AbstractEventLoop,
-                 pulse: Pulse) -> None:
+    def __init__(
+        self, settings: api.Settings, seed: int, loop: asyncio.AbstractEventLoop, pulse: Pulse
+    ) -> None:
         self.settings = settings
         self._loop, self._pulse = loop, pulse
         self._clock = Clock()
@@ -216,8 +231,20 @@
             request.guard = self._guards.add(request, max((left_ms - GUARD_MS) / 1000 - TICK_S, 0.0))
         else:
             self._uploads(request)
-        self._post(api.Request(rid, order.class_name, order.plan_name, order.customer, left_ms - MODULE_MS,
-                               order.units, order.width, order.first, order.repeat, order.pool))
+        self._post(
+            api.Request(
+                rid,
+                order.class_name,
+                order.plan_name,
+                order.customer,
+                left_ms - MODULE_MS,
+                order.units,
+                order.width,
+                order.first,
+                order.repeat,
+                order.pool,
+            )
+        )
         return rid
 
     def left(self, rid: str) -> None:
@@ -248,8 +275,9 @@
             self._answer(request, 504)
             self._post(api.ClientLeft(request.id))
 
-    def _answer(self, request: _Open | None, status: int, reply: Reply | None = None,
-                retry_after_ms: float = 0.0) -> None:
+    def _answer(
+        self, request: _Open | None, status: int, reply: Reply | None = None, retry_after_ms: float = 0.0
+    ) -> None:
         """The one final answer; a second one is dropped."""
         if request is None or request.client is None:
             return
@@ -299,18 +327,27 @@
         request = self._requests.get(act.request)
         number = len(request.attempts) if request is not None else 0
         left_s = request.end_at - time.monotonic() if request is not None else 0.0
-        if request is None or request.client is None or left_s <= 0 or number >= request.tries \
-                or (request.order.upload is not None and not request.order.upload.again()):
+        if (
+            request is None
+            or request.client is None
+            or left_s <= 0
+            or number >= request.tries
+            or (request.order.upload is not None and not request.order.upload.again())
+        ):
             if request is not None:
                 request.attempts.append(None)
-            self._post(api.Outcome(act.request, number, act.server, api.MOOT, 0.0,
-                                   request is None or request.client is None))
+            self._post(
+                api.Outcome(
+                    act.request, number, act.server, api.MOOT, 0.0, request is None or request.client is None
+                )
+            )
             return
         wait_s = min(act.timeout_ms / 1000, left_s) if act.timeout_ms else left_s
         order = request.order
         now = time.monotonic()
-        attempt = Attempt(act.request, number, act.server, order.head, order.body, now,
-                          now + act.valid_ms / 1000)
+        attempt = Attempt(
+            act.request, number, act.server, order.head, order.body, now, now + act.valid_ms / 1000
+        )
         attempt.timeout_s = wait_s
         if order.upload is not None:
             attempt.upload = order.upload
@@ -350,8 +387,11 @@
             self._answer(request, 502)
         final = request.client is None
         self._forget(request)
-        self._post(api.Outcome(attempt.request, attempt.number, attempt.server, result, took, final,
-                               true_units=units))
+        self._post(
+            api.Outcome(
+                attempt.request, attempt.number, attempt.server, result, took, final, true_units=units
+            )
+        )
 
     def _cancel(self, act: api.Cancel) -> None:
         request = self._requests.get(act.request)
--- a/yewstage/net/counter.py
+++ b/yewstage/net/counter.py
@@ -34,8 +34,13 @@
 class Counter:
     """Every call gets exactly one `CountReply`."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], wait_ms: float,
-                 replied: Callable[[api.CountReply], None]) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: tuple[str, int],
+        wait_ms: float,
+        replied: Callable[[api.CountReply], None],
+    ) -> None:
         self._loop, self._wait_s, self._replied = loop, wait_ms / 1000, replied
         self._slots = self._open(address)
 
@@ -103,9 +108,11 @@
         """
         others = [slot for slot in self._slots if slot is not its]
         late = self._loop.time() - self._wait_s / 2
-        return (its.silent_since(call.sent_at)
-                and any(not slot.silent_since(call.sent_at) for slot in others)
-                and not any(slot.waits_since(late) for slot in others))
+        return (
+            its.silent_since(call.sent_at)
+            and any(not slot.silent_since(call.sent_at) for slot in others)
+            and not any(slot.waits_since(late) for slot in others)
+        )
 
 
 class _Slot:
@@ -194,7 +201,8 @@
         """Open the connection."""
         connection = _Connection(self)
         self._dial = self._loop.create_task(
-            self._loop.create_connection(connection.as_protocol, *self._address))
+            self._loop.create_connection(connection.as_protocol, *self._address)
+        )
         self._dial.add_done_callback(partial(self._dial_ended, connection))
         self._dial_timer = self._loop.call_later(DIAL_S, self._dial.cancel)
 
@@ -232,7 +240,8 @@
         act = call.act
         connection.write(
             f"POST /v1/count/{act.name}?add={_decimal(act.amount)}&ttl_ms={max(1, round(act.keep_ms))}"
-            " HTTP/1.1\r\nHost: counter\r\nContent-Length: 0\r\n\r\n".encode())
+            " HTTP/1.1\r\nHost: counter\r\nContent-Length: 0\r\n\r\n".encode()
+        )
         call.written = not connection.unsent
         if self._check_timer is None:
             self._check_timer = self._loop.call_later(SILENT_S, self._check)
--- a/yewstage/net/discovery.py
+++ b/yewstage/net/discovery.py
@@ -65,8 +65,14 @@
         raise ValueError(f"{name}: hostPort {entry.get('hostPort')!r} is not HOST:PORT")
     try:
         # The module's clock is Unix time in milliseconds, so startedAtMs needs no more than reading.
-        server = api.Server(name, str(entry.get("zone", "")), int(entry.get("cell", 0)), status,
-                            float(entry.get("weight", 1.0)), float(entry.get("startedAtMs", 0)))
+        server = api.Server(
+            name,
+            str(entry.get("zone", "")),
+            int(entry.get("cell", 0)),
+            status,
+            float(entry.get("weight", 1.0)),
+            float(entry.get("startedAtMs", 0)),
+        )
     except (TypeError, ValueError):
         raise ValueError(f"{name}: cell, weight or startedAtMs is not a number") from None
     return server, ((host.strip("[]"), int(port)) if status != "removed" else None)
@@ -75,9 +81,15 @@
 class Discovery:
     """Keeps one watch going and hands on each answer."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int],
-                 told: Callable[[Listing], None], generation: int = 0, seed: int = 0,
-                 stalled: Callable[[], bool] = lambda: False) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: tuple[str, int],
+        told: Callable[[Listing], None],
+        generation: int = 0,
+        seed: int = 0,
+        stalled: Callable[[], bool] = lambda: False,
+    ) -> None:
         """`generation` is that of the list which is known already, 0 for none: what is newer is asked for.
 
         `stalled` says whether what is read now may have waited for long: more may have come after it.
@@ -134,7 +146,8 @@
             return
         self._watch_silence(DIAL_S)
         self._dial = self._loop.create_task(
-            self._loop.create_connection(lambda: _Watch(self).as_protocol(), *self._address))
+            self._loop.create_connection(lambda: _Watch(self).as_protocol(), *self._address)
+        )
         self._dial.add_done_callback(self._dialled)
 
     def _dialled(self, task: asyncio.Task[Any]) -> None:
--- a/yewstage/net/flows.py
+++ b/yewstage/net/flows.py
@@ -367,4 +367,3 @@
             if connection.moved_at < before:
                 self._abandon(attempt)
                 self._end(attempt, api.TIMED_OUT)
-
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -35,11 +35,35 @@
 class Attempt:
     """One Send until its one outcome."""
 
-    __slots__ = ("request", "number", "server", "head", "body", "sent_at", "valid_until", "connection",
-                 "dial", "slot", "timer", "dial_timer", "done", "upload", "timeout_s", "coming")
-
-    def __init__(self, request: str, number: int, server: str, head: bytes, body: bytes, sent_at: float,
-                 valid_until: float) -> None:
+    __slots__ = (
+        "request",
+        "number",
+        "server",
+        "head",
+        "body",
+        "sent_at",
+        "valid_until",
+        "connection",
+        "dial",
+        "slot",
+        "timer",
+        "dial_timer",
+        "done",
+        "upload",
+        "timeout_s",
+        "coming",
+    )
+
+    def __init__(
+        self,
+        request: str,
+        number: int,
+        server: str,
+        head: bytes,
+        body: bytes,
+        sent_at: float,
+        valid_until: float,
+    ) -> None:
         self.request, self.number, self.server = request, number, server
         self.head, self.body, self.sent_at = head, body, sent_at
         self.valid_until = valid_until  # its last byte must have left by then, by time.monotonic
@@ -87,9 +111,15 @@
 
     connection: ClassVar[type[Any]]  # what is made of each dial
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, most: int, dial_ms: float, idle_ms: float,
-                 ended: Callable[[Attempt, str, Reply | None], None],
-                 wanted: Callable[[Attempt], bool] = lambda attempt: True) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        most: int,
+        dial_ms: float,
+        idle_ms: float,
+        ended: Callable[[Attempt, str, Reply | None], None],
+        wanted: Callable[[Attempt], bool] = lambda attempt: True,
+    ) -> None:
         """`wanted` is asked right before an attempt's first byte: whether somebody still waits for it."""
         self.loop = self._loop = loop
         self._most, self._ended, self._wanted = most, ended, wanted
@@ -113,8 +143,9 @@
         for connection in list(self._connections):
             connection.drop()
 
-    def update(self, addresses: dict[str, tuple[str, int]], gone: set[str],
-               draining: frozenset[str] = frozenset()) -> None:
+    def update(
+        self, addresses: dict[str, tuple[str, int]], gone: set[str], draining: frozenset[str] = frozenset()
+    ) -> None:
         """Where to dial each host, which of these take nothing new, and which to dial no more. What is out
         goes on."""
         for name in gone:
@@ -163,8 +194,13 @@
         Danger: a dial may come up a second later. Its client has gone, its host drains or is gone, or hosts
         recall the key of what it repeats no longer: it would run for nobody, past a drain's grace, or twice.
         """
-        return (not host.drains and host.name not in self._out and self._hosts.get(host.name) is host
-                and time.monotonic() < attempt.valid_until and self._wanted(attempt))
+        return (
+            not host.drains
+            and host.name not in self._out
+            and self._hosts.get(host.name) is host
+            and time.monotonic() < attempt.valid_until
+            and self._wanted(attempt)
+        )
 
     def _rested(self, host: _Host) -> _Connection | None:
         """The freshest idle connection on which nothing has followed its last answer."""
@@ -194,7 +230,8 @@
             return
         self._dials += 1
         attempt.dial = self._loop.create_task(
-            self._loop.create_connection(partial(self._make, attempt, host), *host.address))
+            self._loop.create_connection(partial(self._make, attempt, host), *host.address)
+        )
         attempt.dial.add_done_callback(partial(self._dialled, attempt, host))
         attempt.dial_timer = self._loop.call_later(self._dial_s, self._dial_overdue, attempt)
 
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -46,8 +46,16 @@
     length: int | None = None  # of one that is passed on; None: not told
     came_at: float = 0.0  # when its first bytes had come, by time.monotonic; 0: all came at once
 
-    def __init__(self, status: int, headers: dict[bytes, bytes], body: bytes, keep_alive: bool,
-                 flowed: bool = False, length: int | None = None, came_at: float = 0.0) -> None:
+    def __init__(
+        self,
+        status: int,
+        headers: dict[bytes, bytes],
+        body: bytes,
+        keep_alive: bool,
+        flowed: bool = False,
+        length: int | None = None,
+        came_at: float = 0.0,
+    ) -> None:
         self.status, self.headers, self.body, self.keep_alive = status, headers, body, keep_alive
         self.flowed, self.length, self.came_at = flowed, length, came_at
 
@@ -166,7 +174,7 @@
         # read as the answer to what is written next. So answers are handed on only when all that came with
         # them has been looked at.
         replies, self._whole = self._whole, []
-        asked = replies[:self._due]
+        asked = replies[: self._due]
         self._due -= len(asked)
         if len(replies) > len(asked) or (self._begun and not self._due):
             sound = False
@@ -239,8 +247,10 @@
 
         Guards against waiting for a close that never comes, behind a head that lost its length on the way.
         """
-        return (b"close" in self._headers.get(b"connection", b"").lower()
-                or self._parser.get_http_version() == "1.0")
+        return (
+            b"close" in self._headers.get(b"connection", b"").lower()
+            or self._parser.get_http_version() == "1.0"
+        )
 
     def _flow(self) -> None:
         """Begin to pass the answer on."""
@@ -250,8 +260,15 @@
 
     def _reply(self, keep_alive: bool) -> Reply:
         body = b"" if self._flowing else b"".join(self._body)
-        return Reply(self._parser.get_status_code(), self._headers, body, keep_alive, self._flowing,
-                     self._length, self._came_at)
+        return Reply(
+            self._parser.get_status_code(),
+            self._headers,
+            body,
+            keep_alive,
+            self._flowing,
+            self._length,
+            self._came_at,
+        )
 
     def on_body(self, data: bytes) -> None:
         self._size += len(data)
@@ -273,6 +290,9 @@
         if status >= 200:  # interim answers are not the answer, but count for its bound
             self._taken = 0
             keep_alive = self._parser.should_keep_alive()
-            self._whole.append(self._reply(keep_alive) if self._odd else
-                               Reply(status, self._headers, b"".join(self._body), keep_alive))
+            self._whole.append(
+                self._reply(keep_alive)
+                if self._odd
+                else Reply(status, self._headers, b"".join(self._body), keep_alive)
+            )
         self._next()
--- a/yewstage/net/life.py
+++ b/yewstage/net/life.py
@@ -59,8 +59,9 @@
 class Shutdown:
     """SIGTERM: accept a little longer, finish what was taken, then end."""
 
-    def __init__(self, core: Drainable, server: Server[Any], loop: asyncio.AbstractEventLoop,
-                 most_s: float = LONGEST_S) -> None:
+    def __init__(
+        self, core: Drainable, server: Server[Any], loop: asyncio.AbstractEventLoop, most_s: float = LONGEST_S
+    ) -> None:
         self._core, self._server, self._loop, self._most_s = core, server, loop, most_s
         self.done = asyncio.Event()
         self._ends_at = inf
--- a/yewstage/net/node.py
+++ b/yewstage/net/node.py
@@ -33,10 +33,14 @@
         self._flow_hosts = self.hosts(loop, most, config.dial_ms, config.idle_ms, self._ended, self._wanted)
         self._flow_hosts.begun = self._begun
         self._hosts = self._flow_hosts
-        self._discovery = Discovery(loop, config.discovery, self._listed, config.known.generation,
-                                    config.seed, self._stood_still)
-        self._client = (Counter(loop, config.counter, config.settings.count_wait_ms, self._post)
-                        if config.counter is not None else None)
+        self._discovery = Discovery(
+            loop, config.discovery, self._listed, config.known.generation, config.seed, self._stood_still
+        )
+        self._client = (
+            Counter(loop, config.counter, config.settings.count_wait_ms, self._post)
+            if config.counter is not None
+            else None
+        )
         self._counter = self._client
         self._known = config.known
         self._started = 0.0
--- a/yewstage/net/operated.py
+++ b/yewstage/net/operated.py
@@ -137,8 +137,12 @@
             return None
         try:
             restore(self._gateway, documents)
-            names = [n for d in documents if d.get("t") == SEEN and isinstance(d.get("names"), list)
-                     for n in d["names"]]
+            names = [
+                n
+                for d in documents
+                if d.get("t") == SEEN and isinstance(d.get("names"), list)
+                for n in d["names"]
+            ]
             self._seen.add(n for n in names if isinstance(n, str))
         except StateError as error:  # another version's, perhaps: its clients are worth more
             log.warning("hand-over: what the old process knew is left: %s", error)
@@ -150,8 +154,9 @@
         assert self._server is not None
         self._post(api.Succeeded(True))
         names = self._seen.all()
-        seen = [{"t": SEEN, "names": names[at:at + SEEN_AT_ONCE]}
-                for at in range(0, len(names), SEEN_AT_ONCE)]
+        seen = [
+            {"t": SEEN, "names": names[at : at + SEEN_AT_ONCE]} for at in range(0, len(names), SEEN_AT_ONCE)
+        ]
         return self._server.lend(), chain(export(self._gateway), seen)
 
     def keep(self) -> None:
@@ -176,8 +181,9 @@
         """All figures, as JSON holds them."""
         open_now = sum(request.client is not None for request in self._requests.values())
         fleet = self._gateway.fleet
-        return self.figures_kept.shown([c.name for c in self.settings.classes], open_now, len(fleet.hosts),
-                                       fleet.skipped())
+        return self.figures_kept.shown(
+            [c.name for c in self.settings.classes], open_now, len(fleet.hosts), fleet.skipped()
+        )
 
     def hand(self, host: str, out: bool) -> str:
         """Take a host out by hand, or put it back; "" once that holds, else why not."""
@@ -210,8 +216,9 @@
         self._seen.add(server.name for server in listing.servers)
         super()._apply(listing, kind)
 
-    def _answer(self, request: _Open | None, status: int, reply: Reply | None = None,
-                retry_after_ms: float = 0.0) -> None:
+    def _answer(
+        self, request: _Open | None, status: int, reply: Reply | None = None, retry_after_ms: float = 0.0
+    ) -> None:
         if request is not None and request.client is not None:
             self.figures_kept.answered(request.order.class_name, status)
         super()._answer(request, status, reply, retry_after_ms)
--- a/yewstage/net/requests.py
+++ b/yewstage/net/requests.py
@@ -10,8 +10,21 @@
 from yewstage.net.core import Order
 from yewstage.net.http1 import LONGEST_BODY
 
-WANTED: Final = frozenset((b"x-request-id", b"x-class", b"plan", b"x-deadline", b"quota-info", b"x-retry",
-                    b"idempotency-key", b"content-length", b"content-type", b"transfer-encoding", b"expect"))
+WANTED: Final = frozenset(
+    (
+        b"x-request-id",
+        b"x-class",
+        b"plan",
+        b"x-deadline",
+        b"quota-info",
+        b"x-retry",
+        b"idempotency-key",
+        b"content-length",
+        b"content-type",
+        b"transfer-encoding",
+        b"expect",
+    )
+)
 WORD: Final = re.compile(rb"[!-~]{1,128}")
 CUSTOMER: Final = re.compile(rb"0{7}[01][0-9a-fA-F]{8}")  # 33 bits
 DEADLINE: Final = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
@@ -30,8 +43,21 @@
 class Message:
     """One request as parsed."""
 
-    __slots__ = ("url", "headers", "body", "size", "method", "keep_alive", "twice", "head", "read_at",
-                 "old", "body_at", "moved_at", "upload")
+    __slots__ = (
+        "url",
+        "headers",
+        "body",
+        "size",
+        "method",
+        "keep_alive",
+        "twice",
+        "head",
+        "read_at",
+        "old",
+        "body_at",
+        "moved_at",
+        "upload",
+    )
 
     def __init__(self) -> None:
         self.url = b""
@@ -63,8 +89,11 @@
         units, spread, first = (fields.get(name, "") for name in ("units", "spread", "first"))
         if not (UNITS.fullmatch(units) and WHOLE.fullmatch(spread) and WHOLE.fullmatch(first)):
             raise BadRequestError("Quota-Info")
-        if not (0 < float(units) <= self._most_units and 1 <= int(spread) <= self._gateways
-                and int(first) < self._gateways):
+        if not (
+            0 < float(units) <= self._most_units
+            and 1 <= int(spread) <= self._gateways
+            and int(first) < self._gateways
+        ):
             raise BadRequestError("Quota-Info: out of range")
         return float(units), int(spread), int(first)
 
@@ -86,9 +115,21 @@
     time_left_ms = float(deadline[1]) / (1 if deadline[2] == b"m" else 1000)
     units, width, first = terms.quota_info(headers.get(b"quota-info", b""))
     # No client of a class waits for longer than its deadline, whatever it says.
-    return Order(headers.get(b"x-request-id", b""), cls.name, plan, customer.decode().lower(),
-                 min(time_left_ms, cls.deadline_ms), units, width, first, headers.get(b"x-retry") == b"1",
-                 message.read_at, _head(message, cls), b"".join(message.body), upload=message.upload)
+    return Order(
+        headers.get(b"x-request-id", b""),
+        cls.name,
+        plan,
+        customer.decode().lower(),
+        min(time_left_ms, cls.deadline_ms),
+        units,
+        width,
+        first,
+        headers.get(b"x-retry") == b"1",
+        message.read_at,
+        _head(message, cls),
+        b"".join(message.body),
+        upload=message.upload,
+    )
 
 
 def check_framing(message: Message, longest: int = LONGEST_BODY) -> None:
@@ -123,8 +164,9 @@
     if key is not None:
         lines.append(b"Idempotency-Key: %b\r\n" % key)
     if message.method == b"POST":
-        lines.append(b"Content-Length: %d\r\n" % message.size if message.upload is None
-                     else message.upload.framing())
+        lines.append(
+            b"Content-Length: %d\r\n" % message.size if message.upload is None else message.upload.framing()
+        )
     if b"content-type" in headers:
         lines.append(b"Content-Type: %b\r\n" % headers[b"content-type"])
     return b"".join(lines)
--- a/yewstage/operate/figures.py
+++ b/yewstage/operate/figures.py
@@ -36,8 +36,13 @@
             return {name: counts.get(name, 0) for name in dict.fromkeys([*classes, *counts])}
 
         return {
-            "passed": by_class(self.passed), "dropped": by_class(self.dropped),
-            "bad_gateway": by_class(self.failed), "upstream_tries": sum(self.tries.values()),
-            "in_progress": in_progress, "known_hosts": known, "skipped_hosts": skipped,
-            "loads": self.loads, "load_errors": self.load_errors,
+            "passed": by_class(self.passed),
+            "dropped": by_class(self.dropped),
+            "bad_gateway": by_class(self.failed),
+            "upstream_tries": sum(self.tries.values()),
+            "in_progress": in_progress,
+            "known_hosts": known,
+            "skipped_hosts": skipped,
+            "loads": self.loads,
+            "load_errors": self.load_errors,
         }
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -54,11 +54,32 @@
 class _Held:
     """A request that is owed an answer, or whose attempts are still out."""
 
-    __slots__ = ("req", "cls", "use", "aim_at", "end_at", "attempts", "out", "answered", "stream", "work",
-                 "tries", "over", "unsent")
-
-    def __init__(self, req: api.Request, cls: api.RequestClass, use: Use, aim_at: float, end_at: float,
-                 work: float, tries: int) -> None:
+    __slots__ = (
+        "req",
+        "cls",
+        "use",
+        "aim_at",
+        "end_at",
+        "attempts",
+        "out",
+        "answered",
+        "stream",
+        "work",
+        "tries",
+        "over",
+        "unsent",
+    )
+
+    def __init__(
+        self,
+        req: api.Request,
+        cls: api.RequestClass,
+        use: Use,
+        aim_at: float,
+        end_at: float,
+        work: float,
+        tries: int,
+    ) -> None:
         self.req, self.cls, self.use, self.work, self.tries = req, cls, use, work, tries
         self.aim_at, self.end_at = aim_at, end_at
         self.attempts: list[_Attempt] = []
@@ -219,9 +240,11 @@
         Such a module may be put away, and made anew from its settings when the next request comes: its first
         event, handled at the time of birth, gives ceilings back all that they have earned since.
         """
-        return (self.idle() and self.quotas.settled()
-                and all(not h.fails and not h.died and self.fleet.warmth(h) >= 1
-                        for h in self.hosts.values()))
+        return (
+            self.idle()
+            and self.quotas.settled()
+            and all(not h.fails and not h.died and self.fleet.warmth(h) >= 1 for h in self.hosts.values())
+        )
 
     def idle(self) -> bool:
         """Whether the housekeeping timer may come seldom: nothing is held or asked, and no pressure is left
@@ -241,8 +264,14 @@
         if req.id in self.held or req.id in self.asking:
             return
         if cls is None or plan is None or req.time_left_ms <= 0 or not self.hosts:
-            self._refuse(req.id, api.UNKNOWN if cls is None or plan is None else
-                         api.LATE if req.time_left_ms <= 0 else api.NO_HOST)
+            self._refuse(
+                req.id,
+                api.UNKNOWN
+                if cls is None or plan is None
+                else api.LATE
+                if req.time_left_ms <= 0
+                else api.NO_HOST,
+            )
             return
         end_at = self.now + req.time_left_ms
         aim_at = end_at if cls.late_worth > 0 else min(self.now + cls.aim_ms - self._spent(req, cls), end_at)
@@ -279,8 +308,9 @@
             return 0.0
         return max(cls.deadline_ms - req.time_left_ms, 0.0)
 
-    def _decide(self, req: api.Request, cls: api.RequestClass, use: Use, aim_at: float, end_at: float,
-                admitted: bool) -> None:
+    def _decide(
+        self, req: api.Request, cls: api.RequestClass, use: Use, aim_at: float, end_at: float, admitted: bool
+    ) -> None:
         """Send on or refuse, at once."""
         plan = use.plan
         over = not self.quotas.has(use, req.units)
@@ -292,8 +322,9 @@
             cause = api.CEILING if fits else api.QUOTA if over else api.PRESSURE
             self._refuse_new(req, use, cause, over)
             return
-        held = _Held(req, cls, use, aim_at, end_at, self.latency[cls.name] * max(req.units, 0.0),
-                     self.s.try_limit)
+        held = _Held(
+            req, cls, use, aim_at, end_at, self.latency[cls.name] * max(req.units, 0.0), self.s.try_limit
+        )
         host = self._pick(held) if aim_at > self.now else None
         if host is None:
             self._refuse_new(req, use, api.NO_HOST if held.aim_at > self.now else api.LATE, over)
@@ -369,8 +400,11 @@
         if self.q_seen < FEW:
             # Danger: outcomes show a jam an aim late, and fresh gateways would fill it until then. What is
             # out for longer than Qmax of its aim counts as full. Hurts: lost answers press a fresh gateway.
-            late = sum(a.open and self.now - a.sent > Q_MAX * h.cls.aim_ms
-                       for h in self.held.values() for a in h.attempts)
+            late = sum(
+                a.open and self.now - a.sent > Q_MAX * h.cls.aim_ms
+                for h in self.held.values()
+                for a in h.attempts
+            )
         self.f = ramp((FEW * self.q + late) / (FEW + late))
         self.quotas.pressed = self.f < 1
         # Staggered ramps: worth per work decides whose ramp f reaches first; the sum over cells stays f.
--- a/yewstage/recovery/node.py
+++ b/yewstage/recovery/node.py
@@ -34,8 +34,16 @@
         keep = config.keep
         assert keep is not None
         plans = digest(repr(config.settings.plans).encode())
-        self._snapshots = Snapshots(Path(keep.folder), keep.every_s, config.name, keep.fleet, plans,
-                                    self._left_behind, self._clock.now_ms, loop)
+        self._snapshots = Snapshots(
+            Path(keep.folder),
+            keep.every_s,
+            config.name,
+            keep.fleet,
+            plans,
+            self._left_behind,
+            self._clock.now_ms,
+            loop,
+        )
         self._born_ms = self._clock.now_ms()
         self._phases = Phases(self._born_ms)
         self._outcomes = 0
@@ -57,8 +65,12 @@
             try:
                 restore(self._gateway, self._snapshots.believed(snapshot, self._born_ms))
                 age = (self._clock.now_ms() - snapshot.head.taken_ms) / 1000
-                log.info("snapshots: going on from %s, %.1f s old, %s", snapshot.head.incarnation, age,
-                         "exact" if snapshot.head.exact else "a process went on after it")
+                log.info(
+                    "snapshots: going on from %s, %.1f s old, %s",
+                    snapshot.head.incarnation,
+                    age,
+                    "exact" if snapshot.head.exact else "a process went on after it",
+                )
             except (StateError, BeliefError) as error:
                 log.warning("snapshots: left, nothing of it is believed: %s", error)
         listening = await super().open(server, address)
@@ -84,8 +96,12 @@
     def figures(self) -> dict[str, object]:
         phases = self._phases
         took = None if phases.took_ms is None else round(phases.took_ms / 1000, 2)
-        return {**super().figures(), "phase": phases.now.name, "phase_causes": list(phases.now.causes),
-                "full_after_s": took}
+        return {
+            **super().figures(),
+            "phase": phases.now.name,
+            "phase_causes": list(phases.now.causes),
+            "full_after_s": took,
+        }
 
     def _watch(self) -> None:
         now, clock = time.monotonic(), self._clock.now_ms()
@@ -94,8 +110,17 @@
         self._looked = now
         asked = self.settings.may_count and gateway.quotas.call_at > self._born_ms
         stalled = late or clock - gateway.stalled_at < STALL_MS
-        view = View(self.ready(), self._heard, not asked or gateway.quotas.heard >= 0.5, self._outcomes,
-                    gateway.f, fleet.up, fleet.cold, fleet.failing, stalled)
+        view = View(
+            self.ready(),
+            self._heard,
+            not asked or gateway.quotas.heard >= 0.5,
+            self._outcomes,
+            gateway.f,
+            fleet.up,
+            fleet.cold,
+            fleet.failing,
+            stalled,
+        )
         if self._phases.look(clock, view):
             log.info("phase: %s", self._phases.now.text())
         self._loop.call_later(LOOK_S, self._watch)
--- a/yewstage/wire.py
+++ b/yewstage/wire.py
@@ -8,9 +8,16 @@
 
 from yewstage import interface as api
 
-RESULTS = {"Ok": api.OK, "Failed": api.ERROR, "QueueFull": api.FULL, "TimedOut": api.TIMED_OUT,
-           "ConnectError": api.CONNECT_FAILED, "ResetByPeer": api.RESET, "Canceled": api.CANCELLED,
-           "Ignored": api.MOOT}
+RESULTS = {
+    "Ok": api.OK,
+    "Failed": api.ERROR,
+    "QueueFull": api.FULL,
+    "TimedOut": api.TIMED_OUT,
+    "ConnectError": api.CONNECT_FAILED,
+    "ResetByPeer": api.RESET,
+    "Canceled": api.CANCELLED,
+    "Ignored": api.MOOT,
+}
 LIST_KINDS = {"Partial": "changes", "Complete": "full", "Persisted": "kept", "Error": "failed"}
 STATUSES = ("up", "draining", "removed")
 
@@ -101,34 +108,59 @@
 
     classes = tuple(
         api.RequestClass(
-            name=pairs.get(f"grades.{i}.name", ""), aim_ms=num(f"grades.{i}.objective_ms"),
-            deadline_ms=num(f"grades.{i}.deadline_ms"), worth=num(f"grades.{i}.worth", 1.0),
-            late_worth=num(f"grades.{i}.late_worth"), effect=pairs.get(f"grades.{i}.effect", "safe"),
-            key_scope=pairs.get(f"grades.{i}.key_scope", "all"), window_ms=num(f"grades.{i}.window_ms"),
-            stream=yes(f"grades.{i}.stream"))
-        for i in range(int(num("grades.count"))))
+            name=pairs.get(f"grades.{i}.name", ""),
+            aim_ms=num(f"grades.{i}.objective_ms"),
+            deadline_ms=num(f"grades.{i}.deadline_ms"),
+            worth=num(f"grades.{i}.worth", 1.0),
+            late_worth=num(f"grades.{i}.late_worth"),
+            effect=pairs.get(f"grades.{i}.effect", "safe"),
+            key_scope=pairs.get(f"grades.{i}.key_scope", "all"),
+            window_ms=num(f"grades.{i}.window_ms"),
+            stream=yes(f"grades.{i}.stream"),
+        )
+        for i in range(int(num("grades.count")))
+    )
     plans = tuple(
         api.Plan(
-            name=pairs.get(f"packages.{i}.name", ""), rate=num(f"packages.{i}.refill"),
-            burst=num(f"packages.{i}.burst"), worth=num(f"packages.{i}.worth_factor", 1.0),
-            over_worth=num(f"packages.{i}.over_worth"), over_cost=num(f"packages.{i}.over_cost"),
-            ceiling_rate=num(f"packages.{i}.ceiling_rate"), ceiling_burst=num(f"packages.{i}.hard_burst"),
-            ceiling_slack=num(f"packages.{i}.tolerance"), parallel=int(num(f"packages.{i}.parallel")))
-        for i in range(int(num("packages.count"))))
+            name=pairs.get(f"packages.{i}.name", ""),
+            rate=num(f"packages.{i}.refill"),
+            burst=num(f"packages.{i}.burst"),
+            worth=num(f"packages.{i}.worth_factor", 1.0),
+            over_worth=num(f"packages.{i}.over_worth"),
+            over_cost=num(f"packages.{i}.over_cost"),
+            ceiling_rate=num(f"packages.{i}.ceiling_rate"),
+            ceiling_burst=num(f"packages.{i}.hard_burst"),
+            ceiling_slack=num(f"packages.{i}.tolerance"),
+            parallel=int(num(f"packages.{i}.parallel")),
+        )
+        for i in range(int(num("packages.count")))
+    )
     return api.Settings(
-        classes=classes, plans=plans, me=int(num("me")), fleet_size=int(num("fleet_size", 1)),
-        zone=pairs.get("zone", ""), try_limit=int(num("bounds.try_limit", 1)),
-        second_copies=yes("bounds.second_copies"), cancel=yes("bounds.cancel"),
+        classes=classes,
+        plans=plans,
+        me=int(num("me")),
+        fleet_size=int(num("fleet_size", 1)),
+        zone=pairs.get("zone", ""),
+        try_limit=int(num("bounds.try_limit", 1)),
+        second_copies=yes("bounds.second_copies"),
+        cancel=yes("bounds.cancel"),
         max_retry_after_ms=num("bounds.max_retry_after_ms"),
-        probing=yes("bounds.probing"), peers=yes("bounds.peers"),
+        probing=yes("bounds.probing"),
+        peers=yes("bounds.peers"),
         must_ask=pairs.get("membership_mode", "pushed") == "on_request",
-        may_count=yes("family_info.may_count"), count_wait_ms=num("family_info.count_wait_ms", 50.0),
+        may_count=yes("family_info.may_count"),
+        count_wait_ms=num("family_info.count_wait_ms", 50.0),
         most_units=num("family_info.most_units") or math.inf,
-        trued_up=yes("family_info.trued_up"), use_period_ms=num("family_info.use_period_ms"),
-        tick_ms=num("tick_ms", 1.0), answer_slack_ms=num("rules.answer_slack_ms"),
-        drain_grace_ms=num("rules.stop_sending_within_ms"), cold_from=num("rules.cold_from", 1.0),
-        cold_ms=num("rules.cold_ms"), fall_multiple=num("rules.fall_multiple", 1.0),
-        tip_after_ms=num("rules.tip_after_ms"))
+        trued_up=yes("family_info.trued_up"),
+        use_period_ms=num("family_info.use_period_ms"),
+        tick_ms=num("tick_ms", 1.0),
+        answer_slack_ms=num("rules.answer_slack_ms"),
+        drain_grace_ms=num("rules.stop_sending_within_ms"),
+        cold_from=num("rules.cold_from", 1.0),
+        cold_ms=num("rules.cold_ms"),
+        fall_multiple=num("rules.fall_multiple", 1.0),
+        tip_after_ms=num("rules.tip_after_ms"),
+    )
 
 
 def server(parts: list[str]) -> api.Server:
@@ -145,13 +177,31 @@
 
 
 def _request(f: list[str]) -> api.Request:
-    return api.Request(f[0], f[1], f[2], f[3], number(f[4]), number(f[5]), integer(f[6]), integer(f[7]),
-                       bool(integer(f[8]) & 2))
+    return api.Request(
+        f[0],
+        f[1],
+        f[2],
+        f[3],
+        number(f[4]),
+        number(f[5]),
+        integer(f[6]),
+        integer(f[7]),
+        bool(integer(f[8]) & 2),
+    )
 
 
 def _outcome(f: list[str]) -> api.Outcome:
-    return api.Outcome(f[0], integer(f[1]), f[2], one_of(RESULTS, f[3]), number(f[4]), flag(f[5]),
-                       number(f[6]), number(f[7]), report(f[8]))
+    return api.Outcome(
+        f[0],
+        integer(f[1]),
+        f[2],
+        one_of(RESULTS, f[3]),
+        number(f[4]),
+        flag(f[5]),
+        number(f[6]),
+        number(f[7]),
+        report(f[8]),
+    )
 
 
 def _peer(f: list[str]) -> api.PeerMessage:
