limits: one module a job, and the field's names for a customer's quota state

Need: yewstage/limits/quotas.py held windows, estimates, throttling, ceilings and the known customers in one class of 280 lines, with names (own, base, luck, heard) that a newcomer can't read.

Processes of two versions read each other's, so their names and order stay, and handover/state.py maps them by a table (USE_ATTRIBUTES, COUNTER_ATTRIBUTES).

Change: window, state, estimate, throttle, ceiling and registry beside quotas, whose class Quotas is what the decision module calls; comment tags became sentences; deploy/compile.py names the new modules; the planted faults of benchmarks/mutations.py name the new lines. Tests: renamed attributes only; test_policy's list of imports names limits.state and limits.throttle, too; two tests more pin the documents' names and order.

Not run yet: the compiled build, tests that start processes.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -90,6 +90,7 @@
 CALM = ({"at_s": 1.0, "what": "slow", "who": "host:h0", "value": 1.5},)
 TIGHT = {**PLAN, "ceiling": 0.5}  # it binds before the quota does
 QUOTAS, POLICY = "yewstage/limits/quotas.py", "yewstage/policy.py"
+CEILING, REGISTRY = "yewstage/limits/ceiling.py", "yewstage/limits/registry.py"
 PLANTED = (
     Planted(
         "an unsafe request is sent again",
@@ -135,18 +136,17 @@
     ),
     Planted(
         "each gateway takes the whole ceiling for its own",
-        QUOTAS,
-        "        gained = (self.now - use.ceiling_at) * plan.ceiling_rate / 1000 / use.width",
-        "        full = plan.ceiling_burst\n"
-        "        gained = (self.now - use.ceiling_at) * plan.ceiling_rate / 1000",
+        CEILING,
+        "    gained = (now - state.ceiling_at) * plan.ceiling_rate / 1000 / state.replicas",
+        "    full = plan.ceiling_burst\n    gained = (now - state.ceiling_at) * plan.ceiling_rate / 1000",
         "ceilings",
         day(*CALM, heavy=0.9, plan=TIGHT),
     ),
     Planted(
         "a ceiling is full at a start",
-        QUOTAS,
-        "use.ceiling_at = max(self.born or 0.0, self.shadow.at(use.digest))",
-        "use.ceiling_at = -1e9",
+        REGISTRY,
+        "state.ceiling_at = max(gateway_start, self.ceilings_from.at(state.digest))",
+        "state.ceiling_at = -1e9",
         "ceilings",
         day(*HERDS, heavy=0.9, plan={**TIGHT, "burst": 48.0, "ceiling": 0.5}),
     ),
@@ -161,8 +161,8 @@
     Planted(
         "a count is told again at each reply",
         QUOTAS,
-        "        use.added += newer\n        use.in_call",
-        "        use.in_call",
+        "        state.reported += amount\n        state.call_amount",
+        "        state.call_amount",
         "units",
         day(*CALM),
     ),
--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -35,12 +35,12 @@
     "node",
     "operated",
 )
+LIMITS = ("parts", "window", "state", "estimate", "throttle", "ceiling", "registry", "quotas")
 COMPILED = (  # what an ordinary request passes through, and every class that inherits from one of these
     "yewstage/interface.py",
     "yewstage/policy.py",
     "yewstage/fleet.py",
-    "yewstage/limits/parts.py",
-    "yewstage/limits/quotas.py",
+    *(f"yewstage/limits/{name}.py" for name in LIMITS),
     *(f"yewstage/net/{name}.py" for name in NET),
     "yewstage/recovery/node.py",
 )
--- a/tests/crossings/test_sending.py
+++ b/tests/crossings/test_sending.py
@@ -275,14 +275,14 @@
     driver = Driver(may_count=False)
     driver.now += 60_000  # ceilings are earned anew after a start
     rid, out = driver.ask("read", "capped", units=2, width=1)
-    (use,) = driver.gateway.quotas.uses.values()
-    took = (use.left, use.ceiling)
+    (use,) = driver.gateway.quotas.registry.states.values()
+    took = (use.remaining, use.ceiling_remaining)
     driver.give(api.ClientLeft(rid))
     driver.give(api.Outcome(rid, 0, "h0", api.MOOT, 0.0, True))
-    assert (use.left, use.ceiling, use.own) == (took[0] + 2, took[1] + 2, 0.0)
+    assert (use.remaining, use.ceiling_remaining, use.used) == (took[0] + 2, took[1] + 2, 0.0)
     rid, out = driver.ask("read", "capped", units=2, width=1)
     driver.give(api.Outcome(rid, 0, "h0", api.FULL, 0.0, True))  # it came whole to its host
-    assert (use.left, use.ceiling) == took
+    assert (use.remaining, use.ceiling_remaining) == took
 
 
 @pytest.mark.parametrize("behind", [True, False])
--- a/tests/handover/test_state.py
+++ b/tests/handover/test_state.py
@@ -11,9 +11,10 @@
 from conftest import CAPPED, Driver, of, server
 
 from yewstage import interface as api
+from yewstage.handover import state
 from yewstage.handover.channel import LONGEST
 from yewstage.handover.state import AT_ONCE, MODULE, StateError, export, restore
-from yewstage.limits.quotas import CHOICES
+from yewstage.limits.registry import CHOICES
 from yewstage.policy import Gateway
 
 
@@ -75,7 +76,7 @@
     d = busy()
     new = heir(d)
     d.give(api.Succeeded(True))
-    before, use = d.now, d.gateway.quotas.uses["c0", "capped"]
+    before, use = d.now, d.gateway.quotas.registry.states["c0", "capped"]
     spent = 0
     for i in range(400):
         for module in (d, new):
@@ -85,8 +86,8 @@
                 assert module is new
                 spent += 1
                 module.end(rid)
-    rate, full = CAPPED.ceiling_rate / use.width, CAPPED.ceiling_burst / use.width
-    store = min(use.ceiling + (before - use.ceiling_at) / 1000 * rate, full)
+    rate, full = CAPPED.ceiling_rate / use.replicas, CAPPED.ceiling_burst / use.replicas
+    store = min(use.ceiling_remaining + (before - use.ceiling_at) / 1000 * rate, full)
     assert store + 4.0 * rate - 2 <= spent <= store + 4.0 * rate
 
 
@@ -110,9 +111,9 @@
 
 def test_ceilings_that_were_forgotten_early_go_along() -> None:
     d = busy(most_customers=CHOICES)
-    assert d.gateway.quotas.shadow.times is not None
+    assert d.gateway.quotas.registry.ceilings_from.times is not None
     new = heir(d)
-    assert new.gateway.quotas.shadow.times == d.gateway.quotas.shadow.times
+    assert new.gateway.quotas.registry.ceilings_from.times == d.gateway.quotas.registry.ceilings_from.times
 
 
 def test_documents_are_of_bounded_size() -> None:
@@ -168,7 +169,7 @@
     fresh = Driver(servers=6, may_count=False)
     with pytest.raises(StateError, match="uses"):
         restore(fresh.gateway, documents)
-    assert not fresh.gateway.quotas.uses
+    assert not fresh.gateway.quotas.registry.states
 
 
 @pytest.mark.parametrize("text", ["x", "~~~~~", "0" * 40])
@@ -183,3 +184,27 @@
     for some in (documents[1:], [documents[0], *documents]):
         with pytest.raises(StateError, match="one document"):
             restore(Driver(servers=6).gateway, some)
+
+
+def test_names_and_order_in_documents_stay_as_the_first_version_wrote_them() -> None:
+    """An old and a new version hand over to each other by them, whatever the attributes are called."""
+    assert state.USE == (
+        "width", "widest", "window", "own", "added", "base", "base_own", "base_use", "base_at", "base_left",
+        "most", "left", "left_at", "others", "luck", "seen", "ceiling", "ceiling_at",
+    )  # fmt: skip
+    assert state.COUNTER == ("heard", "call_at")
+    assert set(state.USE_ATTRIBUTES) == set(state.USE) and set(state.COUNTER_ATTRIBUTES) == set(state.COUNTER)
+    assert len(set(state.USE_ATTRIBUTES.values())) == len(state.USE)
+
+
+def test_a_row_of_a_customer_is_written_under_the_names_of_documents() -> None:
+    d = Driver(servers=6)
+    d.ask("read", "capped", "c0", units=2, width=3)
+    (known_state,) = d.gateway.quotas.registry.states.values()
+    documents = list(export(d.gateway))
+    (row,) = next(doc for doc in documents if doc["t"] == "customers")["uses"]
+    told = dict(zip(state.USE, row[2:], strict=True))
+    assert row[:2] == ["c0", "capped"]
+    assert (told["width"], told["own"], told["added"]) == (3, known_state.used, known_state.reported)
+    assert (told["left"], told["luck"]) == (known_state.remaining, known_state.grant_ratio)
+    assert next(doc for doc in documents if doc["t"] == MODULE)["scalars"]["heard"] == 1.0
--- a/tests/hosted/test_rest.py
+++ b/tests/hosted/test_rest.py
@@ -110,7 +110,7 @@
         return bool(sent)
 
     assert ask(1e6 + 30_000, "spends", "slow")
-    assert ask(1e6 + 30_001, "other", "open") and ("spends", "slow") not in gateway.quotas.uses
+    assert ask(1e6 + 30_001, "other", "open") and ("spends", "slow") not in gateway.quotas.registry.states
     for s in range(31, 50):
         gateway.handle(1e6 + 1000 * s, api.TimerDue("sweep"))
         assert not gateway.settled()
--- a/tests/lab/test_virtual.py
+++ b/tests/lab/test_virtual.py
@@ -153,8 +153,8 @@
     known = world.counter.copy()
     world.counter.stop()
     world.run(2.8)
-    silent = [process.module.quotas.heard for process in world.gateways]
+    silent = [process.module.quotas.throttle.answer_rate for process in world.gateways]
     world.counter.start(None if lost else known)
     world.run()
     assert sorted(silent)[12] < 0.5  # most have noticed
-    assert all(process.module.quotas.heard > 0.5 for process in world.gateways)
+    assert all(process.module.quotas.throttle.answer_rate > 0.5 for process in world.gateways)
--- a/tests/limits/test_quotas.py
+++ b/tests/limits/test_quotas.py
@@ -11,8 +11,8 @@
 def window_start(d: Driver, customer: str) -> float:
     """The start of the customer's window that begins next."""
     d.ask(plan="basic", customer=customer, width=100)
-    use = d.gateway.quotas.uses[customer, "basic"]
-    length = d.gateway.quotas.windows["basic"]
+    use = d.gateway.quotas.registry.states[customer, "basic"]
+    length = d.gateway.quotas.window_ms["basic"]
     phase = (use.digest[0] << 8 | use.digest[1]) / 65536
     return (use.window + 1 - phase) * length
 
@@ -25,9 +25,9 @@
     rid, out = d.ask(plan="basic", customer="c", width=100)
     (call,) = of(out, api.Count)
     assert of(d.give(api.CountReply(call.name, api.OK, call.amount + 3.0)), api.Send)
-    use = d.gateway.quotas.uses["c", "basic"]
-    assert use.others == pytest.approx(3.0 / into_ms)
-    assert use.left == pytest.approx(PLAN.burst - 3 - 1)
+    use = d.gateway.quotas.registry.states["c", "basic"]
+    assert use.others_rate == pytest.approx(3.0 / into_ms)
+    assert use.remaining == pytest.approx(PLAN.burst - 3 - 1)
 
 
 def test_a_customer_whose_quota_was_spent_before_we_came_is_refused() -> None:
@@ -48,7 +48,7 @@
     rid = of(d.give(api.CountReply(call.name, api.OK, call.amount + 2.0)), api.Send)[0].request
     d.end(rid)
     d.sweep(20)
-    assert d.gateway.quotas.left(d.gateway.quotas.uses["c", "basic"]) >= PLAN.burst - 2
+    assert d.gateway.quotas.remaining(d.gateway.quotas.registry.states["c", "basic"]) >= PLAN.burst - 2
 
 
 @pytest.mark.parametrize("into_ms", [1.0, 1500.0, 5000.0])
--- a/tests/operate/test_module.py
+++ b/tests/operate/test_module.py
@@ -128,8 +128,8 @@
         rid, out = d.ask("read", "basic", customer="c", units=1)
     assert rid in d.gateway.asking
     d.give(changed(classes=(KEYED, UNSAFE)))
-    (use,) = d.gateway.quotas.uses.values()
-    d.give(api.CountReply(use.name, api.OK, 0.0), after=5)
+    (use,) = d.gateway.quotas.registry.states.values()
+    d.give(api.CountReply(use.count_name, api.OK, 0.0), after=5)
     answers = [a for _, a in d.log if isinstance(a, api.Send | api.Refuse) and a.request == rid]
     assert len(answers) == 1
 
--- a/tests/recovery/test_memory.py
+++ b/tests/recovery/test_memory.py
@@ -14,7 +14,7 @@
 from yewstage.fleet import Host
 from yewstage.handover import state
 from yewstage.handover.state import StateError, export, restore
-from yewstage.limits.quotas import Use
+from yewstage.limits.state import QuotaState
 from yewstage.recovery.memory import ITEMS, SEEN_MS, SLOW_HALF_MS, BeliefError, believed, worth_leaving
 
 PLACES = {
@@ -26,7 +26,8 @@
     Host: {"name", "zone", "cell", "nominal", "up", "open", "pool", "server", "listed", "group", "home",
            "regions", "rank", "at", "pace", "load", "log_load", "log_nominal", "out", "place", "near",
            "tier"},
-    Use: {"key", "plan", "digest", "name", "calling", "in_call", "call_at", "asking", "open"},
+    QuotaState: {"key", "plan", "digest", "phase", "count_name", "call_open", "call_amount", "called_at",
+                 "waiting", "open_requests"},
 }  # fmt: skip
 
 
@@ -49,7 +50,10 @@
     assert sorted(named) == sorted(PLACES[place])
 
 
-@pytest.mark.parametrize(("kind", "left_behind"), [(Host, state.HOST), (Use, state.USE)])
+@pytest.mark.parametrize(
+    ("kind", "left_behind"),
+    [(Host, state.HOST), (QuotaState, tuple(state.USE_ATTRIBUTES[name] for name in state.USE))],
+)
 def test_every_field_of_a_host_and_a_customer_is_left_behind_or_made_anew(
     kind: type, left_behind: tuple[str, ...]
 ) -> None:
@@ -65,11 +69,12 @@
 @pytest.mark.parametrize("age", [0.0, 400.0, 20_000.0])
 def test_a_process_that_went_on_leaves_no_ceiling_no_count_and_no_birth(age: float) -> None:
     d = busy()
-    assert any(use.ceiling > 0 for use in d.gateway.quotas.uses.values())
+    assert any(use.ceiling_remaining > 0 for use in d.gateway.quotas.registry.states.values())
     new = heir(d, age, exact=False)
     assert new.gateway.born == new.now
-    for use in new.gateway.quotas.uses.values():
-        assert (use.ceiling, use.own, use.added, use.left, use.base) == (0.0, 0.0, 0.0, 0.0, None)
+    for use in new.gateway.quotas.registry.states.values():
+        assert (use.ceiling_remaining, use.used, use.reported) == (0.0, 0.0, 0.0)
+        assert (use.remaining, use.last_total) == (0.0, None)
         assert use.ceiling_at == new.now
         if use.plan.ceiling_rate > 0:
             assert not new.gateway.quotas.ceiling_has(use, 1.0)
@@ -132,23 +137,23 @@
     """To an heir of the old birth it is new, with a full part: no more than it had."""
     d = busy()
     quotas = d.gateway.quotas
-    (use,) = [u for u in quotas.uses.values() if u.plan is CAPPED and u.key[0] == "c1"]
-    rest, full = quotas.rests["capped"], CAPPED.ceiling_burst / use.width
+    (use,) = [u for u in quotas.registry.states.values() if u.plan is CAPPED and u.key[0] == "c1"]
+    rest, full = quotas.registry.rests["capped"], CAPPED.ceiling_burst / use.replicas
     for unseen, kept in ((rest - 1, True), (rest, False)):
-        now = use.seen + unseen
-        documents = export(d.gateway, lambda u, now=now: worth_leaving(u.seen, rest, now, exact=True))
+        now = use.seen_at + unseen
+        documents = export(d.gateway, lambda u, now=now: worth_leaving(u.seen_at, rest, now, exact=True))
         named = {tuple(row[:2]) for document in documents for row in document.get("uses", ())}
         assert (use.key in named) == kept
-    use.ceiling, use.ceiling_at = 0.0, use.seen  # all of it was spent with its last request
-    d.give(api.TimerDue("none"), after=use.seen + rest - d.now)
+    use.ceiling_remaining, use.ceiling_at = 0.0, use.seen_at  # all of it was spent with its last request
+    d.give(api.TimerDue("none"), after=use.seen_at + rest - d.now)
     assert quotas.ceiling_has(use, full)
 
 
 def test_what_is_left_for_a_kill_has_the_customers_seen_of_late_for_others_would_not_be_believed() -> None:
     d = busy(customers=30)
-    uses = list(d.gateway.quotas.uses.values())
-    uses[0].seen -= 2 * SEEN_MS
-    documents = export(d.gateway, lambda use: worth_leaving(use.seen, 0.0, d.now, exact=False))
+    uses = list(d.gateway.quotas.registry.states.values())
+    uses[0].seen_at -= 2 * SEEN_MS
+    documents = export(d.gateway, lambda use: worth_leaving(use.seen_at, 0.0, d.now, exact=False))
     of_late = [tuple(row[:2]) for doc in documents if doc["t"] == "customers" for row in doc["uses"]]
     assert of_late == [use.key for use in uses[1:]]
     stale = next(item for item in ITEMS if item.name == "use by others")
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -15,7 +15,9 @@
 
 from yewstage import fleet, policy
 from yewstage import interface as api
-from yewstage.limits import quotas
+from yewstage.limits.estimate import SPLIT
+from yewstage.limits.registry import CHOICES
+from yewstage.limits.throttle import CUTS
 from yewstage.policy import Gateway, ramp
 from yewstage.sketch import LatestTimes
 
@@ -309,7 +311,8 @@
 def test_near_the_limit_a_request_waits_for_the_total_and_is_answered() -> None:
     d = Driver()
     drive(d, 5, plan="basic")
-    d.gateway.quotas.uses["c", "basic"].left = 0.0  # the estimate says no; the last total left one unit
+    # The estimate says no; the last total left one unit.
+    d.gateway.quotas.registry.states["c", "basic"].remaining = 0.0
     rid, out = d.ask(plan="basic")
     assert not of(out, api.Send) and not of(out, api.Refuse) and of(out, api.Count)
     out = d.give(api.CountReply(calls_of(d)[-1].name, api.TIMED_OUT, 0.0), 30)
@@ -321,7 +324,7 @@
     for heard, amounts in ((1.0, [1, -1]), (0.0, [1])):
         d = Driver()
         d.ask(plan="basic")
-        d.gateway.quotas.heard = heard
+        d.gateway.quotas.throttle.answer_rate = heard
         d.gateway.rng.random = lambda: 0.5
         d.give(api.CountReply(calls_of(d)[0].name, api.OK, 100.0))
         assert [c.amount for c in calls_of(d)] == amounts
@@ -338,7 +341,7 @@
 def test_a_reply_that_never_comes_does_not_cost_the_answer() -> None:
     d = Driver()
     drive(d, 5, plan="basic")
-    d.gateway.quotas.uses["c", "basic"].left = 0.0
+    d.gateway.quotas.registry.states["c", "basic"].remaining = 0.0
     rid, out = d.ask(plan="basic")
     d.sweep(3)
     finals = [a for _, a in d.log if isinstance(a, api.Send | api.Refuse) and a.request == rid]
@@ -360,8 +363,8 @@
 def test_counter_that_comes_back_empty_does_not_open_the_quota_anew() -> None:
     d = Driver()
     assert drive(d, 20, lose_at=3, plan="basic") == 6
-    use = d.gateway.quotas.uses["c", "basic"]
-    assert use.others >= 0  # a total that falls is no use given back by the others
+    use = d.gateway.quotas.registry.states["c", "basic"]
+    assert use.others_rate >= 0  # a total that falls is no use given back by the others
 
 
 def test_overshoot_is_not_owed() -> None:
@@ -390,7 +393,7 @@
             d.end(rid)
     d.sweep(1210)
     quotas = d.gateway.quotas
-    assert not quotas.uses and not quotas.ring and not quotas.calls and not d.gateway.held
+    assert not quotas.registry.states and not quotas.registry.ring and not quotas.calls and not d.gateway.held
 
 
 def test_a_customer_long_unseen_gets_our_split_untold_and_no_more() -> None:
@@ -436,7 +439,7 @@
     d.ask(plan="basic", customer="left")
     d.end("r71")
     d.sweep(1300)
-    assert set(d.gateway.quotas.uses) == {("spent", "slow"), ("out", "basic")}
+    assert set(d.gateway.quotas.registry.states) == {("spent", "slow"), ("out", "basic")}
     again = 0
     for _ in range(30):
         rid, out = d.ask(plan="slow", customer="spent", width=1)
@@ -445,17 +448,18 @@
             d.end(rid)
     assert 10 <= again <= 14  # what 130 s have filled, not all of it
     d.sweep(6100)
-    assert set(d.gateway.quotas.uses) == {("out", "basic")}
+    assert set(d.gateway.quotas.registry.states) == {("out", "basic")}
 
 
 def test_of_a_few_customers_the_one_unseen_for_the_longest_goes_early() -> None:
-    d = Driver(may_count=False, most_customers=quotas.CHOICES)
-    for i in range(quotas.CHOICES):
+    d = Driver(may_count=False, most_customers=CHOICES)
+    for i in range(CHOICES):
         d.end(d.ask(customer=f"c{i}", after=1.0)[0])
     for i in (0, 1, 2, 4, 5, 6, 7):  # all but c3 come again
         d.end(d.ask(customer=f"c{i}", after=1.0)[0])
     d.ask(customer="new", after=1.0)
-    assert ("c3", "open") not in d.gateway.quotas.uses and len(d.gateway.quotas.uses) == quotas.CHOICES
+    states = d.gateway.quotas.registry.states
+    assert ("c3", "open") not in states and len(states) == CHOICES
 
 
 def test_who_shares_one_slot_with_a_forgotten_ceiling_keeps_its_own() -> None:
@@ -475,8 +479,8 @@
         rid, out = d.ask(plan="basic", customer=f"k{i}")
         assert of(out, api.Send)
         d.end(rid)
-        assert len(d.gateway.quotas.uses) == len(d.gateway.quotas.ring) <= 50
-    assert ("busy", "open") in d.gateway.quotas.uses
+        assert len(d.gateway.quotas.registry.states) == len(d.gateway.quotas.registry.ring) <= 50
+    assert ("busy", "open") in d.gateway.quotas.registry.states
     for i in range(60):
         d.ask(plan="open", customer=f"busy{i}")
     assert [out.cause for out in of(d.ask(plan="open", customer="one more")[1], api.Refuse)] == [api.CROWDED]
@@ -497,7 +501,7 @@
         if i % 10 == 0:
             d.log.clear()
             known = f"known{i // 10 % 5}"
-            forgotten += (known, "capped") not in d.gateway.quotas.uses
+            forgotten += (known, "capped") not in d.gateway.quotas.registry.states
             rid, out = d.ask(plan="capped", customer=known, width=3)
             if of(out, api.Send):
                 let_in[known] += 1
@@ -534,7 +538,9 @@
         if i % 50 == 0:
             known = f"known{i // 50 % 10}"
             let_in[known] += ask(f"k{i}", known)
-    assert len(gateway.quotas.uses) == len(gateway.quotas.ring) == 8192 and not gateway.held
+    assert (
+        len(gateway.quotas.registry.states) == len(gateway.quotas.registry.ring) == 8192 and not gateway.held
+    )
     assert refused <= 100_000 * 0.01
     allowed = full + rate * (now - start)
     assert len(let_in) == 10
@@ -547,12 +553,12 @@
     assert drive(d, 10, plan="basic", width=1) == 6  # its burst
     d.ask(plan="capped", width=3)
     assert drive(d, 5, plan="basic", width=1) == 0
-    use = d.gateway.quotas.uses["c", "basic"]
+    use = d.gateway.quotas.registry.states["c", "basic"]
     d.ask(plan="basic", width=3)
-    assert use.width == 3  # the safe side of two opinions, for this window and the next
+    assert use.replicas == 3  # the safe side of two opinions, for this window and the next
     for _ in range(2):
-        d.ask(plan="basic", width=1, after=d.gateway.quotas.windows["basic"])
-    assert use.width == 1
+        d.ask(plan="basic", width=1, after=d.gateway.quotas.window_ms["basic"])
+    assert use.replicas == 1
 
 
 def test_plans_with_windows_of_one_length_count_apart() -> None:
@@ -832,8 +838,8 @@
         return made
 
     assert calls(api.OK) == 60
-    assert calls(api.CUT, quotas.CUTS) == quotas.CUTS  # one connection's end
-    assert d.gateway.quotas.heard == 1.0
+    assert calls(api.CUT, CUTS) == CUTS  # one connection's end
+    assert d.gateway.quotas.throttle.answer_rate == 1.0
     assert calls(api.CUT) < 15  # nothing else comes: it is gone
     calls(api.OK, 300)
     assert calls(api.FULL) < 15
@@ -847,9 +853,9 @@
     (call,) = of(out, api.Count)
     out = d.give(api.CountReply(call.name, api.SPOILT, 0.0))
     assert of(out, api.Send)  # decided at once
-    use = d.gateway.quotas.uses["k", "basic"]
-    assert d.gateway.quotas.heard == 1.0
-    assert use.added == 2 and not use.calling
+    use = d.gateway.quotas.registry.states["k", "basic"]
+    assert d.gateway.quotas.throttle.answer_rate == 1.0
+    assert use.reported == 2 and not use.call_open
 
 
 @pytest.mark.parametrize("age_s", [2, 30])
@@ -864,7 +870,7 @@
             rid, out = d.ask(plan="basic", width=300)
             sent += len(of(out, api.Send))
     extra = sent - 300  # the first one of each gateway is let in: most customers are far from their quota
-    assert extra <= 2 * quotas.SPLIT * min(PLAN.burst, PLAN.rate * age_s) + 3
+    assert extra <= 2 * SPLIT * min(PLAN.burst, PLAN.rate * age_s) + 3
 
 
 # --- The module itself ---
@@ -879,7 +885,8 @@
         names += [node.module or ""] if isinstance(node, ast.ImportFrom) else []
         for name in names:
             assert name.split(".")[0] in {"yewstage"} | sys.stdlib_module_names
-            ours = ("yewstage", "yewstage.fleet", "yewstage.limits.quotas", "yewstage.limits.parts")
+            limits = {f"yewstage.limits.{part}" for part in ("parts", "quotas", "state", "throttle")}
+            ours = {"yewstage", "yewstage.fleet"} | limits
             assert name in ours or not name.startswith("yewstage")
         if isinstance(node, ast.ImportFrom) and node.module == "yewstage":
             assert [a.name for a in node.names] == ["interface"]
--- a/yewstage/handover/state.py
+++ b/yewstage/handover/state.py
@@ -22,7 +22,7 @@
 
 from yewstage import policy
 from yewstage.fleet import FASTEST, OUT, SLOWEST
-from yewstage.limits.quotas import Use
+from yewstage.limits.state import QuotaState
 from yewstage.policy import Gateway
 from yewstage.sketch import SLOTS
 
@@ -33,12 +33,33 @@
 SCALARS = (
     "born", "q", "f", "q_sum", "q_n", "q_seen", "ok_q", "lost", "done", "done_rate", "bank",
 )  # fmt: skip
-COUNTER = ("heard", "call_at")  # of the quotas; told beside the scalars
+COUNTER = ("heard", "call_at")  # of the throttle of counter calls; told beside the scalars
 HOST = ("born", "cold_from_ms", "slow", "strikes", "fails", "down_until", "died", "credit", "credit_at")
 USE = (
     "width", "widest", "window", "own", "added", "base", "base_own", "base_use", "base_at", "base_left",
     "most", "left", "left_at", "others", "luck", "seen", "ceiling", "ceiling_at",
 )  # fmt: skip
+# The names in documents are fixed: processes of two versions read each other's. These are the attributes that
+# they stand for, where those have other names.
+COUNTER_ATTRIBUTES = {"heard": "answer_rate", "call_at": "called_at"}
+USE_ATTRIBUTES = {name: name for name in USE} | {
+    "width": "replicas",
+    "widest": "replicas_in_window",
+    "own": "used",
+    "added": "reported",
+    "base": "last_total",
+    "base_own": "last_total_reported",
+    "base_use": "last_total_used",
+    "base_at": "last_total_at",
+    "base_left": "last_total_upper_bound",
+    "most": "upper_bound",
+    "left": "remaining",
+    "left_at": "remaining_at",
+    "others": "others_rate",
+    "luck": "grant_ratio",
+    "seen": "seen_at",
+    "ceiling": "ceiling_remaining",
+}
 WHOLE = frozenset(("q_n", "q_seen", "strikes", "fails", "width", "widest", "window"))
 MOST = 1e15  # of any other number: moments in ms have 13 digits
 # Danger: what lies outside breaks the module later, when it is half taken: a pace has a logarithm, a failing
@@ -60,32 +81,37 @@
     """Documents that a module cannot go on from; the text names the field."""
 
 
-def export(gateway: Gateway, wanted: Callable[[Use], bool] = lambda use: True) -> Iterator[dict[str, Any]]:
+def export(
+    gateway: Gateway, wanted: Callable[[QuotaState], bool] = lambda state: True
+) -> Iterator[dict[str, Any]]:
     """All that a module knows but for what is open, in documents of bounded size; of its customers those that
     are `wanted`."""
-    fleet = gateway.fleet
+    fleet, quotas = gateway.fleet, gateway.quotas
     yield {
         "t": MODULE,
         "version": VERSION,
         "scalars": {name: getattr(gateway, name) for name in SCALARS}
-        | {name: getattr(gateway.quotas, name) for name in COUNTER},
+        | {name: getattr(quotas.throttle, COUNTER_ATTRIBUTES[name]) for name in COUNTER},
         "warm_rate": fleet.warm_rate,
         "latency": dict(gateway.latency),
-        "asked_at": dict(gateway.quotas.asked_at),
+        "asked_at": dict(quotas.registry.asked_at),
         "cells": [[*key, c.value, c.work, c.f, c.r] for key, c in gateway.cells.items()],
     }
     hosts = list(fleet.hosts.values())
     for at in range(0, len(hosts), AT_ONCE):
         some = hosts[at : at + AT_ONCE]
         yield {"t": HOSTS, "hosts": {h.name: [getattr(h, field) for field in HOST] for h in some}}
-    uses = [use for use in gateway.quotas.uses.values() if wanted(use)]
-    for at in range(0, len(uses), AT_ONCE):
+    states = [state for state in quotas.registry.states.values() if wanted(state)]
+    attributes = [USE_ATTRIBUTES[name] for name in USE]
+    for at in range(0, len(states), AT_ONCE):
+        some_states = states[at : at + AT_ONCE]
         yield {
             "t": CUSTOMERS,
-            "uses": [[*use.key, *(getattr(use, field) for field in USE)] for use in uses[at : at + AT_ONCE]],
+            "uses": [[*state.key, *(getattr(state, name) for name in attributes)] for state in some_states],
         }
-    if gateway.quotas.shadow.times is not None:
-        text = base64.b85encode(zlib.compress(gateway.quotas.shadow.times.tobytes(), 1)).decode()
+    times = quotas.registry.ceilings_from.times
+    if times is not None:
+        text = base64.b85encode(zlib.compress(times.tobytes(), 1)).decode()
         for at in range(0, len(text), PIECE):
             yield {"t": SKETCH, "text": text[at : at + PIECE]}
 
@@ -126,11 +152,15 @@
     times = _sketch("".join(str(d.get("text", "")) for d in documents if d.get("t") == SKETCH))
 
     for name, value in scalars.items():
-        setattr(gateway.quotas if name in COUNTER else gateway, name, value)
+        if name in COUNTER_ATTRIBUTES:
+            setattr(gateway.quotas.throttle, COUNTER_ATTRIBUTES[name], value)
+        else:
+            setattr(gateway, name, value)
+    registry = gateway.quotas.registry
     gateway.quotas.born = gateway.born
     gateway.quotas.pressed = gateway.f < 1
     gateway.latency.update({n: v for n, v in latency.items() if n in gateway.classes})
-    gateway.quotas.asked_at.update({n: v for n, v in asked_at.items() if n in gateway.plans})
+    registry.asked_at.update({n: v for n, v in asked_at.items() if n in gateway.plans})
     gateway.fleet.warm_rate = warm_rate
     for cls, plan, (value, work, f, r) in cells:
         if cls in gateway.classes and plan in gateway.plans:
@@ -139,10 +169,10 @@
     for name, fields in hosts.items():
         _restore_host(gateway, name, fields)
     for customer, plan, fields in uses:
-        if plan in gateway.plans and len(gateway.quotas.uses) < gateway.s.most_customers:
+        if plan in gateway.plans and len(registry.states) < gateway.s.most_customers:
             _restore_use(gateway, customer, plan, fields)
     if times is not None:
-        gateway.quotas.shadow.times = times
+        registry.ceilings_from.times = times
 
 
 def _restore_host(gateway: Gateway, name: str, fields: dict[str, Any]) -> None:
@@ -161,13 +191,14 @@
 
 
 def _restore_use(gateway: Gateway, customer: str, plan: str, fields: dict[str, Any]) -> None:
-    key = (customer, plan)
-    use = gateway.quotas.uses.get(key)
-    if use is None:
-        use = gateway.quotas.uses[key] = Use(key, gateway.plans[plan], fields["width"], gateway.now, 0.0)
-        gateway.quotas.ring.append(use)
-    for field, value in fields.items():
-        setattr(use, field, value)
+    key, registry = (customer, plan), gateway.quotas.registry
+    state = registry.states.get(key)
+    if state is None:
+        state = QuotaState(key, gateway.plans[plan], fields["width"], gateway.now, 0.0)
+        registry.states[key] = state
+        registry.ring.append(state)
+    for name, value in fields.items():
+        setattr(state, USE_ATTRIBUTES[name], value)
 
 
 # --- Reading ---
--- /dev/null
+++ b/yewstage/limits/estimate.py
@@ -0,0 +1,91 @@
+"""What remains of a customer's quota: refill, own use, and the other gateways' use as read or estimated.
+
+A customer's quota is one store over all gateways that serve it. Between two totals of the counter a gateway
+goes by its own use and an estimate of the others'; with no total to go by it keeps to an even split.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from yewstage.limits.state import QuotaState
+
+SPLIT: Final = (
+    1.5  # times the even split, without a counter and with room: use is uneven, replicas may be dead
+)
+OTHERS_MEMORY_MS: Final = 1000.0  # memory of the others' rate of use
+ROUNDING_UNITS: Final = 1e-6  # difference of two sums of units that is taken for rounding
+
+
+def advance(state: QuotaState, now: float, pressed: bool, counter_silent: bool) -> None:
+    """Bring `state.remaining` and `state.upper_bound` forward to `now`, which is after `remaining_at`.
+
+    `pressed`: the back end does not take all requests. `counter_silent`: most calls go unanswered, so totals
+    are no longer trusted alone and the even split is granted at least.
+    """
+    span = now - state.remaining_at
+    burst, rate = state.plan.burst, state.plan.rate / 1000
+    state.upper_bound = min(burst, state.upper_bound + rate * span)
+    gain, most = rate - state.others_rate, burst
+    if state.last_total is None:
+        share = _split_share(state, pressed)
+        gain, most = rate * share, burst * share
+    elif counter_silent:
+        gain = max(gain, rate * _split_share(state, pressed))
+    state.remaining = min(most, state.remaining + gain * span)
+    state.remaining_at += span
+
+
+def _split_share(state: QuotaState, pressed: bool) -> float:
+    """This gateway's part of the quota where there is no total to go by."""
+    return min(1.0, (1.0 if pressed else SPLIT) / state.replicas)
+
+
+def doubt(state: QuotaState, now: float) -> float:
+    """Units by which the others' use since the last total may differ from its estimate."""
+    return float((max(state.others_rate, 0.0) * (now - state.last_total_at)) ** 0.5)
+
+
+def start_window(state: QuotaState, start: float) -> None:
+    """Begin a new count for a window that started at `start` (ms), to which `state` was advanced.
+
+    What was left unused is carried over. Use that was not reported yet is reported in the new window. The
+    next total holds what the others used since the start of the window, not since this gateway came to see
+    the customer: taken for the use of that shorter time, it would look like a much higher rate.
+    """
+    unread = state.last_total is None
+    state.last_total_at = start if unread else max(start, state.remaining_at)
+    state.last_total_upper_bound = state.upper_bound if unread else max(state.remaining, 0.0)
+    state.used = state.last_total_used = state.used - state.reported
+    state.reported = state.last_total_reported = 0.0
+    state.call_open = False
+    state.last_total = None if unread else 0.0
+
+
+def read_total(state: QuotaState, total: float, now: float) -> None:
+    """Take a total of the counter (units): what the others used since the last one comes off.
+
+    `state` must have been advanced to `now`. A total lower than what is known means that the counter lost its
+    counts: what remains is kept as it was, and counting goes on from the new total.
+    """
+    others = total - (state.last_total or 0.0) - (state.reported - state.last_total_reported)
+    if total >= state.reported - ROUNDING_UNITS and others >= -ROUNDING_UNITS:
+        _take_others_use(state, others, max(now - state.last_total_at, 1.0))
+    state.last_total = total
+    state.last_total_reported, state.last_total_used = state.reported, state.used
+    state.last_total_upper_bound, state.last_total_at = state.upper_bound, now
+
+
+def _take_others_use(state: QuotaState, others: float, span: float) -> None:
+    """Set what remains, and the others' rate, by their use in the `span` (ms) since the last total.
+
+    What a first total holds may have been spent a moment ago, from a full store, so the refill since the
+    window's start is not lent on it; a customer that spends evenly seems to have less for that time. What
+    overshot the quota took nothing from the store: without the lower bound of 0 it would be owed ever after.
+    """
+    first = state.last_total is None
+    refill = 0.0 if first else state.plan.rate * span / 1000
+    full = state.last_total_upper_bound + refill - others - (state.used - state.last_total_used)
+    state.remaining = state.upper_bound = max(min(full, state.upper_bound), 0.0)
+    keep = 0.0 if first else OTHERS_MEMORY_MS / (OTHERS_MEMORY_MS + span)
+    state.others_rate = keep * state.others_rate + (1 - keep) * others / span
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -12,7 +12,9 @@
 
 from yewstage import interface as api
 from yewstage.fleet import Fleet, Host
-from yewstage.limits.quotas import Quotas, Use
+from yewstage.limits.quotas import Quotas
+from yewstage.limits.state import QuotaState
+from yewstage.limits.throttle import SILENT_RATE
 
 # --- Constants -------------------------------------------------------------------------------------------
 SWEEP_MS = 100.0  # spacing of the housekeeping timer and of the q updates: a tenth of the quickest trouble
@@ -57,7 +59,7 @@
     __slots__ = (
         "req",
         "cls",
-        "use",
+        "quota",
         "aim_at",
         "end_at",
         "attempts",
@@ -74,13 +76,13 @@
         self,
         req: api.Request,
         cls: api.RequestClass,
-        use: Use,
+        quota: QuotaState,
         aim_at: float,
         end_at: float,
         work: float,
         tries: int,
     ) -> None:
-        self.req, self.cls, self.use, self.work, self.tries = req, cls, use, work, tries
+        self.req, self.cls, self.quota, self.work, self.tries = req, cls, quota, work, tries
         self.aim_at, self.end_at = aim_at, end_at
         self.attempts: list[_Attempt] = []
         self.out = 0  # attempts that are open
@@ -136,8 +138,10 @@
         self.hosts = self.fleet.hosts
         self.held: dict[str, _Held] = {}
         self.quotas = Quotas(settings, self.rng, self._settle)
-        self.asking: dict[str, Use] = {}  # by the request that waits for a total
-        self.askers: dict[Use, None] = {}  # those with a request that waits, or has left while it waited
+        self.asking: dict[str, QuotaState] = {}  # by the request that waits for a total
+        self.askers: dict[
+            QuotaState, None
+        ] = {}  # those with a request that waits, or has left while it waited
         self.cells: dict[tuple[str, str], _Cell] = {}
         self.latency = {c.name: c.aim_ms / 10 for c in settings.classes}  # usual latency per unit
         self.patience = {c.name: _Patience() for c in settings.classes}
@@ -224,9 +228,9 @@
             raise ValueError("plans: cannot change in service")
         self.s, self.classes = settings, {c.name: c for c in settings.classes}
         self.fleet.change(settings)
-        self.quotas.s = settings
+        self.quotas.change(settings)
         used = {h.cls.name for h in self.held.values()} | set(self.classes)
-        used |= {cls.name for use in self.askers for _, cls, _, _ in use.asking or ()}
+        used |= {cls.name for quota in self.askers for _, cls, _, _ in quota.waiting or ()}
         self.latency = {n: v for n, v in self.latency.items() if n in used}
         self.cells = {key: cell for key, cell in self.cells.items() if key[0] in used}
         self.patience = {c.name: self.patience.get(c.name) or _Patience() for c in settings.classes}
@@ -278,24 +282,24 @@
         if aim_at <= self.now:
             self._refuse(req.id, api.LATE)  # its aim has passed: whatever we did would be waste
             return
-        use = self.quotas.use(req, plan)
-        if use is None:
+        quota = self.quotas.state_for(req, plan)
+        if quota is None:
             self._refuse(req.id, api.CROWDED)
             return
         # Danger: a try with little time left would be held past its end; it is decided at once.
-        if aim_at - self.now > self.s.count_wait_ms + 2 * SWEEP_MS and self.quotas.unsure(use, req.units):
+        if aim_at - self.now > self.s.count_wait_ms + 2 * SWEEP_MS and self.quotas.unsure(quota, req.units):
             if not self._admit(cls, plan, req.units):  # danger: asking for what f sheds crowds the counter
-                self._refuse_new(req, use, api.PRESSURE)
+                self._refuse_new(req, quota, api.PRESSURE)
                 return
             # Exception to refusing at once: the total that settles it is a few ms away.
-            self.asking[req.id] = use
-            self.askers[use] = None
-            if use.asking is None:
-                use.asking = []
-            use.asking.append((req, cls, aim_at, end_at))
-            self.quotas.sync(use, req.units)
+            self.asking[req.id] = quota
+            self.askers[quota] = None
+            if quota.waiting is None:
+                quota.waiting = []
+            quota.waiting.append((req, cls, aim_at, end_at))
+            self.quotas.sync(quota, req.units)
         else:
-            self._decide(req, cls, use, aim_at, end_at, False)
+            self._decide(req, cls, quota, aim_at, end_at, False)
 
     def _spent(self, req: api.Request, cls: api.RequestClass) -> float:
         """Time that the client spent on earlier tries, where its time left tells.
@@ -309,35 +313,41 @@
         return max(cls.deadline_ms - req.time_left_ms, 0.0)
 
     def _decide(
-        self, req: api.Request, cls: api.RequestClass, use: Use, aim_at: float, end_at: float, admitted: bool
+        self,
+        req: api.Request,
+        cls: api.RequestClass,
+        quota: QuotaState,
+        aim_at: float,
+        end_at: float,
+        admitted: bool,
     ) -> None:
         """Send on or refuse, at once."""
-        plan = use.plan
-        over = not self.quotas.has(use, req.units)
+        plan = quota.plan
+        over = not self.quotas.has(quota, req.units)
         if over:
             fits = plan.over_worth > plan.over_cost and self.q < ROOM * Q_MIN
         else:
             fits = admitted or self._admit(cls, plan, req.units)
-        if not fits or not self.quotas.ceiling_has(use, req.units):
+        if not fits or not self.quotas.ceiling_has(quota, req.units):
             cause = api.CEILING if fits else api.QUOTA if over else api.PRESSURE
-            self._refuse_new(req, use, cause, over)
+            self._refuse_new(req, quota, cause, over)
             return
         held = _Held(
-            req, cls, use, aim_at, end_at, self.latency[cls.name] * max(req.units, 0.0), self.s.try_limit
+            req, cls, quota, aim_at, end_at, self.latency[cls.name] * max(req.units, 0.0), self.s.try_limit
         )
         host = self._pick(held) if aim_at > self.now else None
         if host is None:
-            self._refuse_new(req, use, api.NO_HOST if held.aim_at > self.now else api.LATE, over)
+            self._refuse_new(req, quota, api.NO_HOST if held.aim_at > self.now else api.LATE, over)
             return
         self.held[req.id] = held
         self.bank = min(self.bank + RETRY_SHARE, RETRY_BANK)
-        use.ceiling -= req.units
-        use.open += 1
+        quota.ceiling_remaining -= req.units
+        quota.open_requests += 1
         if over:
             held.over = True
         else:
-            self.quotas.spend(use, req.units)
-        self.quotas.sync(use)
+            self.quotas.spend(quota, req.units)
+        self.quotas.sync(quota)
         self._send(held, host)
 
     def _admit(self, cls: api.RequestClass, plan: api.Plan, units: float) -> bool:
@@ -354,8 +364,8 @@
         cell.r = max(cell.r - 1.0, 0.0)
         return True
 
-    def _refuse_new(self, req: api.Request, use: Use, cause: str, over: bool = False) -> None:
-        self._refuse(req.id, cause, 1000 * req.units / use.plan.rate if over and use.plan.rate else 0.0)
+    def _refuse_new(self, req: api.Request, quota: QuotaState, cause: str, over: bool = False) -> None:
+        self._refuse(req.id, cause, 1000 * req.units / quota.plan.rate if over and quota.plan.rate else 0.0)
 
     def _refuse(self, rid: str, cause: str, wait_ms: float = 0.0) -> None:
         """Refuse at once, and say when to come back: by the quota, or by the pressure on the back end."""
@@ -419,23 +429,23 @@
     # --- Quotas and ceiling -----------------------------------------------------------------------------
 
     def _count_reply(self, reply: api.CountReply) -> None:
-        use = self.quotas.replied(reply)
-        if self.quotas.heard < 0.5:
+        quota = self.quotas.replied(reply)
+        if self.quotas.throttle.answer_rate < SILENT_RATE:
             self._say("counter", "counter silent or crowded: calling less, quotas go by our estimates")
-        if use is not None:
-            self._settle(use)
+        if quota is not None:
+            self._settle(quota)
             if reply.result == api.OK:
-                self.quotas.sync(use)
+                self.quotas.sync(quota)
 
-    def _settle(self, use: Use) -> None:
+    def _settle(self, quota: QuotaState) -> None:
         """Decide the requests that waited for a total."""
-        waiting, use.asking = use.asking or [], None
-        self.askers.pop(use, None)
+        waiting, quota.waiting = quota.waiting or [], None
+        self.askers.pop(quota, None)
         if waiting:
-            self.quotas.found(use, waiting[0][0].units)
+            self.quotas.record_grant(quota, waiting[0][0].units)
         for req, cls, aim_at, end_at in waiting:
             if self.asking.pop(req.id, None) is not None:
-                self._decide(req, cls, use, aim_at, end_at, True)
+                self._decide(req, cls, quota, aim_at, end_at, True)
 
     # --- Health of servers ----------------------------------------------------------------------------------
 
@@ -532,10 +542,10 @@
             return
         held.answered = True
         if self.held.pop(held.req.id, None) is not None:
-            held.use.open -= 1
+            held.quota.open_requests -= 1
             if held.unsent and held.unsent == len(held.attempts):
                 # Danger: a client that leaves during a dial would use up a quota that nothing was sent for.
-                self.quotas.give_back(held.use, held.req.units, held.over)
+                self.quotas.give_back(held.quota, held.req.units, held.over)
 
     def _stream_started(self, event: api.StreamStarted) -> None:
         held = self.held.get(event.request)
@@ -565,9 +575,9 @@
             self._sample(held, attempt, event)
             self._judge(held, attempt.host, event)
         self.fleet.place(attempt.host)
-        if event.result == api.OK and event.true_units > 0 and held.use.plan.rate > 0:
-            self.quotas.spend(held.use, event.true_units - held.req.units)
-            self.quotas.sync(held.use)
+        if event.result == api.OK and event.true_units > 0 and held.quota.plan.rate > 0:
+            self.quotas.spend(held.quota, event.true_units - held.req.units)
+            self.quotas.sync(held.quota)
         if event.final or event.result == api.OK or held.answered:
             self._finish(held)
         elif not held.out:
@@ -620,10 +630,12 @@
         for cell in self.cells.values():
             cell.work *= keep
         self._update_f()
-        for use in list(self.askers):
-            if self.now - use.call_at > self.s.count_wait_ms + SWEEP_MS:  # danger: a reply that never comes
-                use.calling = False
-                self._settle(use)
+        for quota in list(self.askers):
+            if (
+                self.now - quota.called_at > self.s.count_wait_ms + SWEEP_MS
+            ):  # danger: a reply that never comes
+                quota.call_open = False
+                self._settle(quota)
         self.quotas.sweep()
         self.sweep_due = self.now + SWEEP_MS
         self.out.append(api.Timer("sweep", SWEEP_MS))
--- a/yewstage/recovery/node.py
+++ b/yewstage/recovery/node.py
@@ -12,6 +12,7 @@
 from yewstage import interface as api
 from yewstage.handover.service import Heir
 from yewstage.handover.state import StateError, export, restore
+from yewstage.limits.throttle import SILENT_RATE
 from yewstage.net.clients import Server
 from yewstage.net.config import Config
 from yewstage.net.operated import START_S, OperatedNode
@@ -51,8 +52,10 @@
         self._succeeded = False
 
     def _left_behind(self, exact: bool) -> Iterator[dict[str, Any]]:
-        now, rests = self._clock.now_ms(), self._gateway.quotas.rests
-        return export(self._gateway, lambda use: worth_leaving(use.seen, rests[use.plan.name], now, exact))
+        now, rests = self._clock.now_ms(), self._gateway.quotas.registry.rests
+        return export(
+            self._gateway, lambda state: worth_leaving(state.seen_at, rests[state.plan.name], now, exact)
+        )
 
     async def open(self, server: Server[Any], address: tuple[str, int]) -> list[tuple[str, int]]:
         """As before; what was left by the process before is gone on from, where none hands over."""
@@ -108,12 +111,12 @@
         gateway, fleet = self._gateway, self._gateway.fleet
         late = now - self._looked > LOOK_S + STALL_MS / 1000
         self._looked = now
-        asked = self.settings.may_count and gateway.quotas.call_at > self._born_ms
+        asked = self.settings.may_count and gateway.quotas.throttle.called_at > self._born_ms
         stalled = late or clock - gateway.stalled_at < STALL_MS
         view = View(
             self.ready(),
             self._heard,
-            not asked or gateway.quotas.heard >= 0.5,
+            not asked or gateway.quotas.throttle.answer_rate >= SILENT_RATE,
             self._outcomes,
             gateway.f,
             fleet.up,
