lab/virtual: a gateway's surroundings as a Protocol, and no import circle with the world

Need: gateway.py named World under TYPE_CHECKING, which world.py imports gateway.py for: a circle that only type checkers saw.

Ruled out: moving Process into world.py (450 lines, two jobs), and handing each callable to Process alone (fourteen arguments).

Change: environment.py states, as a Protocol, what a modelled gateway reads and counts; World has that form, which mypy checks where it makes a Process.

--- a/yewstage/lab/virtual/gateway.py
+++ b/yewstage/lab/virtual/gateway.py
@@ -7,16 +7,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from yewstage import interface as api
+from yewstage.lab.traffic import Try
+from yewstage.lab.virtual.environment import Environment
 from yewstage.lab.virtual.hosts import Job
 from yewstage.policy import Gateway
 
-if TYPE_CHECKING:
-    from yewstage.lab.traffic import Try
-    from yewstage.lab.virtual.world import World
-
 RESULTS = {"ok": api.OK, "full": api.FULL, "draining": api.FULL, "reset": api.RESET}
 Answer = Callable[[str, float], object]  # served, refused, failed or reset; when to come back
 
@@ -43,7 +40,7 @@
 class Process:
     """A gateway's process, from a start to its end."""
 
-    def __init__(self, world: World, number: int, seed: int) -> None:
+    def __init__(self, world: Environment, number: int, seed: int) -> None:
         self.world, self.loop, self.number = world, world.loop, number
         self.zone = world.zone_of(number)
         self.module = Gateway(world.settings(number), seed)
