--- a/yewstage/handover/state.py
+++ b/yewstage/handover/state.py
@@ -62,7 +62,7 @@
 }
 WHOLE = frozenset(("q_n", "q_seen", "strikes", "fails", "width", "widest", "window"))
 MOST = 1e15  # of any other number: moments in ms have 13 digits
-# Danger: what lies outside breaks the module later, when it is half taken: a pace has a logarithm, a failing
+# What lies outside would break the module later, when it is half taken: a pace has a logarithm, a failing
 # host's rest is a power of how often it failed.
 RANGES = {
     "f": (0.0, 1.0), "heard": (0.0, 1.0), "luck": (0.0, 1.0), "slow": (FASTEST, SLOWEST), "fails": (0, 10),
--- a/yewstage/net/counter.py
+++ b/yewstage/net/counter.py
@@ -32,7 +32,10 @@
 
 
 class Counter:
-    """Every call gets exactly one `CountReply`."""
+    """Calls to the counter, each of which gets exactly one `CountReply`.
+
+    `wait_ms` is how long an answer is waited for; `replied` is called with the end of each call.
+    """
 
     def __init__(
         self,
@@ -66,7 +69,10 @@
                 self._place(call)
 
     def call(self, act: api.Count) -> None:
-        """Write one call on the connection with the fewest calls out."""
+        """Write one call on the connection with the fewest calls out.
+
+        With no connection to write on, the call ends at once as `connect_failed`.
+        """
         call = _Call(act, self._loop.time())
         call.timer = self._loop.call_later(self._wait_s, self._overdue, call)
         self._place(call)
@@ -157,6 +163,7 @@
         return len(self._calls) + (0 if self._connection is not None else CONNECTIONS)
 
     def stop(self) -> None:
+        """Close the connection, or its dial, and open no other one; calls that are out end with it."""
         self._retired = True
         if self._redial_timer is not None:
             self._redial_timer.cancel()
@@ -190,6 +197,7 @@
         self._end_all(api.CUT)
 
     def write(self, call: _Call) -> None:
+        """Write a call behind those that are out; without a connection it waits for a dial."""
         self._calls.append(call)
         call.slot = self
         if self._connection is not None:
@@ -321,23 +329,30 @@
 
 
 class _Connection(ReplyProtocol):
+    """A connection to the counter; what happens on it is told to its slot."""
+
     def __init__(self, slot: _Slot) -> None:
         super().__init__()
         self._slot = slot
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection is up."""
         super().connection_made(transport)
         self._slot.opened(self)
 
     def resume_writing(self) -> None:
+        """All that was written has left this process."""
         super().resume_writing()
         self._slot.flushed()
 
     def replied(self, reply: Reply, reusable: bool) -> None:
+        """An answer came whole; `reusable`: the connection may be written on again."""
         self._slot.replied(reply, reusable)
 
     def spoilt(self) -> None:
+        """What came cannot be read as an answer."""
         self._slot.spoilt()
 
     def lost(self) -> None:
+        """The connection is gone."""
         self._slot.lost(self)
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -286,9 +286,9 @@
         if quota is None:
             self._refuse(req.id, api.CROWDED)
             return
-        # Danger: a try with little time left would be held past its end; it is decided at once.
+        # A try with little time left would be held past its end: it is decided at once.
         if aim_at - self.now > self.s.count_wait_ms + 2 * SWEEP_MS and self.quotas.unsure(quota, req.units):
-            if not self._admit(cls, plan, req.units):  # danger: asking for what f sheds crowds the counter
+            if not self._admit(cls, plan, req.units):  # asking for what is shed would crowd the counter
                 self._refuse_new(req, quota, api.PRESSURE)
                 return
             # Exception to refusing at once: the total that settles it is a few ms away.
@@ -544,7 +544,7 @@
         if self.held.pop(held.req.id, None) is not None:
             held.quota.open_requests -= 1
             if held.unsent and held.unsent == len(held.attempts):
-                # Danger: a client that leaves during a dial would use up a quota that nothing was sent for.
+                # Else a client that leaves during a dial would use up a quota that nothing was sent for.
                 self.quotas.give_back(held.quota, held.req.units, held.over)
 
     def _stream_started(self, event: api.StreamStarted) -> None:
@@ -631,9 +631,8 @@
             cell.work *= keep
         self._update_f()
         for quota in list(self.askers):
-            if (
-                self.now - quota.called_at > self.s.count_wait_ms + SWEEP_MS
-            ):  # danger: a reply that never comes
+            # A reply that never comes must not cost the requests that wait for it their answers.
+            if self.now - quota.called_at > self.s.count_wait_ms + SWEEP_MS:
                 quota.call_open = False
                 self._settle(quota)
         self.quotas.sweep()
