test_compiled: the modules of limits are looked for among the compiled ones, too

Need: a module that deploy/compile.py forgets runs as source without anybody noticing.

Ruled out: naming all eight; two of them show whether the list took effect.

Change: limits.quotas and limits.estimate beside policy, net.clients and net.operated; stricter than before.

--- a/tests/test_compiled.py
+++ b/tests/test_compiled.py
@@ -59,7 +59,7 @@
     with open(folder.parent / "lock", "w") as lock:  # one worker of the tests makes it, the others wait
         fcntl.flock(lock, fcntl.LOCK_EX)
         assert "is compiled" in make(folder)
-    for module in ("policy", "net.clients", "net.operated"):
+    for module in ("policy", "limits.quotas", "limits.estimate", "net.clients", "net.operated"):
         assert origin(folder, module).endswith(".so") and str(folder) in origin(folder, module)
     done = run(folder, "-m", "pytest", "-q", "-p", "no:cacheprovider", "-p", "no:xdist", tests)
     assert done.returncode == 0, done.stdout[-2000:]
