--- /dev/null
+++ b/benchmarks/capacity/__main__.py
@@ -0,0 +1,92 @@
+"""The command line of the scale tests."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+import time
+
+from benchmarks.capacity import runner
+from benchmarks.capacity.measurement import MeasurementError, Measurements
+from benchmarks.capacity.probes import PROBES, chosen
+from benchmarks.capacity.size import SizeError, check_number
+
+BAD_INPUT = 2
+MOST_JOBS = 8
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run one command; 2 for bad input, which is told in one line with nothing started."""
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.capacity", description=__doc__)
+    commands = parser.add_subparsers(dest="command", required=True)
+    commands.add_parser("list", help="the probes, with axis, sizes and figures")
+    measure = commands.add_parser("measure", help="run probes and write the file of measurements")
+    measure.add_argument("probes", nargs="*")
+    measure.add_argument("--role")
+    measure.add_argument("--seeds", type=int, nargs="+", default=[1, 2])
+    measure.add_argument("--jobs", type=int, default=2)
+    one = commands.add_parser("one", help="one measurement in this process, as a line of JSON")
+    one.add_argument("probe")
+    one.add_argument("size", type=int)
+    one.add_argument("seed", type=int)
+    page = commands.add_parser("page", help="write docs/CAPACITY.md from the file of measurements")
+    page.add_argument("--check", action="store_true", help="only say whether page and file agree")
+    args = parser.parse_args(arguments)
+    try:
+        return _run(args)
+    except (SizeError, MeasurementError) as error:
+        print(error, file=sys.stderr)
+        return BAD_INPUT
+
+
+def _run(args: argparse.Namespace) -> int:
+    match args.command:
+        case "list":
+            _list()
+        case "one":
+            chosen([args.probe], None)
+            print(json.dumps(runner.run_one(args.probe, args.size, args.seed)))
+        case "measure":
+            _measure(args)
+        case "page":
+            from benchmarks.capacity import page
+
+            return page.write(only_check=args.check)
+    return 0
+
+
+def _list() -> None:
+    for probe in PROBES.values():
+        kind = "real" if probe.real else "hollow"
+        print(f"{probe.name} ({probe.role}, {kind}), by {probe.axis}: {', '.join(map(str, probe.sizes))}")
+        for name, unit in probe.figures.items():
+            print(f"    {name} [{unit}]")
+
+
+def _measure(args: argparse.Namespace) -> None:
+    check_number("jobs", args.jobs, 1, MOST_JOBS)
+    probes = chosen(args.probes, args.role)
+    for probe in probes:
+        runner.check(probe, probe.sizes, args.seeds)
+    for probe in probes:
+        began = time.monotonic()
+        figures = runner.measure(probe, args.seeds, args.jobs)
+        _merged(figures, args.seeds)
+        print(f"{probe.name}: {time.monotonic() - began:.0f} s", flush=True)
+        for figure in figures:
+            at = ", ".join(f"{p.size}: {p.mean:.4g}" for p in figure.points)
+            print(f"    {figure.name} [{figure.unit}] {at}; slope {figure.slope:.3g}, residual "
+                  f"{figure.residual:.1%}, spread {figure.spread:.1%}", flush=True)  # fmt: skip
+
+
+def _merged(figures: list[runner.Figure], seeds: list[int]) -> None:
+    try:
+        before = Measurements.read()
+    except MeasurementError:
+        before = Measurements()
+    before.with_figures(figures, seeds).write()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
