The capacity page: rows over measured figures, made from the file and checked by a test

The issue wants a page that the design is held to, with each figure worked out from a measured slope, and a test that fails where page and file of measurements disagree. Prose stays written by hand between generated blocks; a page made whole from templates was ruled out, as its prose could not be read or edited as Markdown. No file of measurements is there yet: each figure stands as not measured.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 SET_UP = .venv/set-up
 
-.PHONY: demo test lint bench bench-path bench-tenants
+.PHONY: demo test lint bench bench-path bench-tenants bench-capacity
 
 demo: $(SET_UP)
 	.venv/bin/hillmux demo
@@ -30,6 +30,10 @@
 bench-tenants: $(SET_UP)
 	.venv/bin/python benchmarks/tenants.py
 
+bench-capacity: $(SET_UP)
+	.venv/bin/python -m benchmarks.capacity measure --seeds 1 2
+	.venv/bin/python -m benchmarks.capacity page
+
 $(SET_UP): Makefile requirements.txt requirements-service.txt requirements-build.txt requirements-dev.txt pyproject.toml
 	test -x .venv/bin/python || $(PYTHON) -m venv .venv
 	.venv/bin/pip -q install -r requirements-dev.txt
--- /dev/null
+++ b/benchmarks/capacity/rows_memory.py
@@ -0,0 +1,135 @@
+"""Rows of the gateway: its memory, and the times that its clients and operators see."""
+
+from __future__ import annotations
+
+from benchmarks.capacity.assumptions import GATEWAYS_SEEING_A_CUSTOMER, REQUEST_PATH_SHARE
+from benchmarks.capacity.row import Resource, Role, Row, at, slope
+from benchmarks.capacity.situations import MACHINE, ORDINARY, PEAK, RACK, REGIONS, RESTART, ZONE, Situation
+from benchmarks.capacity.size import FULL
+from benchmarks.capacity.terms import CUSTOMERS_OF_A_GATEWAY, LIST, RELOAD, SEEING
+
+
+def request_path(situation: Situation) -> tuple[Row, ...]:
+    """Processor time and added time of a real gateway."""
+    rate = situation.requests_per_gateway
+    return (
+        Row(
+            role=Role.GATEWAY,
+            resource=Resource.PROCESSOR,
+            situation=situation,
+            what="the whole process, request path and control",
+            unit="cores",
+            budget=REQUEST_PATH_SHARE.value,
+            worked=f"share of a core at {rate:.0f} requests/s",
+            mechanism="one process on one core",
+            readings=(at("anchors.gateway.cpu_share", rate),),
+            formula=lambda share: share,
+            assumed=(REQUEST_PATH_SHARE,),
+        ),
+        Row(
+            role=Role.GATEWAY,
+            resource=Resource.TIME,
+            situation=situation,
+            what="time added to a request at p99",
+            unit="ms",
+            budget=FULL.added_p99_ms,
+            worked=f"at {rate:.0f} requests/s",
+            mechanism="one process on one core",
+            readings=(at("anchors.gateway.added_p99_ms", rate),),
+            formula=lambda added: added,
+        ),
+    )
+
+
+MEMORY = (
+    Row(
+        role=Role.GATEWAY,
+        resource=Resource.MEMORY,
+        situation=PEAK,
+        what=f"platform's start, a customer seen by {SEEING}",
+        unit="MB",
+        budget=FULL.control_memory_mb,
+        worked=f"process with 9,000 hosts + slope of a customer x {CUSTOMERS_OF_A_GATEWAY:.0f} customers",
+        mechanism="customers kept for two minutes, 8,192 at the most",
+        readings=(at("anchors.list.memory_mb", FULL.hosts), slope("tenants.customers.memory_mb")),
+        formula=lambda process, customer: process + customer * CUSTOMERS_OF_A_GATEWAY,
+        assumed=(GATEWAYS_SEEING_A_CUSTOMER,),
+    ),
+    Row(
+        role=Role.GATEWAY,
+        resource=Resource.MEMORY,
+        situation=RESTART,
+        what="platform's start, all 62,000 customers through one gateway",
+        unit="MB",
+        budget=FULL.control_memory_mb,
+        worked="process with 9,000 hosts + slope of a customer x 62,000 customers",
+        mechanism="`most_customers` has to be raised from 8,192",
+        readings=(at("anchors.list.memory_mb", FULL.hosts), slope("tenants.customers.memory_mb")),
+        formula=lambda process, customer: process + customer * FULL.tenants,
+    ),
+    Row(
+        role=Role.GATEWAY,
+        resource=Resource.MEMORY,
+        situation=ORDINARY,
+        what="hosted service, 62,000 tenants asleep, 5,200 routes",
+        unit="MB",
+        budget=FULL.control_memory_mb,
+        worked="process + slope of an idle tenant x 62,000 + slope of a route x 5,200",
+        mechanism="a record for each tenant asleep (`tenants/registry.py`)",
+        readings=(
+            at("anchors.gateway.memory_mb", PEAK.requests_per_gateway),
+            slope("tenants.idle.memory_mb"),
+            slope("routes.lookup.memory_mb"),
+        ),
+        formula=lambda process, tenant, route: process + tenant * FULL.tenants + route * FULL.routes,
+        how="a smaller record, or tenants held by those gateways alone that see them",
+    ),
+)
+
+AWAKE = Row(
+    role=Role.GATEWAY,
+    resource=Resource.MEMORY,
+    situation=PEAK,
+    what=f"hosted service, {CUSTOMERS_OF_A_GATEWAY:.0f} of the tenants awake, beside those asleep",
+    unit="MB",
+    budget=FULL.control_memory_mb,
+    worked=f"slope of a tenant awake x {CUSTOMERS_OF_A_GATEWAY:.0f}",
+    mechanism="a decision module for each tenant awake (`tenants/registry.py`)",
+    readings=(slope("tenants.awake.memory_mb"),),
+    formula=lambda tenant: tenant * CUSTOMERS_OF_A_GATEWAY,
+    assumed=(GATEWAYS_SEEING_A_CUSTOMER,),
+)
+
+TIME = (
+    *(row for situation in (PEAK, MACHINE, RACK, ZONE, REGIONS) for row in request_path(situation)),
+    Row(
+        role=Role.GATEWAY,
+        resource=Resource.TIME,
+        situation=RESTART,
+        what="ready after a start with the whole list",
+        unit="s",
+        budget=FULL.change_in_force_s,
+        worked="ms to ready / 1,000",
+        mechanism=LIST,
+        readings=(at("anchors.list.ready_ms", FULL.hosts),),
+        formula=lambda ready: ready / 1000,
+    ),
+    Row(
+        role=Role.GATEWAY,
+        resource=Resource.TIME,
+        situation=ORDINARY,
+        what="hosted service: a change is read and taken",
+        unit="s",
+        budget=FULL.change_in_force_s,
+        worked="(ms to read + ms to take) / 1,000, once the file is there",
+        mechanism=RELOAD,
+        readings=(
+            at("tenants.configuration.read_ms", FULL.tenants),
+            at("tenants.configuration.change_ms", FULL.tenants),
+        ),
+        formula=lambda read, change: (read + change) / 1000,
+        how="only what changed is read",
+    ),
+)
+
+ROWS = (*MEMORY, AWAKE, *TIME)
--- /dev/null
+++ b/benchmarks/capacity/words.py
@@ -0,0 +1,109 @@
+"""What each word of the size is in the program's terms, on the platform's start and in the hosted service."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from benchmarks.capacity.size import FULL
+
+NOTHING = "nothing"
+SEEING_CASES = (1, 3, 8, 24)
+
+
+@dataclass(slots=True, frozen=True)
+class Word:
+    """A word of the size, and what it is in the program."""
+
+    word: str
+    number: str
+    platform: str  # python -m yewstage
+    hosted: str  # hillmux serve
+
+
+def _customers() -> str:
+    cases = [f"{seeing}: {FULL.tenants * seeing / FULL.gateways:,.0f}" for seeing in SEEING_CASES]
+    return "; ".join(cases)
+
+
+WORDS = (
+    Word(
+        word="gateway",
+        number=f"{FULL.gateways}",
+        platform=(
+            "one process on one core; `fleet_size` in the settings, and the gateways that see one customer"
+            " are a set of"
+            " `spread` of them (`Quota-Info`)"
+        ),
+        hosted="one process on one core; `gateway.number` of `gateway.fleet_size`",
+    ),
+    Word(
+        word="host",
+        number=f"{FULL.hosts:,}",
+        platform="an entry of discovery's list, all of them in one pool",
+        hosted=(
+            "a host of a pool; it belongs to one tenant, so 9,000 hosts cannot serve 62,000 tenants: hosts"
+            " that tenants"
+            " share have no mechanism yet"
+        ),
+    ),
+    Word(
+        word="service",
+        number=f"{FULL.services}",
+        platform=f"{NOTHING}: the list names none, so each gateway takes all hosts for alike",
+        hosted="a pool of a tenant",
+    ),
+    Word(
+        word="request",
+        number=f"{FULL.requests_per_s:,}/s",
+        platform=f"{FULL.requests_per_gateway:.0f}/s a gateway",
+        hosted=f"{FULL.requests_per_gateway:.0f}/s a gateway",
+    ),
+    Word(
+        word="route",
+        number=f"{FULL.routes:,}",
+        platform=f"{NOTHING}: the request names its class",
+        hosted="an entry of `[[tenants.routes]]`",
+    ),
+    Word(
+        word="tenant",
+        number=f"{FULL.tenants:,}",
+        platform=(
+            "a customer under a plan: a name in the counter for each window, and state in each gateway that"
+            " sees it."
+            f" Customers of one gateway, by gateways that see one customer: {_customers()}"
+        ),
+        hosted=(
+            f"an entry of `[[tenants]]`: all {FULL.tenants:,} in each gateway, asleep until they are asked"
+            " for; one that"
+            " is awake has a decision module of its own"
+        ),
+    ),
+    Word(word="region", number=f"{FULL.regions}", platform=NOTHING, hosted=NOTHING),
+    Word(
+        word="zone",
+        number=f"{FULL.zones}",
+        platform="`zone` of gateway and host; it scopes keys (`key_scope`) and nothing else",
+        hosted="the same",
+    ),
+    Word(
+        word="configuration change",
+        number=f"{FULL.changes_per_day:,} a day",
+        platform="another file and SIGHUP, at each gateway; plans change only at a start",
+        hosted="another file and SIGHUP, at each gateway; the whole file is read",
+    ),
+    Word(
+        word="control of a gateway",
+        number=(
+            f"{FULL.control_cpu_share:.1%} of a core, {FULL.control_memory_mb:g} MB,"
+            f" {FULL.control_bytes_per_s / 1000:g} KB/s"
+        ),
+        platform="counter calls, the watch, sweeps and timers",
+        hosted="the same, and reading the configuration and hosts' files",
+    ),
+    Word(
+        word="control machine",
+        number=f"{FULL.control_machines}",
+        platform="the counter, and nothing else of ours",
+        hosted="`hillmux counter`, one process; all names are in it",
+    ),
+)
