--- a/benchmarks/capacity/rows_control.py
+++ b/benchmarks/capacity/rows_control.py
@@ -27,7 +27,8 @@
 
 CORES = FULL.control_machines * MACHINES_OF_CONTROL_CORES.value
 NAMES = FULL.tenants * NAMES_OF_A_CUSTOMER.value
-ONE_NAME_ONE_PLACE = "one process has all names; names split over three: none yet"
+ONE_PROCESS = "one process has all names (`counter/service.py`)"
+SPLIT_NAMES = "names split among the machines, which the protocol allows"
 
 
 def platform_calls(situation: Situation, load: str = "half", seeing: int = SEEING) -> Row:
--- a/benchmarks/capacity/tables.py
+++ b/benchmarks/capacity/tables.py
@@ -8,6 +8,7 @@
 from benchmarks.capacity.assumptions import ASSUMPTIONS
 from benchmarks.capacity.markdown import number, percent, table
 from benchmarks.capacity.measurement import Figure, Measurements
+from benchmarks.capacity.probes import PROBES
 from benchmarks.capacity.row import Mend, Reading, Role, Row
 from benchmarks.capacity.rows import ROWS
 from benchmarks.capacity.situations import FAILURES, ORDINARY, PEAK, SITUATIONS
@@ -87,6 +88,15 @@
     ]
 
 
+def probes(measured: Measurements) -> str:
+    """How each figure was measured, and what that leaves out."""
+    rows = (
+        [probe.name, probe.axis, "real processes" if probe.real else "hollow", probe.note]
+        for probe in PROBES.values()
+    )
+    return table(("probe", "by", "plays", "what it leaves out, and how it counts"), rows)
+
+
 def role(wanted: Role) -> Callable[[Measurements], str]:
     """A role's rows on the ordinary day and at the peak."""
 
@@ -214,5 +224,6 @@
     "failures": failures,
     "plan": plan,
     "figures": figures,
+    "probes": probes,
     "missing": missing,
 }
