--- a/benchmarks/capacity/rows_control.py
+++ b/benchmarks/capacity/rows_control.py
@@ -51,26 +51,27 @@
 
 
 def own_calls(situation: Situation, cores: float = CORES) -> Row:
-    """Processor time of our own counter for the same calls."""
+    """Processor time of our own counter for the same calls; on several machines names would be split."""
     rate = situation.requests_per_s
     return Row(
         role=Role.COUNTER,
         resource=Resource.PROCESSOR,
         situation=situation,
         what=(
-            f"our own counter on {cores:g} control machines, half of each quota used, a customer seen by"
+            f"our own counter on {cores:g} control machine{'s' * (cores > 1)}, half of each quota used, a"
+            " customer seen by"
             f" {SEEING}"
         ),
         unit="cores",
         budget=cores,
         worked=f"calls a request x {rate:,.0f} requests/s / calls a second of a core",
-        mechanism=ONE_NAME_ONE_PLACE,
+        mechanism=None if cores > 1 else ONE_PROCESS,
         readings=(
             at("counting.half.calls_per_request", SEEING),
             at("counter.service.calls_per_s_of_a_core", FULL.gateways),
         ),
         formula=lambda calls, capacity: calls * rate / capacity,
-        how=AHEAD,
+        how=f"{AHEAD}; {SPLIT_NAMES}",
         assumed=(MACHINES_OF_CONTROL_CORES, GATEWAYS_SEEING_A_CUSTOMER),
     )
 
@@ -112,6 +113,7 @@
         assumed=(PLATFORM_COUNTER, GATEWAYS_OF_A_ZONE),
     ),
     own_calls(ORDINARY),
+    own_calls(PEAK, MACHINES_OF_CONTROL_CORES.value),
     own_calls(PEAK),
     *(own_calls(situation, CORES - MACHINES_OF_CONTROL_CORES.value) for situation in (MACHINE, RACK, ZONE)),
     Row(
@@ -125,7 +127,7 @@
             f"calls of a gateway in its first second x {GATEWAYS_OF_A_ZONE.value:g} / calls a second of a"
             " core"
         ),
-        mechanism=ONE_NAME_ONE_PLACE,
+        mechanism=None,
         readings=(
             at("counting.burst_of_starts.calls_in_first_second_per_gateway", GATEWAYS_OF_A_ZONE.value),
             at("counter.service.calls_per_s_of_a_core", FULL.gateways),
--- a/benchmarks/capacity/terms.py
+++ b/benchmarks/capacity/terms.py
@@ -12,7 +12,11 @@
 CHANGES_PER_S = FULL.changes_per_day / DAY_S
 # Control's part of a core over the time in which a change is to be in force.
 START_CPU_MS = FULL.control_cpu_share * FULL.change_in_force_s * 1000
-USE = {"half": "half of each quota used", "ninety": "nine tenths of each quota used", "flood": "a flood"}
+USE = {
+    "half": "half of each quota used",
+    "ninety": "nine tenths of each quota used",
+    "flood": "a flood of 3.5 times the quotas",
+}
 COUNTER = "a call to the counter for each customer and window (`limits/`)"
 WATCH = "a watch at the agent, changes alone (`net/discovery.py`)"
 LIST = "the whole list at a start (`net/discovery.py`)"
