--- a/benchmarks/capacity/rows_control.py
+++ b/benchmarks/capacity/rows_control.py
@@ -11,7 +11,7 @@
     ORDINARY_PART,
     PLATFORM_COUNTER,
 )
-from benchmarks.capacity.row import Mend, Resource, Role, Row, at
+from benchmarks.capacity.row import Mend, Resource, Role, Row, at, largest
 from benchmarks.capacity.situations import (
     MACHINE,
     ORDINARY,
@@ -68,7 +68,7 @@
         mechanism=None if cores > 1 else ONE_PROCESS,
         readings=(
             at("counting.half.calls_per_request", SEEING),
-            at("counter.service.calls_per_s_of_a_core", FULL.gateways),
+            largest("counter.service.calls_per_s_of_a_core"),
         ),
         formula=lambda calls, capacity: calls * rate / capacity,
         how=f"{AHEAD}; {SPLIT_NAMES}",
@@ -130,7 +130,7 @@
         mechanism=None,
         readings=(
             at("counting.burst_of_starts.calls_in_first_second_per_gateway", GATEWAYS_OF_A_ZONE.value),
-            at("counter.service.calls_per_s_of_a_core", FULL.gateways),
+            largest("counter.service.calls_per_s_of_a_core"),
         ),
         formula=lambda calls, capacity: calls * GATEWAYS_OF_A_ZONE.value / capacity,
         how="fresh gateways ask less at first",
--- a/benchmarks/capacity/rows_refusals.py
+++ b/benchmarks/capacity/rows_refusals.py
@@ -9,22 +9,22 @@
     PLATFORM_COUNTER,
     REGIONS_APART_S,
 )
-from benchmarks.capacity.row import Reading, Resource, Role, Row, at
-from benchmarks.capacity.situations import PEAK, REGIONS, RESTART, Situation
+from benchmarks.capacity.row import Reading, Resource, Role, Row, at, largest
+from benchmarks.capacity.situations import MACHINE, PEAK, REGIONS, RESTART, Situation
 from benchmarks.capacity.terms import COUNTER, SEEING, USE
 
 CROWDED_CUSTOMERS = 4_000  # as many a gateway as at the full size, with 48 gateways
 SPLIT = "the even split of a counter that does not answer (`limits/`)"
 
 
-def share(situation: Situation, what: str, reading: Reading, mechanism: str) -> Row:
-    """A share that was measured and that has no budget."""
+def share(situation: Situation, what: str, reading: Reading, mechanism: str, unit: str = "of all") -> Row:
+    """What was measured and has no budget."""
     return Row(
         role=Role.GATEWAY,
         resource=Resource.REFUSALS,
         situation=situation,
         what=what,
-        unit="of all",
+        unit=unit,
         budget=None,
         worked="as measured",
         mechanism=mechanism,
@@ -78,4 +78,12 @@
     assumed=(PART_WITHOUT_COUNTER, REGIONS_APART_S, GATEWAYS_SEEING_A_CUSTOMER, PLATFORM_COUNTER),
 )
 
-ROWS = (*ONE_SET, *CROWDED, *RESTARTED, APART)
+SCHEDULES = share(
+    MACHINE,
+    "units beyond quotas of a customer, 99th of 100: drawn faults, far more often than in service",
+    largest("counting.schedules.beyond_of_burst_p99"),
+    COUNTER,
+    "bursts",
+)
+
+ROWS = (*ONE_SET, *CROWDED, *RESTARTED, SCHEDULES, APART)
