--- a/tests/capacity/test_page.py
+++ b/tests/capacity/test_page.py
@@ -5,6 +5,7 @@
 import json
 import shutil
 from dataclasses import replace
+from functools import cache
 from pathlib import Path
 
 import pytest
@@ -34,17 +35,22 @@
     return sorted({reading.figure for row in ROWS for reading in row.readings})
 
 
+@cache
 def made_up_measurements() -> Measurements:
     return Measurements(map(made_up_figure, needed_figures()), SEEDS)
 
 
+@cache
+def made_up_page() -> str:
+    return page.filled(page.PAGE.read_text(), made_up_measurements())
+
+
 @pytest.fixture
 def files(tmp_path: Path) -> tuple[Path, Path]:
     """A copy of the page made from made-up measurements, and their file."""
     copy, file = tmp_path / "CAPACITY.md", tmp_path / "measurements.json"
-    shutil.copy(page.PAGE, copy)
+    copy.write_text(made_up_page())
     made_up_measurements().write(file)
-    assert page.write(only_check=False, page=copy, file=file) == 0
     return copy, file
 
 
@@ -82,10 +88,9 @@
 
 @pytest.mark.parametrize("name", needed_figures())
 def test_each_figure_that_a_row_needs_changes_the_page(name: str) -> None:
-    measured, text = made_up_measurements(), page.PAGE.read_text()
-    before = page.filled(text, measured)
-    after = page.filled(text, measured.with_figures([made_up_figure(name, each=0.003)], SEEDS))
-    differ = page.differing(before, after)
+    before = made_up_page()
+    changed_one = made_up_measurements().with_figures([made_up_figure(name, each=0.003)], SEEDS)
+    differ = page.differing(before, page.filled(before, changed_one))
     assert "figures" in differ and len(differ) > 1
 
 
