--- a/benchmarks/capacity/assumptions.py
+++ b/benchmarks/capacity/assumptions.py
@@ -82,6 +82,8 @@
     "memory for counting on a control machine", 1024, "MB", "no budget is given; a small machine's memory."
 )
 
+CLASSES = Assumption("classes of requests", 10, "classes", "the platform's sites have a handful.")
+
 ASSUMPTIONS = (
     GATEWAYS_SEEING_A_CUSTOMER,
     ORDINARY_PART,
@@ -98,4 +100,5 @@
     NAMES_OF_A_CUSTOMER,
     REQUEST_PATH_SHARE,
     CONTROL_MACHINE_MEMORY_MB,
+    CLASSES,
 )
--- a/benchmarks/capacity/probes.py
+++ b/benchmarks/capacity/probes.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-from benchmarks.capacity import connections
+from benchmarks.capacity import awake, connections, operator_figures
 from benchmarks.capacity.probe import ROLES, Probe
 from benchmarks.capacity.size import SizeError
 
 # Each module of probes has a tuple PROBES of its own.
-MODULES: tuple[tuple[Probe, ...], ...] = (connections.PROBES,)
+MODULES: tuple[tuple[Probe, ...], ...] = (
+    awake.PROBES,
+    connections.PROBES,
+    operator_figures.PROBES,
+)
 PROBES: dict[str, Probe] = {probe.name: probe for probes in MODULES for probe in probes}
 
 
--- a/benchmarks/capacity/rows_others.py
+++ b/benchmarks/capacity/rows_others.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from benchmarks.capacity.assumptions import CHANGES_OF_HOSTS_PER_DAY, GATEWAYS_OF_A_ZONE
+from benchmarks.capacity.assumptions import CHANGES_OF_HOSTS_PER_DAY, CLASSES, GATEWAYS_OF_A_ZONE
 from benchmarks.capacity.row import Mend, Resource, Role, Row, at
 from benchmarks.capacity.situations import ORDINARY, PEAK, RESTART, ZONE, Situation
 from benchmarks.capacity.size import FULL
@@ -138,8 +138,9 @@
         budget=None,
         worked="bytes of an answer to `vars` x 710",
         mechanism="`vars`, one gateway at a time (`operate/`)",
-        readings=(at("operator.figures.bytes_per_gateway", FULL.gateways),),
+        readings=(at("operator.figures.bytes_per_gateway", CLASSES.value),),
         formula=lambda size: size * FULL.gateways,
+        assumed=(CLASSES,),
     ),
     Row(
         role=Role.OPERATOR,
