--- a/benchmarks/capacity/words.py
+++ b/benchmarks/capacity/words.py
@@ -7,7 +7,7 @@
 from benchmarks.capacity.size import FULL
 
 NOTHING = "nothing"
-SEEING_CASES = (1, 3, 8, 24)
+SEEING_CASES = (1, 3, 8, 24, FULL.gateways)
 
 
 @dataclass(slots=True, frozen=True)
