--- a/benchmarks/capacity/markdown.py
+++ b/benchmarks/capacity/markdown.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import math
+import textwrap
 from collections.abc import Iterable, Sequence
 
+LINE = 140  # characters of a line of prose
+
 
 def table(heads: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
     """A Markdown table; cells are text in which a bar would end the cell, so it is written as an entity."""
@@ -27,3 +30,8 @@
 def percent(share: float) -> str:
     """A share in percent, with one digit."""
     return f"{share:.1%}"
+
+
+def prose(text: str) -> str:
+    """A paragraph in lines of the page's length."""
+    return textwrap.fill(text, LINE, break_long_words=False, break_on_hyphens=False)
--- a/benchmarks/capacity/tables.py
+++ b/benchmarks/capacity/tables.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 
 from benchmarks.capacity.assumptions import ASSUMPTIONS
-from benchmarks.capacity.markdown import number, percent, table
+from benchmarks.capacity.markdown import number, percent, prose, table
 from benchmarks.capacity.measurement import Figure, Measurements
 from benchmarks.capacity.probes import PROBES
 from benchmarks.capacity.row import Mend, Reading, Role, Row, Take
@@ -68,7 +68,7 @@
     note = (
         f"Seeds: {seeds}. Marked with *, seeds differ by more than {WIDE_SPREAD:.0%} at some size: {differ}."
     )
-    return f"{table(heads, map(_figure_cells, measured.figures.values()))}\n\n{note}"
+    return f"{table(heads, map(_figure_cells, measured.figures.values()))}\n\n{prose(note)}"
 
 
 def _figure_cells(figure: Figure) -> list[str]:
@@ -145,7 +145,7 @@
     named = f"{next_one.what} ({next_one.role.value}, {next_one.situation.name})" if next_one else "none"
     mend = f": {next_one.how}" if next_one and next_one.how else ""
     note = f"Next, the largest that needs no new protocol, front end or parser: {named}{mend}."
-    return f"{table(heads, rows)}\n\n{note}"
+    return f"{table(heads, rows)}\n\n{prose(note)}"
 
 
 def _over(measured: Measurements) -> list[Row]:
