Scale tests: hosts, tenants, routes, requests and the counter's store in one process

Need: how what one process holds grows up to the full size (hosts to 9,000, tenants to 62,000, routes to 5,200). Change: probes hosts.list, hosts.choice, tenants.configuration, tenants.customers, routes.lookup, requests.module, counter.store; the runner refuses more processes or memory than the machine bears, and all bad input of the command line is one line; Play takes seed, gap and requests out.

--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -6,6 +6,7 @@
 import json
 import sys
 import time
+from typing import NoReturn
 
 from benchmarks.capacity import runner
 from benchmarks.capacity.measurement import MeasurementError, Measurements
@@ -16,25 +17,44 @@
 MOST_JOBS = 8
 
 
+class Parser(argparse.ArgumentParser):
+    """Tells bad input in one line, as the checks of sizes do."""
+
+    def error(self, message: str) -> NoReturn:
+        """Refuse the command line.
+
+        Raises:
+            SizeError: always.
+        """
+        raise SizeError(message)
+
+
+def whole_number(text: str) -> int:
+    """A number of the command line; argparse names the field before the error's text."""
+    try:
+        return int(text)
+    except ValueError:
+        raise argparse.ArgumentTypeError(f"found {text!r}, allowed a whole number") from None
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run one command; 2 for bad input, which is told in one line with nothing started."""
-    parser = argparse.ArgumentParser(prog="python -m benchmarks.capacity", description=__doc__)
+    parser = Parser(prog="python -m benchmarks.capacity", description=__doc__)
     commands = parser.add_subparsers(dest="command", required=True)
     commands.add_parser("list", help="the probes, with axis, sizes and figures")
     measure = commands.add_parser("measure", help="run probes and write the file of measurements")
     measure.add_argument("probes", nargs="*")
     measure.add_argument("--role")
-    measure.add_argument("--seeds", type=int, nargs="+", default=[1, 2])
-    measure.add_argument("--jobs", type=int, default=2)
+    measure.add_argument("--seeds", type=whole_number, nargs="+", default=[1, 2])
+    measure.add_argument("--jobs", type=whole_number, default=2)
     one = commands.add_parser("one", help="one measurement in this process, as a line of JSON")
     one.add_argument("probe")
-    one.add_argument("size", type=int)
-    one.add_argument("seed", type=int)
+    one.add_argument("size", type=whole_number)
+    one.add_argument("seed", type=whole_number)
     page = commands.add_parser("page", help="write docs/CAPACITY.md from the file of measurements")
     page.add_argument("--check", action="store_true", help="only say whether page and file agree")
-    args = parser.parse_args(arguments)
     try:
-        return _run(args)
+        return _run(parser.parse_args(arguments))
     except (SizeError, MeasurementError) as error:
         print(error, file=sys.stderr)
         return BAD_INPUT
@@ -68,7 +88,7 @@
     check_number("jobs", args.jobs, 1, MOST_JOBS)
     probes = chosen(args.probes, args.role)
     for probe in probes:
-        runner.check(probe, probe.sizes, args.seeds)
+        runner.check(probe, probe.sizes, args.seeds, args.jobs)
     for probe in probes:
         began = time.monotonic()
         figures = runner.measure(probe, args.seeds, args.jobs)
--- /dev/null
+++ b/benchmarks/capacity/hosts.py
@@ -0,0 +1,138 @@
+"""What a gateway's list of hosts costs it: bytes, reading, taking it in, one change, memory, choice."""
+
+from __future__ import annotations
+
+import gc
+import json
+import statistics
+
+from benchmarks.capacity import listings
+from benchmarks.capacity.probe import GATEWAY, Probe, Values
+from benchmarks.capacity.resources import MemoryGrowth, median_cpu_s
+from benchmarks.module_worker import Play, settings
+from yewstage import interface as api
+from yewstage.net.discovery import Listing, parse_listing
+from yewstage.policy import Gateway
+
+CUSTOMERS = 700  # 62,000 tenants over 710 gateways, eight gateways each
+REPEATS = 7
+CHANGES = 200  # in one measurement
+REQUESTS = 2_000  # in one measurement
+AS_SOURCE = "the module as source; the compiled build, which the platform runs, costs about half"
+
+
+def read(body: bytes) -> Listing:
+    """An answer's body as a listing, in the way of `yewstage.net.discovery.Discovery`."""
+    return parse_listing(json.loads(body))
+
+
+class Reader:
+    """A decision module that is told of lists and changes."""
+
+    def __init__(self, seed: int) -> None:
+        self.now_ms = 1e6
+        self._gateway = Gateway(settings(CUSTOMERS), seed)
+
+    def take(self, listing: Listing) -> None:
+        """Have the module take an answer in."""
+        self.now_ms += 1.0
+        kind = "full" if listing.whole else "changes"
+        self._gateway.handle(self.now_ms, api.ServerList(kind, listing.servers))
+
+
+def measure_list(size: int, seed: int) -> Values:
+    """One list of so many hosts, and changes of one line to it."""
+    hosts = listings.instances(size, seed)
+    body = listings.whole(hosts)
+    changes = [listings.change(hosts[i // 2 * 7 % size], 100_001 + i, i % 2 == 0) for i in range(CHANGES)]
+    warm = Reader(seed)
+    warm.take(read(listings.whole(hosts[:10])))  # imports and caches are no growth of the list's
+    growth = MemoryGrowth()
+    reader, kept = Reader(seed), read(body)
+    reader.take(kept)
+    module_mb = growth.mb()
+    fresh = iter([Reader(seed) for _ in range(REPEATS)])
+    return {
+        "hosts.list.bytes": float(len(body)),
+        "hosts.list.parse_ms": 1e3 * median_cpu_s(lambda: read(body), REPEATS),
+        "hosts.list.apply_ms": 1e3 * median_cpu_s(lambda: next(fresh).take(kept), REPEATS),
+        "hosts.list.change_us": 1e6 / CHANGES * median_cpu_s(lambda: _take_all(reader, changes), REPEATS),
+        "hosts.list.change_bytes": statistics.fmean(map(len, changes)),
+        "hosts.list.module_mb": module_mb,
+    }
+
+
+def _take_all(reader: Reader, bodies: list[bytes]) -> None:
+    for body in bodies:
+        reader.take(read(body))
+
+
+class ChoicePlay(Play):
+    """A gateway at work whose housekeeping is timed apart from its requests."""
+
+    def __init__(self, hosts: int, seed: int) -> None:
+        self.sweeps_s: list[float] = []
+        super().__init__(hosts, CUSTOMERS, seed=seed)
+
+    def give(self, event: api.Event) -> None:
+        """Have the module handle an event."""
+        spent_before = self.spent
+        super().give(event)
+        if isinstance(event, api.TimerDue):
+            self.sweeps_s.append(self.spent - spent_before)
+            self.spent = spent_before
+
+    def request_s(self) -> float:
+        """Seconds in the module a request, over one series of requests."""
+        requests = self.requests(REQUESTS)
+        self.spent = 0.0
+        gc.disable()
+        self.run(requests)
+        gc.enable()
+        return self.spent / REQUESTS
+
+
+def measure_choice(size: int, seed: int) -> Values:
+    """Requests that have a host chosen among so many, and the housekeeping between them."""
+    play = ChoicePlay(size, seed)
+    play.request_s()
+    play.sweeps_s.clear()
+    request_s = statistics.median(play.request_s() for _ in range(REPEATS))
+    return {
+        "hosts.choice.us_per_request": 1e6 * request_s,
+        "hosts.choice.sweep_us": 1e6 * statistics.median(play.sweeps_s),
+    }
+
+
+PROBES = (
+    Probe(
+        name="hosts.list",
+        role=GATEWAY,
+        axis="hosts in the list",
+        sizes=(500, 1500, 4500, 9000),
+        figures={
+            "hosts.list.bytes": "bytes",
+            "hosts.list.parse_ms": "ms of a core",
+            "hosts.list.apply_ms": "ms of a core",
+            "hosts.list.change_us": "us of a core a change",
+            "hosts.list.change_bytes": "bytes a change",
+            "hosts.list.module_mb": "MB",
+        },
+        measure=measure_list,
+        small=50,
+        note=f"headers of the answer, and the hosts' connections; {AS_SOURCE}",
+    ),
+    Probe(
+        name="hosts.choice",
+        role=GATEWAY,
+        axis="hosts",
+        sizes=(10, 100, 1000, 9000),
+        figures={
+            "hosts.choice.us_per_request": "us in the module a request",
+            "hosts.choice.sweep_us": "us in the module a sweep",
+        },
+        measure=measure_choice,
+        small=10,
+        note=f"sockets; a request's outcome and counter calls are in; {AS_SOURCE}",
+    ),
+)
--- a/benchmarks/capacity/probe.py
+++ b/benchmarks/capacity/probe.py
@@ -30,6 +30,7 @@
     small: int  # the size at which `make test` counts
     real: bool = False  # real processes, so alone on the machine; else hollow ones
     processes: int = 1  # at the largest size
+    memory_mb: float = 512.0  # at the largest size, of all its processes together
     note: str = ""  # what it leaves out
 
     def __post_init__(self) -> None:
--- a/benchmarks/capacity/probes.py
+++ b/benchmarks/capacity/probes.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+from benchmarks.capacity import counter_store, hosts, requests, routes, tenants
 from benchmarks.capacity.probe import ROLES, Probe
 from benchmarks.capacity.size import SizeError
 
 # Each module of probes has a tuple PROBES of its own.
-MODULES: tuple[tuple[Probe, ...], ...] = ()
+MODULES: tuple[tuple[Probe, ...], ...] = (
+    hosts.PROBES,
+    tenants.PROBES,
+    routes.PROBES,
+    requests.PROBES,
+    counter_store.PROBES,
+)
 PROBES: dict[str, Probe] = {probe.name: probe for probes in MODULES for probe in probes}
 
 
--- /dev/null
+++ b/benchmarks/capacity/requests.py
@@ -0,0 +1,46 @@
+"""What a gateway's decision module costs by its requests a second, in virtual time."""
+
+from __future__ import annotations
+
+import gc
+
+from benchmarks.capacity.hosts import AS_SOURCE, CUSTOMERS
+from benchmarks.capacity.probe import GATEWAY, Probe, Values
+from benchmarks.capacity.size import FULL
+from benchmarks.module_worker import Play
+
+ANSWER_S = 0.05  # a host's
+VIRTUAL_S = 20
+SERIES = 5  # the median one is told
+
+
+def measure(size: int, seed: int) -> Values:
+    """So many requests a second, with all hosts and the customers that one gateway knows."""
+    out = max(1, round(size * ANSWER_S))
+    play = Play(FULL.hosts, CUSTOMERS, seed=seed, gap_ms=1000 / size, out=out)
+    play.run(play.requests(max(CUSTOMERS, size), everyone=True))
+    spent = sorted(_series_s(play, size * VIRTUAL_S // SERIES) for _ in range(SERIES))
+    return {"requests.module.cpu_share": spent[SERIES // 2] * SERIES / VIRTUAL_S}
+
+
+def _series_s(play: Play, count: int) -> float:
+    requests = play.requests(count)
+    play.spent = 0.0
+    gc.disable()
+    play.run(requests)
+    gc.enable()
+    return play.spent
+
+
+PROBES = (
+    Probe(
+        name="requests.module",
+        role=GATEWAY,
+        axis="requests a second",
+        sizes=(50, 197, 400, 800),
+        figures={"requests.module.cpu_share": "share of a core"},
+        measure=measure,
+        small=50,
+        note=f"sockets; the housekeeping of an idle gateway is in; {AS_SOURCE}",
+    ),
+)
--- a/benchmarks/capacity/runner.py
+++ b/benchmarks/capacity/runner.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import json
+import math
 import resource
 import subprocess
 import sys
 from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from pathlib import Path
 
 from benchmarks.capacity.measurement import Figure, Point, fit
 from benchmarks.capacity.probe import LONGEST_S, Probe, Values
 from benchmarks.capacity.probes import PROBES
-from benchmarks.capacity.size import MEMORY_SHARE, SizeError, check_number, machine_memory_bytes
+from benchmarks.capacity.size import MOST_PROCESSES, SizeError, bearable_memory_mb, check_number
 
 ROOT = Path(__file__).resolve().parents[2]
 MOST_SEED = 2**31 - 1
@@ -23,8 +25,8 @@
     """A measurement that failed; the text says which one and why."""
 
 
-def check(probe: Probe, sizes: Iterable[int], seeds: Iterable[int]) -> None:
-    """Refuse what cannot be measured before anything is started.
+def check(probe: Probe, sizes: Iterable[int], seeds: Iterable[int], jobs: int = 1) -> None:
+    """Refuse what cannot be measured before anything is started; hollow probes run in so many jobs.
 
     Raises:
         SizeError: names the field, what was found and what is allowed.
@@ -33,6 +35,10 @@
         check_number(f"{probe.name}.size ({probe.axis})", size, 1, probe.sizes[-1])
     for seed in seeds:
         check_number("seed", seed, 0, MOST_SEED)
+    at_once = 1 if probe.real else jobs
+    check_number(f"{probe.name}.processes", probe.processes * at_once, 1, MOST_PROCESSES)
+    wanted_mb = math.ceil(probe.memory_mb * at_once)
+    check_number(f"{probe.name}.memory_mb ({at_once} at once)", wanted_mb, 1, bearable_memory_mb())
 
 
 def run_one(name: str, size: int, seed: int) -> Values:
@@ -45,16 +51,21 @@
     return values
 
 
-def _limit_memory() -> None:
-    most = int(machine_memory_bytes() * MEMORY_SHARE)
+def _limit_memory(at_once: int) -> None:
+    most = bearable_memory_mb() * 2**20 // at_once
     resource.setrlimit(resource.RLIMIT_AS, (most, most))
 
 
-def _in_child(probe: Probe, size: int, seed: int) -> Values:
+def _in_child(probe: Probe, at_once: int, size: int, seed: int) -> Values:
     command = [sys.executable, "-m", "benchmarks.capacity", "one", probe.name, str(size), str(seed)]
     try:
         done = subprocess.run(
-            command, cwd=ROOT, capture_output=True, text=True, timeout=LONGEST_S, preexec_fn=_limit_memory
+            command,
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=LONGEST_S,
+            preexec_fn=partial(_limit_memory, at_once),
         )
     except subprocess.TimeoutExpired:
         raise ProbeError(f"{probe.name} at {size}: not done in {LONGEST_S:g} s") from None
@@ -66,10 +77,11 @@
 
 def measure(probe: Probe, seeds: list[int], jobs: int) -> list[Figure]:
     """All figures of a probe over its sizes and seeds; real processes one measurement at a time."""
-    check(probe, probe.sizes, seeds)
+    check(probe, probe.sizes, seeds, jobs)
+    at_once = 1 if probe.real else jobs
     cases = [(size, seed) for size in probe.sizes for seed in seeds]
-    with ThreadPoolExecutor(1 if probe.real else jobs) as pool:
-        found = list(pool.map(lambda case: _in_child(probe, *case), cases))
+    with ThreadPoolExecutor(at_once) as pool:
+        found = list(pool.map(lambda case: _in_child(probe, at_once, *case), cases))
     by_case = dict(zip(cases, found, strict=True))
     command = f"python -m benchmarks.capacity measure {probe.name}"
     return [
--- a/benchmarks/capacity/size.py
+++ b/benchmarks/capacity/size.py
@@ -49,6 +49,11 @@
     return os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
 
 
+def bearable_memory_mb() -> int:
+    """Memory that a measurement may take on this machine, in MB."""
+    return int(machine_memory_bytes() * MEMORY_SHARE / 2**20)
+
+
 def check_number(field: str, found: int, least: int, most: int) -> int:
     """The number, if it is within its bounds.
 
--- a/benchmarks/module_worker.py
+++ b/benchmarks/module_worker.py
@@ -58,9 +58,19 @@
 class Play:
     """A gateway at work, with its hosts and its counter."""
 
-    def __init__(self, hosts: int, customers: int, share_bad: float = 0.0) -> None:
-        self.rng = random.Random(7)
-        self.gateway = Gateway(settings(customers), 1)
+    def __init__(
+        self,
+        hosts: int,
+        customers: int,
+        share_bad: float = 0.0,
+        seed: int = 1,
+        gap_ms: float = GAP_MS,
+        out: int = OUT,
+    ) -> None:
+        """`gap_ms` is between two requests, of which `out` are out at once."""
+        self.rng = random.Random(6 + seed)
+        self.gateway = Gateway(settings(customers), seed)
+        self.gap_ms, self.most_out = gap_ms, out
         self.now = 1e6
         self.hosts, self.customers = hosts, [f"customer-{i:06}" for i in range(customers)]
         self.bad = {f"host-{i}" for i in range(int(hosts * share_bad))}
@@ -118,10 +128,10 @@
 
     def run(self, requests: list[api.Request]) -> None:
         for request in requests:
-            self.now += GAP_MS
+            self.now += self.gap_ms
             while self.timers and self.timers[0][0] <= self.now:
                 self.give(api.TimerDue(self.timers.pop(0)[1]))
-            while len(self.out) >= OUT:
+            while len(self.out) >= self.most_out:
                 self.end()
             self.give(request)
 
