Scale tests: real gateways and our own counter as anchors, and the hollow figures

Need: what hollow gateways leave out (sockets, bytes on the wire, added delay, memory of a process). Ruled out: stand-ins of their own for the scale tests; those of benchmarks/path.py now count calls and bytes, answer a watch when its wait is over, and the load takes latency by a clock finer than uvloop's millisecond. Ruled out: pinning to cores, which a shared machine does not leave free.

--- a/benchmarks/capacity/probes.py
+++ b/benchmarks/capacity/probes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from benchmarks.capacity import counter_store, hosts, requests, routes, tenants
+from benchmarks.capacity import anchors, counter_service, counter_store, hosts, requests, routes, tenants
 from benchmarks.capacity.probe import ROLES, Probe
 from benchmarks.capacity.size import SizeError
 
@@ -13,6 +13,8 @@
     routes.PROBES,
     requests.PROBES,
     counter_store.PROBES,
+    counter_service.PROBES,
+    anchors.PROBES,
 )
 PROBES: dict[str, Probe] = {probe.name: probe for probes in MODULES for probe in probes}
 
--- /dev/null
+++ b/benchmarks/capacity/processes.py
@@ -0,0 +1,121 @@
+"""Real gateways between stand-ins: started as the platform does, each by its own process id ended."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import tempfile
+import time
+from http.client import HTTPConnection
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+from benchmarks.capacity import listings
+from benchmarks.capacity.size import FULL
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))  # where the other benchmarks find one another
+
+from path import PORTS, Process, configuration, launch  # noqa: E402
+from trees import Tree  # noqa: E402
+
+LOOP = "127.0.0.1"
+POLL_S = 0.002
+READY_S = 30.0  # a gateway that is not ready by then is at fault
+STOP_S = 10.0
+PLANS = [  # a tenant brings 2.3 requests a second over its eight gateways
+    {"name": "team", "refill": 10.0, "burst": 40.0, "worth_factor": 1.0},
+    {
+        "name": "wide",
+        "refill": 20.0,
+        "burst": 80.0,
+        "worth_factor": 1.0,
+        "ceiling_rate": 40.0,
+        "hard_burst": 80.0,
+    },
+]
+
+
+class Gateway:
+    """One real gateway."""
+
+    def __init__(self, process: subprocess.Popen[str], port: int, started_at: float) -> None:
+        self.process, self.port, self.pid, self._started_at = process, port, process.pid, started_at
+
+    def ready_s(self) -> float:
+        """Wait until it takes requests; the time since its process was started, in seconds."""
+        until = time.monotonic() + READY_S
+        while time.monotonic() < until:
+            if self._is_ready():
+                return time.monotonic() - self._started_at
+            time.sleep(POLL_S)
+        raise RuntimeError(f"a gateway was not ready in {READY_S:g} s")
+
+    def _is_ready(self) -> bool:
+        connection = HTTPConnection(LOOP, self.port, timeout=READY_S)
+        try:
+            connection.request("GET", "/ready")
+            return connection.getresponse().status == 200
+        finally:
+            connection.close()
+
+    def stop(self) -> None:
+        """End it, and wait for that."""
+        self.process.kill()
+        self.process.wait(STOP_S)
+        if self.process.stderr is not None:
+            self.process.stderr.close()
+
+
+class Surroundings:
+    """What gateways need: hosts, a counter, discovery's agent; gateways are ended with them."""
+
+    def __init__(self, hosts: int, seed: int) -> None:
+        self._seed = seed
+        self._folder = tempfile.TemporaryDirectory(prefix="hillmux-capacity-")
+        self._tree = Tree.built()
+        self._processes: list[Process] = []
+        self._gateways: list[Gateway] = []
+        self.hosts = self._stand_in("hosts", ports=PORTS)
+        self.counter = self._stand_in("counter")
+        instances = listings.instances(hosts, seed, self.hosts.ports)
+        self.discovery = self._stand_in("registry", instances=instances, watched=True)
+
+    def __enter__(self) -> Surroundings:
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        for running in (*self._gateways, *self._processes):
+            if isinstance(running, Gateway):
+                running.stop()
+            else:
+                running.close()
+        self._folder.cleanup()
+
+    def _stand_in(self, role: str, **arguments: Any) -> Process:
+        self._processes.append(Process(role, None, **arguments))
+        return self._processes[-1]
+
+    def load(self, port: int, customers: int, connections: int) -> Process:
+        """A load on a port, whose customers come through several gateways."""
+        return self._stand_in(
+            "load", port=port, customers=customers, connections=connections, spread=8, seed=self._seed
+        )
+
+    def gateway(self, number: int = 0) -> Gateway:
+        """Start a gateway; it listens, and may not be ready yet."""
+        config = configuration(self.discovery.ports[0], self.counter.ports[0])
+        config["name"] = f"gateway-{number}"
+        config["seed"] = f"{self._seed:08x}{number:08x}"
+        config["settings"] |= {"packages": PLANS, "fleet_size": FULL.gateways, "me": number}
+        started_at = time.monotonic()
+        process, port = launch(self._tree, Path(self._folder.name), config, [])
+        self._gateways.append(Gateway(process, port, started_at))
+        return self._gateways[-1]
+
+    def end(self, gateway: Gateway) -> None:
+        """End one gateway before the others."""
+        self._gateways.remove(gateway)
+        gateway.stop()
--- a/benchmarks/capacity/resources.py
+++ b/benchmarks/capacity/resources.py
@@ -17,6 +17,11 @@
     return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
 
 
+def core_wait_s(pid: int) -> float:
+    """Seconds for which a process was ready to run and had no core (schedstat): other load of the machine."""
+    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e9
+
+
 def resident_mb(pid: int | str = "self") -> float:
     """Resident memory of a process, in MB, with all that it shares (VmRSS)."""
     return _field_kb(Path(f"/proc/{pid}/status"), "VmRSS:") / KB_PER_MB
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -60,10 +60,11 @@
 class Process:
     """One stand-in or proxy: a line of JSON when it is ready, then a line for each line."""
 
-    def __init__(self, role: str, core: int, **arguments: Any) -> None:
+    def __init__(self, role: str, core: int | None, **arguments: Any) -> None:
         command = [sys.executable, str(ROOT / "benchmarks/standins.py"), role]
         self.process = subprocess.Popen(command, text=True, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
-        os.sched_setaffinity(self.process.pid, {core})
+        if core is not None:
+            os.sched_setaffinity(self.process.pid, {core})
         self.ports: list[int] = self.play(**arguments)["ports"]
 
     def _line(self) -> dict[str, Any]:
@@ -103,13 +104,21 @@
         for i in range(hosts)
     ]
     registry = back[f"registry {len(back)}"] = Process("registry", OTHERS_CORE, instances=instances)
-    config = {
+    config = configuration(registry.ports[0], back["counter"].ports[0])
+    process, port = launch(tree, folder, config, wrap)
+    os.sched_setaffinity(process.pid, {CORE})
+    return process, port
+
+
+def configuration(discovery: int, counter: int) -> dict[str, Any]:
+    """A gateway's configuration, with discovery and counter at these ports."""
+    return {
         "name": "n0",
         "listen": "127.0.0.1:0",
-        "discovery": f"127.0.0.1:{registry.ports[0]}",
+        "discovery": f"127.0.0.1:{discovery}",
         "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 512, "sockets": 16384},
-        "counter": f"127.0.0.1:{back['counter'].ports[0]}",
+        "counter": f"127.0.0.1:{counter}",
         "known": {"generation": 0, "reset": True, "instances": []},
         "settings": {
             "grades": GRADES,
@@ -129,6 +138,12 @@
             "family_info": {"may_count": True, "count_wait_ms": 30.0, "trued_up": True, "most_units": 4},
         },
     }
+
+
+def launch(
+    tree: Tree, folder: Path, config: dict[str, Any], wrap: list[str]
+) -> tuple[subprocess.Popen[str], int]:
+    """Start the program of a tree as the platform does; its process, and the port that it listens on."""
     path = folder / f"config-{os.urandom(4).hex()}.json"
     path.write_text(json.dumps(config))
     process = subprocess.Popen(
@@ -138,7 +153,6 @@
         stderr=subprocess.PIPE,
         env={**os.environ, "ROUTER_CONFIG": str(path), "PYTHONPATH": str(tree.path)},
     )
-    os.sched_setaffinity(process.pid, {CORE})
     assert process.stderr is not None
     while "listening on" not in (line := process.stderr.readline()):
         if not line:
--- a/benchmarks/standins.py
+++ b/benchmarks/standins.py
@@ -3,7 +3,8 @@
     python benchmarks/standins.py ROLE      # its arguments come as a line of JSON
 
 Each prints a line of JSON once it is ready (its ports), and ends with its standard input. The load takes a
-case for each further line, and answers each with a line.
+case for each further line, and answers each with a line; counter and registry answer a line with what went
+over their connections.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 import json
 import random
 import sys
+import time
 from collections import deque
 from pathlib import Path
 from typing import Any
@@ -36,7 +38,7 @@
     def __init__(self, load: Load) -> None:
         self._load = load
         self.asked = False
-        self.used = asyncio.get_running_loop().time()
+        self.used = time.monotonic()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport: Any = transport
@@ -50,7 +52,7 @@
         self._parser.feed_data(data)
 
     def on_message_complete(self) -> None:
-        self.asked, self.used = False, asyncio.get_running_loop().time()
+        self.asked, self.used = False, time.monotonic()
         self._load.answered(self, self._parser.get_status_code(), self._due)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -60,9 +62,11 @@
 class Load:
     """Requests of many customers and three classes, closed or open loop; latency from the intended time."""
 
-    def __init__(self, port: int, customers: int, connections: int) -> None:
+    def __init__(self, port: int, customers: int, connections: int, spread: int = 1, seed: int = 11) -> None:
+        """`spread` gateways take each customer's requests, as far as the gateway is told."""
         self._port, self._customers, self._count = port, customers, connections
-        self._random = random.Random(11)
+        self._spread = spread
+        self._random = random.Random(seed)
         self._serial = 0
         self._free: deque[Asking] = deque()
 
@@ -70,7 +74,7 @@
         """Dial anew what the other side has closed since: a gateway keeps an idle connection for seconds."""
         loop = asyncio.get_running_loop()
         fresh = deque(
-            c for c in self._free if loop.time() - c.used < FRESH_S and not c.transport.is_closing()
+            c for c in self._free if time.monotonic() - c.used < FRESH_S and not c.transport.is_closing()
         )
         for connection in set(self._free) - set(fresh):
             connection.transport.close()
@@ -89,7 +93,7 @@
         return (
             f"{method} /api/{customer:016x} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: {rid}\r\n"
             f"X-Class: {cls}\r\nPlan: {plan}\r\nX-Deadline: 5000m\r\n"
-            f"Quota-Info: units=1,spread=1,first=0\r\n{more}\r\n{'{}' if more else ''}"
+            f"Quota-Info: units=1,spread={self._spread},first=0\r\n{more}\r\n{'{}' if more else ''}"
         ).encode()
 
     def lost(self, connection: Asking) -> None:
@@ -98,19 +102,23 @@
 
     def answered(self, connection: Asking, status: int, due: float) -> None:
         self._statuses[status] = self._statuses.get(status, 0) + 1
-        self._times.append(self._loop.time() - due)
+        self._times.append(time.monotonic() - due)
         if self._waiting:
             connection.ask(*self._waiting.popleft())
         elif self._rate == 0 and self._left:
             self._left -= 1
-            connection.ask(self._made.pop(), self._loop.time())
+            connection.ask(self._made.pop(), time.monotonic())
         else:
             self._free.append(connection)
         if len(self._times) == self._wanted and not self._done.done():
             self._done.set_result(None)
 
-    async def play(self, requests: int, rate: float = 0.0) -> dict[str, Any]:
-        """So many requests: as fast as answers come, or at a rate whatever comes."""
+    async def play(self, requests: int, rate: float = 0.0, from_written: bool = False) -> dict[str, Any]:
+        """So many requests: as fast as answers come, or at a rate whatever comes.
+
+        `from_written`: latency begins when a request is written, where a connection was free for it, so that
+        the timer of this process, a millisecond coarse, is not in it.
+        """
         await self.connect()
         self._loop = asyncio.get_running_loop()
         self._statuses: dict[int, int] = {}
@@ -119,18 +127,18 @@
         self._made = [self._request() for _ in range(requests)]
         self._done: asyncio.Future[None] = self._loop.create_future()
         self._rate, self._wanted, self._left = rate, requests, requests
-        began = self._loop.time()
+        began = time.monotonic()
         if rate == 0:
             while self._free and self._left:
                 self._left -= 1
-                self._free.popleft().ask(self._made.pop(), self._loop.time())
+                self._free.popleft().ask(self._made.pop(), time.monotonic())
         else:
             for i, data in enumerate(self._made):
                 due = began + i / rate
-                while (wait := due - self._loop.time()) > 0:
+                while (wait := due - time.monotonic()) > 0:
                     await asyncio.sleep(max(wait, 0.001))
                 if self._free:
-                    self._free.popleft().ask(data, due)
+                    self._free.popleft().ask(data, time.monotonic() if from_written else due)
                 elif len(self._waiting) < MOST_WAITING:
                     self._waiting.append((data, due))
                 else:
@@ -139,14 +147,14 @@
         took = sorted(self._times)
         return {
             "statuses": self._statuses,
-            "s": self._loop.time() - began,
+            "s": time.monotonic() - began,
             "p50_ms": 1000 * took[len(took) // 2],
             "p99_ms": 1000 * took[len(took) * 99 // 100],
         }
 
 
-async def load(port: int, customers: int, connections: int) -> dict[str, Any]:
-    return {"ports": [], "play": Load(port, customers, connections).play}
+async def load(port: int, customers: int, connections: int, **more: int) -> dict[str, Any]:
+    return {"ports": [], "play": Load(port, customers, connections, **more).play}
 
 
 # --- Proxies beside the gateway ---
@@ -248,7 +256,7 @@
 
 async def main() -> None:
     ready = await ROLES[sys.argv[1]](**json.loads(sys.stdin.readline()))
-    play = ready.pop("play", None)
+    play = ready.pop("play", None) or ready.pop("counts", None)
     print(json.dumps(ready), flush=True)
     loop = asyncio.get_running_loop()
     while line := await loop.run_in_executor(None, sys.stdin.readline):
