--- a/benchmarks/capacity/probes.py
+++ b/benchmarks/capacity/probes.py
@@ -2,7 +2,18 @@
 
 from __future__ import annotations
 
-from benchmarks.capacity import awake, connections, operator_figures
+from benchmarks.capacity import (
+    anchors,
+    awake,
+    connections,
+    counter_service,
+    counter_store,
+    hosts,
+    operator_figures,
+    requests,
+    routes,
+    tenants,
+)
 from benchmarks.capacity.probe import ROLES, Probe
 from benchmarks.capacity.size import SizeError
 
@@ -11,6 +22,13 @@
     awake.PROBES,
     connections.PROBES,
     operator_figures.PROBES,
+    hosts.PROBES,
+    tenants.PROBES,
+    routes.PROBES,
+    requests.PROBES,
+    counter_store.PROBES,
+    counter_service.PROBES,
+    anchors.PROBES,
 )
 PROBES: dict[str, Probe] = {probe.name: probe for probes in MODULES for probe in probes}
 
