Hollow gateways on one counter in virtual time, and the probes that play them

Need: how calls, bytes, refusals and units beyond quotas grow with gateways, sets and customers, up to 710 gateways and 62,000 customers, with the program's own decision modules in one process.

--- /dev/null
+++ b/benchmarks/capacity/counting.py
@@ -0,0 +1,232 @@
+"""Hollow probes of how gateways share quotas through the counter: calls, bytes, refusals, units beyond.
+
+All play `yewstage.lab.virtual.counting`: the decision modules are the program's own and not compiled, hosts,
+clients and counter are modelled, time is virtual. Customers ask evenly at random, one unit a request.
+"""
+
+from __future__ import annotations
+
+import gc
+from collections.abc import Callable
+
+from benchmarks.capacity.probe import COUNTER, GATEWAY, Probe, Values
+from benchmarks.capacity.resident import resident_bytes
+from benchmarks.capacity.size import FULL
+from yewstage import interface as api
+from yewstage.lab.virtual.counter import CounterModel
+from yewstage.lab.virtual.counting import CLASS, CLIENT_LEFT_MS, START_MS, CountingFleet, Figures, Scenario
+from yewstage.policy import Gateway
+
+MEGABYTE = 1e6
+ASKED_PER_S = 2.3  # requests a second of one customer
+BURST_S = 4.6  # burst of a plan, in seconds of its rate
+WIDTH = 8  # gateways that serve a customer
+SET_CUSTOMERS = 48  # customers of the probes that play one set of gateways
+WARM_S, MEASURED_S = 30.0, 60.0  # of these probes; a window lasts 9.2 s
+FLOOD = 3.5  # what is asked in a flood, in rates
+FLEET_WARM_S, FLEET_MEASURED_S = 8.0, 3.0  # of the whole fleet: one virtual second takes 14 s at full size
+CROWDED_PER_S = 600.0  # calls a second that the counter takes
+CROWDED_GATEWAYS, CROWDED_WARM_S, CROWDED_MEASURED_S = 48, 12.0, 18.0
+RESTARTED_ONE_IN = 3  # of the gateways in a row, so of each customer's set
+FIRST_MS = 1000.0
+RESTART_WARM_S, RESTART_MEASURED_S = 6.0, 10.0
+CUSTOMERS_PER_GATEWAY = FULL.tenants / FULL.gateways
+
+
+def _per_request(figures: Figures) -> Values:
+    requests = max(figures.requests, 1)
+    return {
+        "calls_per_request": figures.calls / requests,
+        "payload_bytes_per_request": figures.payload_bytes / requests,
+        "wire_bytes_per_request": figures.wire_bytes / requests,
+        "refused_share": figures.refused / requests,
+        "beyond_share": figures.beyond / max(figures.sent, 1.0),
+    }
+
+
+def _named(prefix: str, values: Values) -> Values:
+    return {f"{prefix}.{name}": value for name, value in values.items()}
+
+
+def _one_set(name: str, asked_per_s: float, rate: float) -> Callable[[int, int], Values]:
+    """Measures one set of gateways that serve the same customers."""
+
+    def measure(width: int, seed: int) -> Values:
+        scenario = Scenario(width, SET_CUSTOMERS, width, asked_per_s, rate, BURST_S * rate, seed)
+        fleet = CountingFleet(scenario)
+        fleet.run(WARM_S)
+        fleet.begin_measuring()
+        return _named(name, _per_request(fleet.run(MEASURED_S)))
+
+    return measure
+
+
+def _fleet(gateways: int, seed: int) -> Values:
+    customers = round(CUSTOMERS_PER_GATEWAY * gateways)
+    asked_per_s = FULL.requests_per_gateway * gateways / customers
+    rate = 2 * asked_per_s
+    before = resident_bytes()
+    scenario = Scenario(gateways, customers, WIDTH, asked_per_s, rate, BURST_S * rate, seed, timed=True)
+    fleet = CountingFleet(scenario)
+    fleet.run(FLEET_WARM_S)
+    fleet.begin_measuring()
+    figures = fleet.run(FLEET_MEASURED_S)
+    return {
+        "counting.fleet.calls_per_s": figures.calls / FLEET_MEASURED_S,
+        "counting.fleet.wire_bytes_per_s_per_gateway": figures.wire_bytes / FLEET_MEASURED_S / gateways,
+        "counting.fleet.cpu_us_per_request": figures.module_s * 1e6 / figures.requests,
+        "counting.fleet.memory_mb_per_gateway": (resident_bytes() - before) / MEGABYTE / gateways,
+    }
+
+
+def _crowded(customers: int, seed: int) -> Values:
+    rate = ASKED_PER_S / 0.9
+    counter = CounterModel(per_s=CROWDED_PER_S)
+    fleet = CountingFleet(
+        Scenario(CROWDED_GATEWAYS, customers, WIDTH, ASKED_PER_S, rate, BURST_S * rate, seed, counter)
+    )
+    fleet.run(CROWDED_WARM_S)
+    fleet.begin_measuring()
+    figures = fleet.run(CROWDED_MEASURED_S)
+    return {
+        "counting.crowded.calls_per_s": figures.calls / CROWDED_MEASURED_S,
+        "counting.crowded.answered_share": figures.answered / max(figures.ended, 1),
+        "counting.crowded.refused_with_room_share": figures.refused_with_half / figures.requests,
+        "counting.crowded.beyond_share": figures.beyond / max(figures.sent, 1.0),
+    }
+
+
+def _burst_of_starts(restarted: int, seed: int) -> Values:
+    """Each third gateway starts from nothing at once, as many as asked for."""
+    gateways = max(RESTARTED_ONE_IN * restarted, RESTARTED_ONE_IN * WIDTH)
+    customers = round(CUSTOMERS_PER_GATEWAY * gateways)
+    asked_per_s = FULL.requests_per_gateway * gateways / customers
+    rate = 2 * asked_per_s
+    fleet = CountingFleet(Scenario(gateways, customers, WIDTH, asked_per_s, rate, BURST_S * rate, seed))
+    fleet.run(RESTART_WARM_S)
+    numbers = [RESTARTED_ONE_IN * i for i in range(restarted)]
+    for number in numbers:
+        fleet.start(number)
+    fresh = [fleet.gateways[number] for number in numbers]
+    fleet.run(FIRST_MS / 1000)
+    calls = sum(gateway.calls for gateway in fresh)
+    fleet.run(RESTART_MEASURED_S - FIRST_MS / 1000)
+    requests = sum(gateway.requests for gateway in fresh)
+    return {
+        "counting.burst_of_starts.calls_in_first_second_per_gateway": calls / restarted,
+        "counting.burst_of_starts.refused_share_first_10_s": sum(g.refused for g in fresh) / requests,
+    }
+
+
+def _customers(customers: int, seed: int) -> Values:
+    """Each customer asks once; all are known at the end."""
+    plan = api.Plan("plan", rate=2 * ASKED_PER_S, burst=BURST_S * 2 * ASKED_PER_S)
+    settings = api.Settings(
+        (CLASS,), (plan,), fleet_size=FULL.gateways, may_count=True, most_customers=customers
+    )
+    gateway = Gateway(settings, seed)
+    gateway.handle(START_MS, api.ServerList("full", (api.Server("host-0"),)))
+    gc.collect()
+    before = resident_bytes()
+    for number in range(customers):
+        _ask_once(gateway, number, START_MS + number)
+    gc.collect()
+    return {"counting.customers.memory_mb": (resident_bytes() - before) / MEGABYTE}
+
+
+def _ask_once(gateway: Gateway, number: int, now: float) -> None:
+    request = api.Request(
+        str(number), CLASS.name, "plan", f"customer-{number:06}", CLIENT_LEFT_MS, 1.0, WIDTH
+    )
+    actions = gateway.handle(now, request)
+    for act in actions:
+        if isinstance(act, api.Count):
+            actions = gateway.handle(now, api.CountReply(act.name, api.OK, act.amount, 10.0))
+    for act in actions:
+        if isinstance(act, api.Send):
+            gateway.handle(now, api.Outcome(act.request, 0, act.server, api.OK, 20.0, True))
+
+
+SET_AXIS = "gateways that serve a customer"
+SET_SIZES = (1, 3, 8, 24, 64)
+SET_UNITS = {
+    "calls_per_request": "calls",
+    "payload_bytes_per_request": "bytes",
+    "wire_bytes_per_request": "bytes",
+    "refused_share": "share of requests",
+    "beyond_share": "share of units sent",
+}
+SET_NOTE = "segments on the wire are reckoned: 2.5 a call of 52 bytes of TCP and IP headers"
+
+
+def _set_probe(name: str, asked_per_s: float, rate: float) -> Probe:
+    return Probe(
+        name=name,
+        role=COUNTER,
+        axis=SET_AXIS,
+        sizes=SET_SIZES,
+        figures={f"{name}.{figure}": unit for figure, unit in SET_UNITS.items()},
+        measure=_one_set(name, asked_per_s, rate),
+        small=8,
+        note=SET_NOTE,
+    )
+
+
+PROBES = (
+    _set_probe("counting.half", ASKED_PER_S, 2 * ASKED_PER_S),
+    _set_probe("counting.ninety", ASKED_PER_S, ASKED_PER_S / 0.9),
+    _set_probe("counting.flood", FLOOD * 2 * ASKED_PER_S, 2 * ASKED_PER_S),
+    Probe(
+        name="counting.fleet",
+        role=GATEWAY,
+        axis="gateways",
+        sizes=(8, 32, 128, 355, FULL.gateways),
+        figures={
+            "counting.fleet.calls_per_s": "calls/s",
+            "counting.fleet.wire_bytes_per_s_per_gateway": "bytes/s",
+            "counting.fleet.cpu_us_per_request": "us",
+            "counting.fleet.memory_mb_per_gateway": "MB",
+        },
+        measure=_fleet,
+        small=8,
+        note="processor time is the modules' alone, not compiled; memory includes the customers' true stores",
+    ),
+    Probe(
+        name="counting.crowded",
+        role=COUNTER,
+        axis="customers at 90% use, the counter takes 600 calls/s",
+        sizes=(250, 500, 1000, 2000, 4000),
+        figures={
+            "counting.crowded.calls_per_s": "calls/s",
+            "counting.crowded.answered_share": "share of calls that ended",
+            "counting.crowded.refused_with_room_share": "share of requests",
+            "counting.crowded.beyond_share": "share of units sent",
+        },
+        measure=_crowded,
+        small=250,
+        note="refused with room: the customer's true store held half a burst or more",
+    ),
+    Probe(
+        name="counting.burst_of_starts",
+        role=GATEWAY,
+        axis="gateways restarted at once",
+        sizes=(1, 12, 50, 101),
+        figures={
+            "counting.burst_of_starts.calls_in_first_second_per_gateway": "calls",
+            "counting.burst_of_starts.refused_share_first_10_s": "share of requests",
+        },
+        measure=_burst_of_starts,
+        small=1,
+        note="each third gateway of a fleet three times as large; a zone holds one in seven",
+    ),
+    Probe(
+        name="counting.customers",
+        role=GATEWAY,
+        axis="customers known to one gateway",
+        sizes=(1000, 8000, 20_000, FULL.tenants),
+        figures={"counting.customers.memory_mb": "MB"},
+        measure=_customers,
+        small=1000,
+        note="resident memory; most_customers raised to the size",
+    ),
+)
--- a/yewstage/net/counter.py
+++ b/yewstage/net/counter.py
@@ -21,6 +21,14 @@
 GRACE_S: Final = 0.001  # one turn of the loop, in which what has arrived is read before a time-out counts
 
 
+def request_bytes(act: api.Count) -> bytes:
+    """One call as it is written to the counter."""
+    return (
+        f"POST /v1/count/{act.name}?add={_decimal(act.amount)}&ttl_ms={max(1, round(act.keep_ms))}"
+        " HTTP/1.1\r\nHost: counter\r\nContent-Length: 0\r\n\r\n".encode()
+    )
+
+
 class _Call:
     __slots__ = ("act", "sent_at", "timer", "slot", "written", "done")
 
@@ -237,11 +245,7 @@
             self._dial_timer.cancel()
 
     def _send(self, call: _Call, connection: _Connection) -> None:
-        act = call.act
-        connection.write(
-            f"POST /v1/count/{act.name}?add={_decimal(act.amount)}&ttl_ms={max(1, round(act.keep_ms))}"
-            " HTTP/1.1\r\nHost: counter\r\nContent-Length: 0\r\n\r\n".encode()
-        )
+        connection.write(request_bytes(call.act))
         call.written = not connection.unsent
         if self._check_timer is None:
             self._check_timer = self._loop.call_later(SILENT_S, self._check)
