--- a/benchmarks/capacity/probes.py
+++ b/benchmarks/capacity/probes.py
@@ -8,10 +8,12 @@
     connections,
     counter_service,
     counter_store,
+    counting,
     hosts,
     operator_figures,
     requests,
     routes,
+    schedules,
     tenants,
 )
 from benchmarks.capacity.probe import ROLES, Probe
@@ -29,6 +31,8 @@
     counter_store.PROBES,
     counter_service.PROBES,
     anchors.PROBES,
+    counting.PROBES,
+    schedules.PROBES,
 )
 PROBES: dict[str, Probe] = {probe.name: probe for probes in MODULES for probe in probes}
 
