--- a/benchmarks/capacity/probes.py
+++ b/benchmarks/capacity/probes.py
@@ -11,6 +11,7 @@
     counting,
     hosts,
     operator_figures,
+    regions,
     requests,
     routes,
     schedules,
@@ -22,6 +23,7 @@
 # Each module of probes has a tuple PROBES of its own.
 MODULES: tuple[tuple[Probe, ...], ...] = (
     awake.PROBES,
+    regions.PROBES,
     connections.PROBES,
     operator_figures.PROBES,
     hosts.PROBES,
