--- a/benchmarks/capacity/counting.py
+++ b/benchmarks/capacity/counting.py
@@ -23,8 +23,8 @@
 WIDTH = 8  # gateways that serve a customer
 SET_CUSTOMERS = 48  # customers of the probes that play one set of gateways
 WARM_S, MEASURED_S = 30.0, 60.0  # of these probes; a window lasts 9.2 s
-# The model that comes nearest to the figures of issue 32 that were seen from outside (0.22 calls a request at half
-# use and 8 gateways, 0.36 at 90%): one plan, and customers that ask more of it.
+# The model that comes nearest to the figures of issue 32 that were seen from outside (0.22 calls a request at
+# half use and 8 gateways, 0.36 at 90%): one plan, and customers that ask more of it.
 SEEN_RATE, SEEN_BURST_S = 4.6, 6.0  # units a second, and seconds of that
 SEEN_HALF_PER_S, SEEN_NINETY_PER_S = 2.3, 4.14  # requests a second of one customer
 FLOOD = 3.5  # what is asked in a flood, in rates
