Scale tests: the path to other benchmarks stands behind the tests' own

The probes of real processes put benchmarks/ first on sys.path, so tests that were collected after them found benchmarks/standins.py in place of the tests' package: 15 test files failed to import in the whole suite (1,217 passed). At the end of the path it changes nothing for the benchmarks. Run after: the files concerned and tests/capacity, 561 passed.

--- a/benchmarks/capacity/processes.py
+++ b/benchmarks/capacity/processes.py
@@ -14,7 +14,7 @@
 from benchmarks.capacity import listings
 from benchmarks.capacity.size import FULL
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1]))  # where the other benchmarks find one another
+sys.path.append(str(Path(__file__).resolve().parents[1]))  # where the other benchmarks find one another
 
 from path import PORTS, Process, configuration, launch  # noqa: E402
 from trees import Tree  # noqa: E402
