--- a/yewstage/limits/estimate.py
+++ b/yewstage/limits/estimate.py
@@ -8,12 +8,14 @@
 
 from typing import Final
 
+from yewstage.limits import lease
 from yewstage.limits.state import QuotaState
 
 SPLIT: Final = (
     1.5  # times the even split, without a counter and with room: use is uneven, replicas may be dead
 )
-OTHERS_MEMORY_MS: Final = 1000.0  # memory of the others' rate of use
+OTHERS_MEMORY_MS: Final = 5000.0  # memory of the others' rate of use
+OUTLIER: Final = 3.0  # standard deviations beyond which a total is no noise, and is believed as it is
 ROUNDING_UNITS: Final = 1e-6  # difference of two sums of units that is taken for rounding
 
 
@@ -46,16 +48,20 @@
     return float((max(state.others_rate, 0.0) * (now - state.last_total_at)) ** 0.5)
 
 
-def start_window(state: QuotaState, start: float) -> None:
+def start_window(state: QuotaState, start: float, keep_lease: bool) -> None:
     """Begin a new count for a window that started at `start` (ms), to which `state` was advanced.
 
-    What was left unused is carried over. Use that was not reported yet is reported in the new window. The
-    next total holds what the others used since the start of the window, not since this gateway came to see
-    the customer: taken for the use of that shorter time, it would look like a much higher rate.
+    What was left unused is carried over. Use that was not reported yet is reported in the new window. A lease
+    is carried, where it is kept, as use below 0: the others took it off in the old window.
+
+    The next total holds what the others used since the start of the window, not since this gateway came to
+    see the customer: taken for the use of that shorter time, it would look like a much higher rate.
     """
     unread = state.last_total is None
     state.last_total_at = start if unread else max(start, state.remaining_at)
-    state.last_total_upper_bound = state.upper_bound if unread else max(state.remaining, 0.0)
+    state.last_total_upper_bound = state.upper_bound if unread else state.remaining
+    if not keep_lease or not lease.available(state):
+        lease.drop(state)
     state.used = state.last_total_used = state.used - state.reported
     state.reported = state.last_total_reported = 0.0
     state.call_open = False
@@ -66,11 +72,14 @@
     """Take a total of the counter (units): what the others used since the last one comes off.
 
     `state` must have been advanced to `now`. A total lower than what is known means that the counter lost its
-    counts: what remains is kept as it was, and counting goes on from the new total.
+    counts: what remains is kept as it was, no lease holds any more, and counting goes on from the new total.
     """
     others = total - (state.last_total or 0.0) - (state.reported - state.last_total_reported)
     if total >= state.reported - ROUNDING_UNITS and others >= -ROUNDING_UNITS:
         _take_others_use(state, others, max(now - state.last_total_at, 1.0))
+        state.lease_confirmed = True
+    else:
+        lease.drop(state)
     state.last_total = total
     state.last_total_reported, state.last_total_used = state.reported, state.used
     state.last_total_upper_bound, state.last_total_at = state.upper_bound, now
@@ -80,12 +89,34 @@
     """Set what remains, and the others' rate, by their use in the `span` (ms) since the last total.
 
     What a first total holds may have been spent a moment ago, from a full store, so the refill since the
-    window's start is not lent on it; a customer that spends evenly seems to have less for that time. What
-    overshot the quota took nothing from the store: without the lower bound of 0 it would be owed ever after.
+    window's start is not lent on it; a customer that spends evenly seems to have less for that time.
+
+    What overshot the quota took nothing from the store: without a lower bound it would be owed ever after.
+    The bound is the refill for which a lease waits, so that the others' leases stay in line before new ones.
     """
     first = state.last_total is None
     refill = 0.0 if first else state.plan.rate * span / 1000
-    full = state.last_total_upper_bound + refill - others - (state.used - state.last_total_used)
-    state.remaining = state.upper_bound = max(min(full, state.upper_bound), 0.0)
+    believed = others if first else _believed_use(state, others, span)
+    full = state.last_total_upper_bound + refill - believed - (state.used - state.last_total_used)
+    owed = -state.plan.rate / 1000 * lease.HOLD_MS
+    state.remaining = state.upper_bound = max(min(full, state.upper_bound), owed)
     keep = 0.0 if first else OTHERS_MEMORY_MS / (OTHERS_MEMORY_MS + span)
     state.others_rate = keep * state.others_rate + (1 - keep) * others / span
+
+
+def _believed_use(state: QuotaState, others: float, span: float) -> float:
+    """The others' use (units) in `span` ms, between what was expected and the `others` that a total tells.
+
+    Reports come late and in batches, so their sum varies more than the use behind them. The two are weighed
+    by their variances, as in a Kalman filter with one state: that of the use is its mean (Poisson), that of
+    the batches the square of their size for each report, or a sixth of it for each gateway if reports are
+    many. What is further off than such noise explains is a real change.
+    """
+    expected = max(state.others_rate, 0.0) * span
+    share = min(lease.BATCH_SHARE, lease.BATCH_SPREAD / lease.batch_divisor(state.replicas))
+    batch = max(share * state.remaining - 1.0, 0.0)  # beyond the one unit that is reported with each request
+    noise = batch * min(batch * state.replicas / 6, expected)
+    off = others - expected
+    if off * off > OUTLIER * OUTLIER * (expected + noise):
+        return others
+    return expected + off * expected / (expected + noise) if expected else others
--- a/yewstage/limits/quotas.py
+++ b/yewstage/limits/quotas.py
@@ -13,11 +13,11 @@
 from typing import Final
 
 from yewstage import interface as api
-from yewstage.limits import ceiling, estimate, window
+from yewstage.limits import ceiling, estimate, lease, window
 from yewstage.limits.parts import draw
 from yewstage.limits.registry import FORGET_WINDOWS, Registry
 from yewstage.limits.state import QuotaState
-from yewstage.limits.throttle import ANSWER_RATE_WEIGHT, SILENT_RATE, THROTTLE_POWER, CallThrottle
+from yewstage.limits.throttle import ANSWER_RATE_WEIGHT, SILENT_RATE, CallThrottle
 
 ROUNDING_UNITS: Final = 1e-9  # what a sum of units may lack of a whole
 
@@ -62,13 +62,15 @@
                 return None
             state = QuotaState(key, plan, replicas, self.now, self.now - (self.born or 0.0))
             registry.add(state, self.born or 0.0)
+        elif plan.rate > 0:
+            lease.record_request(state, self.now - state.seen_at)
         unseen, state.seen_at = self.now - state.seen_at, self.now
         registry.asked_at[plan.name] = self.now
         if plan.rate > 0:
             length = self.window_ms[plan.name]
             clock = self.now / length + state.phase
             if int(clock) != state.window:
-                self._start_window(state, int(clock), self.now - clock % 1 * length)
+                self._start_window(state, int(clock), self.now - clock % 1 * length, unseen < lease.IDLE_MS)
                 if unseen >= FORGET_WINDOWS * length:
                     # Totals read so long ago are no guide, and asking anew for each of 100,000 seldom seen
                     # customers would overload the counter. At most the split of the burst goes unreported.
@@ -85,7 +87,7 @@
         self.calls.pop(forgotten.count_name, None)
         return True
 
-    def _start_window(self, state: QuotaState, number: int, start: float) -> None:
+    def _start_window(self, state: QuotaState, number: int, start: float, keep_lease: bool) -> None:
         """Go over to the window of this number, which started at `start` (ms).
 
         A gateway that sees a customer once in many seconds notices late. What the others used since the start
@@ -97,7 +99,7 @@
         state.replicas, state.replicas_in_window = state.replicas_in_window, 1
         if start > state.remaining_at:
             self._advance(state, start)
-        estimate.start_window(state, start)
+        estimate.start_window(state, start, keep_lease)
 
     def remaining(self, state: QuotaState) -> float:
         """Units left of the quota now."""
@@ -117,9 +119,11 @@
             return self.throttle.may_call(self.now)
         if self.remaining(state) - estimate.doubt(state, self.now) >= units or units > state.upper_bound:
             return False
-        if not self.throttle.may_call(self.now):
+        if lease.available(state) >= units or not self.throttle.may_call(self.now):
             return False
-        return self.rng.random() < max(state.grant_ratio, self.throttle.answer_rate**THROTTLE_POWER)
+        # Where asking finds nothing, it is asked again as soon as a refill for all gateways has come in.
+        refilled_ms = 1000 * lease.batch_divisor(state.replicas) * units / state.plan.rate
+        return self.now - state.last_total_at >= refilled_ms or self.rng.random() < state.grant_ratio
 
     def has(self, state: QuotaState, units: float) -> bool:
         """Whether the quota has room for a request of so many units."""
@@ -131,6 +135,8 @@
         if state.last_total is None and state.used == 0:
             return True  # one request costs nearly nothing, and its call to the counter tells more
         self.remaining(state)
+        if lease.available(state) >= units:
+            return state.upper_bound >= units - ROUNDING_UNITS
         if state.last_total is None or self.throttle.answer_rate < SILENT_RATE:
             # A split smaller than the request serves it by chance, so that the fleet's sum is right.
             state.remaining = draw(self.rng, state.remaining, units)
@@ -142,9 +148,9 @@
             return True
         return not self.succeeded and ceiling.has(state, units, self.now)
 
-    @staticmethod
-    def spend(state: QuotaState, units: float) -> None:
+    def spend(self, state: QuotaState, units: float) -> None:
         """Take units from the quota; negative ones are given back."""
+        lease.record_use(state, units, self.now)
         state.used += units
         state.remaining -= units
         state.upper_bound -= units
@@ -157,19 +163,26 @@
             self.sync(state)
 
     def sync(self, state: QuotaState, reserve: float = 0.0) -> None:
-        """Report use to the counter, in batches that shrink as the customer nears its quota.
+        """Report use to the counter if it is due, or give back what a lease holds too much.
 
-        `reserve`: units of a request that waits for the total. They are reported with the same call, and
-        taken off again if it is refused.
+        `reserve`: units of a request that waits for the total. They are reported with the same call; if it is
+        refused they are a lease.
         """
-        amount = state.used - state.reported + reserve
         if not self.settings.may_count or state.plan.rate <= 0 or state.call_open:
             return
-        if not reserve:
-            if not amount or 0 < amount * state.replicas < self.remaining(state):
+        amount = state.used - state.reported + reserve
+        if reserve:
+            amount = max(amount, 0.0)  # what an open lease may not hold is not given back: the total is read
+        else:
+            if amount < 0:
+                amount = -lease.surplus(state, self.now)
+            elif amount and not lease.report_due(state, amount, self.remaining(state), self.now):
                 return
-            if not self.throttle.may_call(self.now):
+            if not amount or not self.throttle.may_call(self.now):
                 return
+        if amount > 0:
+            amount += lease.draw_ahead(state, self.remaining(state) - reserve)
+            state.uncovered = 0.0
         state.call_open, state.called_at, self.throttle.called_at = True, self.now, self.now
         state.reported += amount
         state.call_amount = amount
@@ -188,7 +201,9 @@
         if reply.result == api.OK:
             self.remaining(state)
             estimate.read_total(state, reply.total, self.now)
-        elif reply.result not in (api.TIMED_OUT, api.CUT, api.SPOILT):
+        elif reply.result in (api.TIMED_OUT, api.CUT, api.SPOILT):
+            state.lease_confirmed = False  # it may have been added, or not: the next total tells
+        else:
             state.reported -= state.call_amount  # a call that may have counted is not added twice
         return state
 
@@ -203,10 +218,14 @@
         state.grant_ratio = max(ratio, 1 / state.replicas)
 
     def sweep(self) -> None:
-        """Forget customers long unseen, a few looked at each time."""
-        for state in self.registry.sweep(self.now):
+        """Forget customers long unseen and give back idle leases, a few looked at each time."""
+        for state in self.registry.sweep(self.now, self._return_idle_lease):
             self.calls.pop(state.count_name, None)
 
+    def _return_idle_lease(self, state: QuotaState) -> None:
+        if state.reported > state.used and self.now - state.seen_at >= lease.IDLE_MS:
+            self.sync(state)
+
     def settled(self) -> bool:
         """Whether no customer's use still counts."""
         return self.registry.settled(self.now)
--- a/yewstage/limits/registry.py
+++ b/yewstage/limits/registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from typing import Final
 
 from yewstage import interface as api
@@ -66,9 +67,11 @@
         del self.states[best.key]
         return best
 
-    def sweep(self, now: float) -> list[QuotaState]:
+    def sweep(self, now: float, keep: Callable[[QuotaState], None]) -> list[QuotaState]:
         """Forget customers long unseen at `now` (ms), a few looked at each time; those that were forgotten.
 
+        `keep` is called with each that was looked at and stays.
+
         A ceiling that was forgotten starts anew, so only one that would be full again may go.
         """
         forgotten = []
@@ -78,6 +81,7 @@
                 del self.states[state.key]
                 forgotten.append(state)
             else:
+                keep(state)
                 self.ring.append(state)
         return forgotten
 
--- a/yewstage/limits/state.py
+++ b/yewstage/limits/state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from yewstage import interface as api
 from yewstage.limits import window
 
@@ -36,6 +38,11 @@
         "remaining",
         "remaining_at",
         "others_rate",
+        "lease_confirmed",
+        "uncovered",
+        "uncovered_at",
+        "demand",
+        "request_interval",
         "call_open",
         "call_amount",
         "called_at",
@@ -62,6 +69,12 @@
         self.phase = window.phase(self.digest)
         self.window, self.count_name = -1, ""  # number of the window; name of the open or last count
         self.used = self.reported = 0.0  # by this gateway in the window; what of it the counter was told
+        # Whether the last total held all that was reported; if not, `reported - used` is no lease (`lease`).
+        self.lease_confirmed = False
+        # Use that neither a report nor this gateway's even share of the refill covers; the moment of that.
+        self.uncovered, self.uncovered_at = 0.0, now
+        self.request_interval = math.inf  # mean time between requests in ms; infinite after the first one
+        self.demand = 0.0  # this gateway's own rate of use, units per ms
         self.call_open, self.call_amount, self.called_at = False, 0.0, 0.0
         self.last_total: float | None = None  # None: nothing was read in this gateway's life
         # Of what was used and reported, and when, as the last total was read.
