--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -35,7 +35,18 @@
     "node",
     "operated",
 )
-LIMITS = ("parts", "window", "state", "lease", "estimate", "throttle", "ceiling", "registry", "quotas")
+LIMITS = (
+    "parts",
+    "window",
+    "batches",
+    "state",
+    "lease",
+    "estimate",
+    "throttle",
+    "ceiling",
+    "registry",
+    "quotas",
+)
 COMPILED = (  # what an ordinary request passes through, and every class that inherits from one of these
     "yewstage/interface.py",
     "yewstage/policy.py",
--- a/yewstage/limits/estimate.py
+++ b/yewstage/limits/estimate.py
@@ -8,13 +8,14 @@
 
 from typing import Final
 
-from yewstage.limits import lease
+from yewstage.limits import batches, lease
 from yewstage.limits.state import QuotaState
 
 SPLIT: Final = (
     1.5  # times the even split, without a counter and with room: use is uneven, replicas may be dead
 )
 OTHERS_MEMORY_MS: Final = 5000.0  # memory of the others' rate of use
+OWED_MS: Final = 750.0  # refill that may be owed: what the others overshot is not told from their leases
 OUTLIER: Final = 3.0  # standard deviations beyond which a total is no noise, and is believed as it is
 ROUNDING_UNITS: Final = 1e-6  # difference of two sums of units that is taken for rounding
 
@@ -43,11 +44,6 @@
     return min(1.0, (1.0 if pressed else SPLIT) / state.replicas)
 
 
-def doubt(state: QuotaState, now: float) -> float:
-    """Units by which the others' use since the last total may differ from its estimate."""
-    return float((max(state.others_rate, 0.0) * (now - state.last_total_at)) ** 0.5)
-
-
 def start_window(state: QuotaState, start: float, keep_lease: bool) -> None:
     """Begin a new count for a window that started at `start` (ms), to which `state` was advanced.
 
@@ -59,7 +55,8 @@
     """
     unread = state.last_total is None
     state.last_total_at = start if unread else max(start, state.remaining_at)
-    state.last_total_upper_bound = state.upper_bound if unread else state.remaining
+    state.last_total_level = lease.level(state, start)
+    state.last_total_upper_bound = state.upper_bound if unread else max(state.remaining, 0.0)
     if not keep_lease or not lease.available(state):
         lease.drop(state)
     state.used = state.last_total_used = state.used - state.reported
@@ -80,6 +77,7 @@
         state.lease_confirmed = True
     else:
         lease.drop(state)
+        state.last_total_level = state.upper_bound
     state.last_total = total
     state.last_total_reported, state.last_total_used = state.reported, state.used
     state.last_total_upper_bound, state.last_total_at = state.upper_bound, now
@@ -92,14 +90,15 @@
     window's start is not lent on it; a customer that spends evenly seems to have less for that time.
 
     What overshot the quota took nothing from the store: without a lower bound it would be owed ever after.
-    The bound is the refill for which a lease waits, so that the others' leases stay in line before new ones.
+    Leases alone know all that is owed, since the others' leases stand in line before a new one.
     """
     first = state.last_total is None
     refill = 0.0 if first else state.plan.rate * span / 1000
     believed = others if first else _believed_use(state, others, span)
     full = state.last_total_upper_bound + refill - believed - (state.used - state.last_total_used)
-    owed = -state.plan.rate / 1000 * lease.HOLD_MS
-    state.remaining = state.upper_bound = max(min(full, state.upper_bound), owed)
+    owed = 0.0 if first else state.plan.rate / 1000 * OWED_MS
+    state.last_total_level = min(full, state.upper_bound)
+    state.remaining = state.upper_bound = max(state.last_total_level, -owed)
     keep = 0.0 if first else OTHERS_MEMORY_MS / (OTHERS_MEMORY_MS + span)
     state.others_rate = keep * state.others_rate + (1 - keep) * others / span
 
@@ -113,7 +112,7 @@
     many. What is further off than such noise explains is a real change.
     """
     expected = max(state.others_rate, 0.0) * span
-    share = min(lease.BATCH_SHARE, lease.BATCH_SPREAD / lease.batch_divisor(state.replicas))
+    share = min(batches.SHARE, batches.SPREAD / state.batch_divisor)
     batch = max(share * state.remaining - 1.0, 0.0)  # beyond the one unit that is reported with each request
     noise = batch * min(batch * state.replicas / 6, expected)
     off = others - expected
--- a/yewstage/limits/quotas.py
+++ b/yewstage/limits/quotas.py
@@ -10,15 +10,18 @@
 
 import random
 from collections.abc import Callable
+from math import inf
 from typing import Final
 
 from yewstage import interface as api
-from yewstage.limits import ceiling, estimate, lease, window
+from yewstage.limits import batches, ceiling, estimate, lease, window
 from yewstage.limits.parts import draw
 from yewstage.limits.registry import FORGET_WINDOWS, Registry
 from yewstage.limits.state import QuotaState
-from yewstage.limits.throttle import ANSWER_RATE_WEIGHT, SILENT_RATE, CallThrottle
+from yewstage.limits.throttle import SILENT_RATE, CallThrottle
 
+FIRST: Final = inf  # ms since the request before a customer's first one
+GRANT_RATIO_WEIGHT: Final = 0.2  # weight of one wait for a total in the mean of those that found units
 ROUNDING_UNITS: Final = 1e-9  # what a sum of units may lack of a whole
 
 
@@ -62,9 +65,8 @@
                 return None
             state = QuotaState(key, plan, replicas, self.now, self.now - (self.born or 0.0))
             registry.add(state, self.born or 0.0)
-        elif plan.rate > 0:
-            lease.record_request(state, self.now - state.seen_at)
         unseen, state.seen_at = self.now - state.seen_at, self.now
+        state.request_gap_ms = unseen or FIRST
         registry.asked_at[plan.name] = self.now
         if plan.rate > 0:
             length = self.window_ms[plan.name]
@@ -77,7 +79,8 @@
                     state.remaining = min(self.remaining(state), plan.burst / state.replicas)
         if replicas > state.replicas_in_window:
             state.replicas_in_window = replicas
-            state.replicas = max(state.replicas, replicas)
+            if replicas > state.replicas:
+                state.set_replicas(replicas)
         return state
 
     def _forget_early(self) -> bool:
@@ -96,7 +99,9 @@
         self.calls.pop(state.count_name, None)
         self.settle(state)
         state.window, state.count_name = number, ""
-        state.replicas, state.replicas_in_window = state.replicas_in_window, 1
+        if state.replicas != state.replicas_in_window:
+            state.set_replicas(state.replicas_in_window)
+        state.replicas_in_window = 1
         if start > state.remaining_at:
             self._advance(state, start)
         estimate.start_window(state, start, keep_lease)
@@ -117,12 +122,17 @@
             return False
         if state.last_total is None:
             return self.throttle.may_call(self.now)
-        if self.remaining(state) - estimate.doubt(state, self.now) >= units or units > state.upper_bound:
+        if self.now > state.remaining_at:
+            self._advance(state, self.now)
+        spare = state.remaining - units
+        if spare >= 0 and spare * spare >= state.others_rate * (self.now - state.last_total_at):
+            return False  # more is left than the others' use may differ from its estimate (Poisson)
+        if units > state.upper_bound:
             return False
         if lease.available(state) >= units or not self.throttle.may_call(self.now):
             return False
         # Where asking finds nothing, it is asked again as soon as a refill for all gateways has come in.
-        refilled_ms = 1000 * lease.batch_divisor(state.replicas) * units / state.plan.rate
+        refilled_ms = state.batch_divisor * units / state.plan.rate * 1000
         return self.now - state.last_total_at >= refilled_ms or self.rng.random() < state.grant_ratio
 
     def has(self, state: QuotaState, units: float) -> bool:
@@ -134,9 +144,10 @@
             return True
         if state.last_total is None and state.used == 0:
             return True  # one request costs nearly nothing, and its call to the counter tells more
-        self.remaining(state)
-        if lease.available(state) >= units:
-            return state.upper_bound >= units - ROUNDING_UNITS
+        if self.now > state.remaining_at:
+            self._advance(state, self.now)
+        if state.reported > state.used and lease.available(state) >= units:
+            return lease.covers(state, units, self.now)
         if state.last_total is None or self.throttle.answer_rate < SILENT_RATE:
             # A split smaller than the request serves it by chance, so that the fleet's sum is right.
             state.remaining = draw(self.rng, state.remaining, units)
@@ -150,7 +161,8 @@
 
     def spend(self, state: QuotaState, units: float) -> None:
         """Take units from the quota; negative ones are given back."""
-        lease.record_use(state, units, self.now)
+        covered_at = state.covered_at if state.covered_at > self.now else self.now
+        state.covered_at = covered_at + units * state.share_ms
         state.used += units
         state.remaining -= units
         state.upper_bound -= units
@@ -165,6 +177,9 @@
     def sync(self, state: QuotaState, reserve: float = 0.0) -> None:
         """Report use to the counter if it is due, or give back what a lease holds too much.
 
+        A gateway that keeps within its even share of the refill reports in large batches, one that goes
+        beyond it in batches that shrink as the customer nears its quota.
+
         `reserve`: units of a request that waits for the total. They are reported with the same call; if it is
         refused they are a lease.
         """
@@ -176,13 +191,20 @@
         else:
             if amount < 0:
                 amount = -lease.surplus(state, self.now)
-            elif amount and not lease.report_due(state, amount, self.remaining(state), self.now):
-                return
+            else:
+                if self.now > state.remaining_at:
+                    self._advance(state, self.now)
+                uncovered_ms = state.covered_at - self.now
+                if (
+                    amount < batches.SHARE * state.remaining
+                    and uncovered_ms * state.batch_rate < state.remaining
+                ):
+                    return
             if not amount or not self.throttle.may_call(self.now):
                 return
         if amount > 0:
-            amount += lease.draw_ahead(state, self.remaining(state) - reserve)
-            state.uncovered = 0.0
+            amount += lease.draw_ahead(state, amount, self.remaining(state) - reserve, self.now)
+            state.covered_at = self.now
         state.call_open, state.called_at, self.throttle.called_at = True, self.now, self.now
         state.reported += amount
         state.call_amount = amount
@@ -214,7 +236,7 @@
         Customers that flood are asked for less often: otherwise all gateways ask again and again for them.
         """
         granted = state.remaining >= units
-        ratio = state.grant_ratio + ANSWER_RATE_WEIGHT * (granted - state.grant_ratio)
+        ratio = state.grant_ratio + GRANT_RATIO_WEIGHT * (granted - state.grant_ratio)
         state.grant_ratio = max(ratio, 1 / state.replicas)
 
     def sweep(self) -> None:
--- a/yewstage/limits/state.py
+++ b/yewstage/limits/state.py
@@ -5,7 +5,7 @@
 import math
 
 from yewstage import interface as api
-from yewstage.limits import window
+from yewstage.limits import batches, window
 
 # A request that waits for a total of the counter: request, class, aim and end (moments in ms).
 Waiting = tuple[api.Request, api.RequestClass, float, float]
@@ -38,11 +38,14 @@
         "remaining",
         "remaining_at",
         "others_rate",
+        "share_rate",
+        "share_ms",
+        "batch_rate",
+        "batch_divisor",
+        "last_total_level",
         "lease_confirmed",
-        "uncovered",
-        "uncovered_at",
-        "demand",
-        "request_interval",
+        "covered_at",
+        "request_gap_ms",
         "call_open",
         "call_amount",
         "called_at",
@@ -64,17 +67,19 @@
         """
         self.key, self.plan, self.seen_at = key, plan, now
         # The largest number named in this window or the last; and in this one alone.
-        self.replicas = self.replicas_in_window = replicas
+        self.replicas_in_window = replicas
+        self.set_replicas(replicas)
         self.digest = window.digest(key[0])
         self.phase = window.phase(self.digest)
         self.window, self.count_name = -1, ""  # number of the window; name of the open or last count
         self.used = self.reported = 0.0  # by this gateway in the window; what of it the counter was told
         # Whether the last total held all that was reported; if not, `reported - used` is no lease (`lease`).
         self.lease_confirmed = False
-        # Use that neither a report nor this gateway's even share of the refill covers; the moment of that.
-        self.uncovered, self.uncovered_at = 0.0, now
-        self.request_interval = math.inf  # mean time between requests in ms; infinite after the first one
-        self.demand = 0.0  # this gateway's own rate of use, units per ms
+        # The moment by which this gateway's even share of the refill covers what it used since the last
+        # report (the theoretical arrival time of the generic cell rate algorithm, ITU-T I.371).
+        self.covered_at = now
+        self.request_gap_ms = math.inf  # time between the last two requests
+        self.last_total_level = plan.burst  # in the store as the last total was read; below 0: owed by leases
         self.call_open, self.call_amount, self.called_at = False, 0.0, 0.0
         self.last_total: float | None = None  # None: nothing was read in this gateway's life
         # Of what was used and reported, and when, as the last total was read.
@@ -88,3 +93,11 @@
         self.open_requests = 0
         self.ceiling_remaining = self.ceiling_at = 0.0
         self.grant_ratio = 1.0  # part of the waits for a total that found something left
+
+    def set_replicas(self, replicas: int) -> None:
+        """Go over to another number of gateways that serve the customer."""
+        self.replicas = replicas
+        self.share_rate = self.plan.rate / 1000 / replicas  # even share of the refill, units per ms
+        self.share_ms = 1 / self.share_rate if self.share_rate > 0 else 0.0  # in which it refills a unit
+        self.batch_divisor = batches.divisor(replicas)
+        self.batch_rate = self.share_rate * self.batch_divisor
