--- a/yewstage/limits/estimate.py
+++ b/yewstage/limits/estimate.py
@@ -15,7 +15,7 @@
     1.5  # times the even split, without a counter and with room: use is uneven, replicas may be dead
 )
 OTHERS_MEMORY_MS: Final = 5000.0  # memory of the others' rate of use
-OWED_MS: Final = 750.0  # refill that may be owed: what the others overshot is not told from their leases
+OWED_MS: Final = 500.0  # refill that may be owed: what the others overshot is not told from their leases
 OUTLIER: Final = 3.0  # standard deviations beyond which a total is no noise, and is believed as it is
 ROUNDING_UNITS: Final = 1e-6  # difference of two sums of units that is taken for rounding
 
--- a/yewstage/limits/quotas.py
+++ b/yewstage/limits/quotas.py
@@ -10,7 +10,6 @@
 
 import random
 from collections.abc import Callable
-from math import inf
 from typing import Final
 
 from yewstage import interface as api
@@ -20,7 +19,6 @@
 from yewstage.limits.state import QuotaState
 from yewstage.limits.throttle import SILENT_RATE, CallThrottle
 
-FIRST: Final = inf  # ms since the request before a customer's first one
 GRANT_RATIO_WEIGHT: Final = 0.2  # weight of one wait for a total in the mean of those that found units
 ROUNDING_UNITS: Final = 1e-9  # what a sum of units may lack of a whole
 
@@ -66,7 +64,7 @@
             state = QuotaState(key, plan, replicas, self.now, self.now - (self.born or 0.0))
             registry.add(state, self.born or 0.0)
         unseen, state.seen_at = self.now - state.seen_at, self.now
-        state.request_gap_ms = unseen or FIRST
+        state.request_gap_ms = unseen
         registry.asked_at[plan.name] = self.now
         if plan.rate > 0:
             length = self.window_ms[plan.name]
@@ -118,7 +116,7 @@
     def unsure(self, state: QuotaState, units: float) -> bool:
         """Whether the counter should be asked first: nothing was read, or the estimate does not plainly allow
         what the last total would."""
-        if not self.settings.may_count or state.plan.rate <= 0:
+        if not self.settings.may_count or not state.has_quota:
             return False
         if state.last_total is None:
             return self.throttle.may_call(self.now)
@@ -140,9 +138,7 @@
         plan = state.plan
         if plan.parallel and state.open_requests >= max(1, plan.parallel // state.replicas):
             return False
-        if plan.rate <= 0:
-            return True
-        if state.last_total is None and state.used == 0:
+        if not state.has_quota or state.last_total is None and state.used == 0:
             return True  # one request costs nearly nothing, and its call to the counter tells more
         if self.now > state.remaining_at:
             self._advance(state, self.now)
@@ -161,8 +157,8 @@
 
     def spend(self, state: QuotaState, units: float) -> None:
         """Take units from the quota; negative ones are given back."""
-        covered_at = state.covered_at if state.covered_at > self.now else self.now
-        state.covered_at = covered_at + units * state.share_ms
+        now, covered_at = self.now, state.covered_at
+        state.covered_at = (covered_at if covered_at > now else now) + units * state.share_ms
         state.used += units
         state.remaining -= units
         state.upper_bound -= units
@@ -183,23 +179,23 @@
         `reserve`: units of a request that waits for the total. They are reported with the same call; if it is
         refused they are a lease.
         """
-        if not self.settings.may_count or state.plan.rate <= 0 or state.call_open:
+        if not self.settings.may_count or not state.has_quota or state.call_open:
             return
-        amount = state.used - state.reported + reserve
+        amount = state.used - state.reported
         if reserve:
-            amount = max(amount, 0.0)  # what an open lease may not hold is not given back: the total is read
+            # What may have been reported and not be held by the counter is not given back: the total is read.
+            amount = max(amount + reserve, 0.0)
+        elif amount > 0:
+            now = self.now
+            if now > state.remaining_at:
+                self._advance(state, now)
+            remaining, uncovered_ms = state.remaining, state.covered_at - now
+            if amount < batches.SHARE * remaining and uncovered_ms * state.batch_rate < remaining:
+                return
+            if not self.throttle.may_call(now):
+                return
         else:
-            if amount < 0:
-                amount = -lease.surplus(state, self.now)
-            else:
-                if self.now > state.remaining_at:
-                    self._advance(state, self.now)
-                uncovered_ms = state.covered_at - self.now
-                if (
-                    amount < batches.SHARE * state.remaining
-                    and uncovered_ms * state.batch_rate < state.remaining
-                ):
-                    return
+            amount = -lease.surplus(state, self.now) if amount else 0.0
             if not amount or not self.throttle.may_call(self.now):
                 return
         if amount > 0:
--- a/yewstage/limits/state.py
+++ b/yewstage/limits/state.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 from yewstage import interface as api
 from yewstage.limits import batches, window
 
@@ -38,6 +36,7 @@
         "remaining",
         "remaining_at",
         "others_rate",
+        "has_quota",
         "share_rate",
         "share_ms",
         "batch_rate",
@@ -68,6 +67,7 @@
         self.key, self.plan, self.seen_at = key, plan, now
         # The largest number named in this window or the last; and in this one alone.
         self.replicas_in_window = replicas
+        self.has_quota = plan.rate > 0
         self.set_replicas(replicas)
         self.digest = window.digest(key[0])
         self.phase = window.phase(self.digest)
@@ -78,7 +78,7 @@
         # The moment by which this gateway's even share of the refill covers what it used since the last
         # report (the theoretical arrival time of the generic cell rate algorithm, ITU-T I.371).
         self.covered_at = now
-        self.request_gap_ms = math.inf  # time between the last two requests
+        self.request_gap_ms = 0.0  # time between the last two requests; 0: there was but one
         self.last_total_level = plan.burst  # in the store as the last total was read; below 0: owed by leases
         self.call_open, self.call_amount, self.called_at = False, 0.0, 0.0
         self.last_total: float | None = None  # None: nothing was read in this gateway's life
@@ -98,6 +98,6 @@
         """Go over to another number of gateways that serve the customer."""
         self.replicas = replicas
         self.share_rate = self.plan.rate / 1000 / replicas  # even share of the refill, units per ms
-        self.share_ms = 1 / self.share_rate if self.share_rate > 0 else 0.0  # in which it refills a unit
+        self.share_ms = 1 / self.share_rate if self.has_quota else 0.0  # in which it refills a unit
         self.batch_divisor = batches.divisor(replicas)
         self.batch_rate = self.share_rate * self.batch_divisor
