Schedules of faults: units held in leases while another gateway refuses

Ruled out: counting it from events; no event tells of a lease, so the modules' own states are read, in one module. Change: CountingFleet.refusal_watch, counting_leases.StrandedLeases; Played and Summary have calls and stranded bursts; the probe has three more figures and p99.

--- a/benchmarks/capacity/schedules.py
+++ b/benchmarks/capacity/schedules.py
@@ -16,12 +16,16 @@
         raise ScheduleError(f"schedules: {summary.failures}")
     return {
         "counting.schedules.beyond_units_mean": summary.beyond_units.mean,
+        "counting.schedules.beyond_units_p99": summary.beyond_units.p99,
         "counting.schedules.beyond_units_most": summary.beyond_units.most,
         "counting.schedules.beyond_of_burst_p99": summary.beyond_of_burst.p99,
         "counting.schedules.beyond_of_burst_most": summary.beyond_of_burst.most,
         "counting.schedules.beyond_of_earned_p99": summary.beyond_of_earned.p99,
         "counting.schedules.beyond_of_earned_most": summary.beyond_of_earned.most,
         "counting.schedules.refused_with_room_share": summary.refused_with_room_share,
+        "counting.schedules.stranded_mean": summary.stranded_mean,
+        "counting.schedules.stranded_most": summary.stranded_most,
+        "counting.schedules.calls_per_request": summary.calls_per_request,
     }
 
 
@@ -33,12 +37,16 @@
         sizes=(50, 200, 500, 1000),
         figures={
             "counting.schedules.beyond_units_mean": "units of a customer",
+            "counting.schedules.beyond_units_p99": "units of a customer",
             "counting.schedules.beyond_units_most": "units of a customer",
             "counting.schedules.beyond_of_burst_p99": "bursts",
             "counting.schedules.beyond_of_burst_most": "bursts",
             "counting.schedules.beyond_of_earned_p99": "share of rate x time",
             "counting.schedules.beyond_of_earned_most": "share of rate x time",
             "counting.schedules.refused_with_room_share": "share of requests",
+            "counting.schedules.stranded_mean": "bursts in others' leases at a refusal by quota",
+            "counting.schedules.stranded_most": "bursts in others' leases at a refusal by quota",
+            "counting.schedules.calls_per_request": "calls a request",
         },
         measure=_schedules,
         small=5,
--- a/yewstage/lab/virtual/counting.py
+++ b/yewstage/lab/virtual/counting.py
@@ -147,6 +147,7 @@
 
 
 Meddler = Callable[[CountCall], bool]  # takes a call's way over, or leaves it (False)
+RefusalWatch = Callable[[HollowGateway, Customer, str], None]  # is told of each refusal and its cause
 
 
 class CountingFleet:
@@ -168,6 +169,7 @@
         self.figures = Figures(START_MS)
         self.width = min(scenario.width, scenario.gateways)
         self.meddler: Meddler | None = None  # faults of calls
+        self.refusal_watch: RefusalWatch | None = None
         self._late_calls = scenario.counter is not UNLIMITED
         self._plan = api.Plan("plan", rate=scenario.rate, burst=scenario.burst)
         self._servers = tuple(api.Server(f"host-{i}") for i in range(scenario.hosts))
@@ -326,7 +328,10 @@
         self.give(gateway, api.Outcome(act.request, 0, act.server, api.OK, self.scenario.host_ms, True))
 
     def _refused(self, gateway: HollowGateway, act: api.Refuse) -> None:
-        store, figures = gateway.open.pop(act.request).store, self.figures
+        customer, figures = gateway.open.pop(act.request), self.figures
+        if self.refusal_watch is not None:
+            self.refusal_watch(gateway, customer, act.cause)
+        store = customer.store
         left = store.fill(self.loop.now)
         figures.refused += 1
         gateway.refused += 1
--- a/yewstage/lab/virtual/counting_schedules.py
+++ b/yewstage/lab/virtual/counting_schedules.py
@@ -27,6 +27,7 @@
     Kill,
     TrafficMoves,
 )
+from yewstage.lab.virtual.counting_leases import StrandedLeases
 
 SCHEDULES: Final = 1000
 MOST_SCHEDULES: Final = 10_000
@@ -110,6 +111,10 @@
     beyond: tuple[float, ...]  # units beyond the quota
     burst: float
     earned: float  # rate x time
+    calls: int = 0
+    refused_by_quota: int = 0
+    stranded: float = 0.0  # bursts in leases of others, summed over refusals by quota
+    stranded_most: float = 0.0  # the same at one refusal
     failure: str = ""  # what the inspection, or the program, raised
 
     @property
@@ -170,6 +175,22 @@
         requests = sum(one.requests for one in self.played)
         return sum(one.refused_with_room for one in self.played) / max(requests, 1)
 
+    @property
+    def calls_per_request(self) -> float:
+        """Calls to the counter."""
+        return sum(one.calls for one in self.played) / max(sum(one.requests for one in self.played), 1)
+
+    @property
+    def stranded_mean(self) -> float:
+        """Bursts in leases of other gateways, the mean over refusals by quota."""
+        refusals = sum(one.refused_by_quota for one in self.played)
+        return sum(one.stranded for one in self.played) / max(refusals, 1)
+
+    @property
+    def stranded_most(self) -> float:
+        """The same at the worst refusal."""
+        return max(one.stranded_most for one in self.played)
+
 
 def play_schedule(
     seed: int,
@@ -180,6 +201,8 @@
     schedule = draw_schedule(seed)
     scenario, failure = schedule.scenario, ""
     fleet = FaultyFleet(scenario, schedule.faults, inspect, check)
+    stranded = StrandedLeases(fleet)
+    fleet.refusal_watch = stranded.refused
     try:
         fleet.run(schedule.length_s)
     except Exception as error:  # whatever it is, its seed is to be known
@@ -191,6 +214,10 @@
         beyond=tuple(customer.beyond for customer in fleet.customers),
         burst=scenario.burst,
         earned=scenario.rate * schedule.length_s,
+        calls=fleet.figures.calls,
+        refused_by_quota=stranded.refusals,
+        stranded=stranded.total,
+        stranded_most=stranded.most,
         failure=failure,
     )
 
