A rounding residue of a lease is not given back, over and over

Need: test_more_gateways_than_units never ended. Cause: lease.surplus gave -2.2e-16 units back; added to reported 2.63 that changes nothing, so each answer of the counter led to the next call. In service the clock moves on between, so it was a useless call or two; it lasts while the store is full. Ruled out: rounding in sync, which would hide amounts that are due. Change: surplus tells nothing below ROUNDING_UNITS (1e-9), as covers and has already take it.

--- a/yewstage/limits/lease.py
+++ b/yewstage/limits/lease.py
@@ -64,11 +64,11 @@
 
 def surplus(state: QuotaState, now: float) -> float:
     """Units of a lease to give back: a seldom seen customer's, and what the refill would cover too late."""
-    unspent = available(state)
+    units = available(state)
     often = 0 < state.request_gap_ms < IDLE_MS  # 0: this is its first request
-    if not often or now - state.seen_at >= IDLE_MS:
-        return unspent
-    return max(unspent - max(level(state, now + HOLD_MS), 0.0), 0.0)
+    if often and now - state.seen_at < IDLE_MS:
+        units -= max(level(state, now + HOLD_MS), 0.0)
+    return units if units > ROUNDING_UNITS else 0.0
 
 
 def drop(state: QuotaState) -> None:
