A restored customer: what is derived follows its row, unreported use is not taken for covered

Need: restore set replicas alone. Over a customer that the new process had already seen (a request came before the documents) share_rate and batch_divisor stayed those of the old number, up to 5.7 times too large a blind part at 8 replicas, and a lease confirmed before stayed confirmed for other amounts. covered_at began at the restore: what the predecessor had not reported could go out blind once more. Ruled out: new names in documents; an old version must read them. Field by field: has_quota, share_rate, share_ms, batch_rate, batch_divisor come from plan and replicas (set_replicas); covered_at counts all unreported use as uncovered, so it is reported sooner; request_gap_ms 0 means not often seen, so a lease would be given back; lease_confirmed False: no lease until a total; last_total_level is read by covers and surplus only where a lease is available, so after a total has set it (start_window carries it on, unread).

--- a/tests/limits/test_lease_records.py
+++ b/tests/limits/test_lease_records.py
@@ -5,12 +5,13 @@
 import json
 
 import pytest
-from conftest import Driver
+from conftest import Driver, of
 from limits.sharing import NAME, PLAN, Fleet
 
+from yewstage import interface as api
 from yewstage.handover import state as documents
 from yewstage.handover.state import export, restore
-from yewstage.limits import lease, window
+from yewstage.limits import batches, lease, window
 from yewstage.recovery.memory import believed
 
 # --- Handover and snapshots ---
@@ -63,6 +64,37 @@
         assert lease.available(restored) == 0.0
 
 
+def test_use_that_was_handed_over_unreported_is_reported_as_soon_as_by_its_predecessor() -> None:
+    plan = api.Plan("wide", rate=10.0, burst=100.0)
+    fleet = Fleet(16, plan)
+    fleet.ask(0)
+    while fleet.state(0).used - fleet.state(0).reported < 8:
+        fleet.ask(0)
+    old = fleet.state(0)
+    new = heir_of(fleet, 0)
+    (restored,) = new.gateway.quotas.registry.states.values()
+    unreported = old.used - old.reported
+    assert restored.covered_at == pytest.approx(new.now + unreported * restored.share_ms)
+    assert restored.covered_at >= old.covered_at - restored.share_ms  # a reserve counts there, though told
+
+
+def test_a_row_restored_over_a_customer_that_was_seen_already_is_taken_whole() -> None:
+    """What is derived follows the number of replicas in the row, and no lease of before is believed."""
+    fleet = Fleet(8)
+    fleet.draw(0)
+    rows = json.loads(json.dumps(list(export(fleet.gateways[0].gateway))))
+    new = fleet.fresh(0)
+    _, out = new.ask(plan=PLAN.name, customer=NAME, width=1)
+    (call,) = of(out, api.Count)
+    new.give(api.CountReply(call.name, api.OK, call.amount))
+    restore(new.gateway, rows)
+    (restored,) = new.gateway.quotas.registry.states.values()
+    assert restored.replicas == 8
+    assert restored.batch_divisor == batches.divisor(8)
+    assert restored.share_rate == pytest.approx(PLAN.rate / 1000 / 8)
+    assert lease.available(restored) == 0.0
+
+
 def test_counts_have_the_names_of_the_version_before_leases_byte_for_byte() -> None:
     """Old and new gateways of one fleet add to the same counts (names as version d31f922 gives them)."""
     fleet = Fleet(3)
--- a/yewstage/handover/state.py
+++ b/yewstage/handover/state.py
@@ -199,6 +199,9 @@
         registry.ring.append(state)
     for name, value in fields.items():
         setattr(state, USE_ATTRIBUTES[name], value)
+    state.set_replicas(state.replicas)
+    state.lease_confirmed = False
+    state.uncover(gateway.now)
 
 
 # --- Reading ---
