Tests of leases: a lost draw hidden by others' use, another's give-back, an early forgetting

Need: three ways to lose track of a lease that the hard cases touch and no test held: a call that was not added while the others used as much; a total that falls because another gave back; a customer forgotten early with its lease. Ruled out: telling a give-back from a lost count; a total alone cannot. Change: three tests, by hand; each states what it costs (the call's amount; the other lease for its window; the lease for its window).

--- a/tests/limits/test_lease_calls.py
+++ b/tests/limits/test_lease_calls.py
@@ -146,3 +146,33 @@
     fleet.ask(0, after=20.0)
     assert held == 1.0
     assert fleet.state(0).lease_confirmed
+
+
+def test_a_draw_that_was_not_added_and_is_hidden_by_the_others_use_costs_no_more_than_its_amount() -> None:
+    """A total tells that a call is missing only while the others used less since: else it seems added."""
+    fleet = Fleet(3)
+    fleet.ask(0)
+    fleet.failing[0] = (api.CUT, False)
+    while len(fleet.calls(0)) == 1:
+        fleet.ask(0)
+    lost = fleet.calls(0)[-1].amount
+    fleet.failing.clear()
+    assert fleet.lease(0) == 0.0
+    fleet.use_elsewhere(lost + 1)
+    fleet.flood(0, times=60)
+    assert fleet.lease(0) <= lost
+    assert sum(fleet.sent) + lost + 1 <= fleet.quota() + lost + ROUNDING
+
+
+def test_a_give_back_that_is_read_by_the_holder_of_another_lease_lets_nothing_in_beyond() -> None:
+    """The total falls, as if the counter had lost counts: the other lease ends, out of use for its window."""
+    fleet = Fleet(3)
+    fleet.use_elsewhere(4.0)
+    fleet.draw(0)
+    held = fleet.lease(0)
+    fleet.use_elsewhere(-3.0)  # of a lease among the 4
+    while fleet.state(0).lease_confirmed and fleet.lease(0) >= 1:
+        fleet.ask(0)
+    fleet.flood(0, times=60)
+    assert sum(fleet.sent) + 1.0 <= fleet.quota() + ROUNDING
+    assert sum(fleet.sent) + 4.0 + held >= PLAN.burst - 1
--- a/tests/limits/test_leases.py
+++ b/tests/limits/test_leases.py
@@ -6,7 +6,7 @@
 import math
 
 import pytest
-from limits.sharing import PLAN, ROUNDING, Fleet, line_up
+from limits.sharing import PLAN, ROUNDING, Fleet, line_up, window_start
 
 from yewstage import interface as api
 from yewstage.handover.state import export, restore
@@ -204,3 +204,20 @@
     fleet.now += 1.0
     assert fleet.flood(0, times=30) <= small.burst + small.rate * 0.1 + 1
     assert lease.level(state, heir.now) <= small.burst
+
+
+def test_a_lease_whose_customer_is_forgotten_early_is_out_of_use_for_its_window_and_no_longer() -> None:
+    """Where there is no room to know one more customer, the one that goes takes its lease along."""
+    fleet = Fleet(3)
+    drawn = fleet.draw(0)
+    driver = fleet.gateways[0]
+    driver.gateway.quotas.registry.most_customers = 1
+    driver.ask(plan=PLAN.name, customer="another", width=3, after=100.0)
+    assert list(driver.gateway.quotas.registry.states) == [("another", PLAN.name)]
+    assert sum(fleet.totals.values()) == pytest.approx(sum(fleet.sent) + drawn)
+    fleet.now += 100.0
+    sent = fleet.flood(1, times=60)
+    assert PLAN.burst - fleet.sent[0] - drawn - 1 <= sent <= fleet.quota() - fleet.sent[0] - drawn + ROUNDING
+    fleet.now = window_start(number=50_001) + 10.0
+    fleet.gateways[2] = fleet.fresh(2)
+    assert fleet.flood(2, times=60) >= PLAN.burst - 1
