--- a/tests/limits/test_lease_schedules.py
+++ b/tests/limits/test_lease_schedules.py
@@ -29,6 +29,9 @@
 
     In each window, and in each life, a gateway sends one part of the burst and one unit before a total tells
     it of the others'. A schedule begins and ends within windows.
+
+    A counter that loses counts or calls for seconds hides more. Of seeds 0 to 999 seven exceed the sum, by up
+    to 1.64 times: 281, 617, 789, 825, 853, 947 and 949, all in floods of 3.5 rates under such faults.
     """
     scenario = schedule.scenario
     width = min(scenario.width, scenario.gateways)
