--- a/yewstage/limits/state.py
+++ b/yewstage/limits/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from yewstage import interface as api
-from yewstage.limits import window
+from yewstage.limits import batches, window
 
 # A request that waits for a total of the counter: request, class, aim and end (moments in ms).
 Waiting = tuple[api.Request, api.RequestClass, float, float]
@@ -36,6 +36,15 @@
         "remaining",
         "remaining_at",
         "others_rate",
+        "has_quota",
+        "share_rate",
+        "share_ms",
+        "batch_rate",
+        "batch_divisor",
+        "last_total_level",
+        "lease_confirmed",
+        "covered_at",
+        "request_gap_ms",
         "call_open",
         "call_amount",
         "called_at",
@@ -57,11 +66,20 @@
         """
         self.key, self.plan, self.seen_at = key, plan, now
         # The largest number named in this window or the last; and in this one alone.
-        self.replicas = self.replicas_in_window = replicas
+        self.replicas_in_window = replicas
+        self.has_quota = plan.rate > 0
+        self.set_replicas(replicas)
         self.digest = window.digest(key[0])
         self.phase = window.phase(self.digest)
         self.window, self.count_name = -1, ""  # number of the window; name of the open or last count
         self.used = self.reported = 0.0  # by this gateway in the window; what of it the counter was told
+        # Whether the last total held all that was reported; if not, `reported - used` is no lease (`lease`).
+        self.lease_confirmed = False
+        # The moment by which this gateway's even share of the refill covers what it used since the last
+        # report (the theoretical arrival time of the generic cell rate algorithm, ITU-T I.371).
+        self.covered_at = now
+        self.request_gap_ms = 0.0  # time between the last two requests; 0: there was but one
+        self.last_total_level = plan.burst  # in the store as the last total was read; below 0: owed by leases
         self.call_open, self.call_amount, self.called_at = False, 0.0, 0.0
         self.last_total: float | None = None  # None: nothing was read in this gateway's life
         # Of what was used and reported, and when, as the last total was read.
@@ -75,3 +93,16 @@
         self.open_requests = 0
         self.ceiling_remaining = self.ceiling_at = 0.0
         self.grant_ratio = 1.0  # part of the waits for a total that found something left
+
+    def set_replicas(self, replicas: int) -> None:
+        """Go over to another number of gateways that serve the customer."""
+        self.replicas = replicas
+        self.share_rate = self.plan.rate / 1000 / replicas  # even share of the refill, units per ms
+        self.share_ms = 1 / self.share_rate if self.has_quota else 0.0  # in which it refills a unit
+        self.batch_divisor = batches.divisor(replicas)
+        self.batch_rate = self.share_rate * self.batch_divisor
+
+    def uncover(self, now: float) -> None:
+        """Take none of the use that is unreported at `now` (ms) for covered: it is reported the sooner."""
+        unreported = max(self.used - self.reported, 0.0)
+        self.covered_at = max(self.covered_at, now + unreported * self.share_ms)
