Leases of quota: the even share is told late, units ahead of use are leased

Change: limits/lease.py and batches.py; use within the even share of the refill is reported in larger batches, a refused wait keeps its place in line, hot gateways draw ahead, leases are given back when idle and at a drain (api.Draining); totals are weighed by their noise. Names of counts and hand-over documents are as before.

--- a/benchmarks/capacity/terms.py
+++ b/benchmarks/capacity/terms.py
@@ -19,8 +19,8 @@
     "seen_half": "half of each quota used with bursts of 6 s",
     "seen_ninety": "nine tenths of each quota used with bursts of 6 s",
 }
-COUNTER = "a call to the counter for each customer and window (`limits/`)"
+COUNTER = "late reports within the even share, leases (`limits/`)"
 WATCH = "a watch at the agent, changes alone (`net/discovery.py`)"
 LIST = "the whole list at a start (`net/discovery.py`)"
 RELOAD = "SIGHUP, the whole file read anew (`hosted/`)"
-AHEAD = "allowance drawn ahead, so that one call covers more requests"
+AHEAD = "names split among counters on the control machines, each gateway calling the one that has a name"
--- a/tests/recovery/test_memory.py
+++ b/tests/recovery/test_memory.py
@@ -29,8 +29,8 @@
     QuotaState: {"key", "plan", "digest", "phase", "count_name", "call_open", "call_amount", "called_at",
                  "waiting", "open_requests",
                  # From the plan and the number of replicas; how a lease stands, which only a total confirms.
-                 "has_quota", "share_rate", "share_ms", "batch_rate", "batch_divisor", "covered_at",
-                 "request_gap_ms", "lease_confirmed", "last_total_level"},
+                 "has_quota", "share_rate", "share_ms", "batch_rate", "batch_share", "batch_divisor",
+                 "covered_at", "request_gap_ms", "lease_confirmed", "last_total_level"},
 }  # fmt: skip
 
 
--- a/yewstage/hosted/core.py
+++ b/yewstage/hosted/core.py
@@ -170,6 +170,7 @@
     def leave(self) -> None:
         """Take nothing new; close once the last request has its answer and its attempts are over."""
         self._leaving = True
+        self.return_leases()
         self._close_if_done()
 
     def empty(self) -> bool:
--- a/yewstage/hosted/service.py
+++ b/yewstage/hosted/service.py
@@ -139,6 +139,12 @@
         """Whether requests are taken."""
         return not self.draining
 
+    def drain(self) -> None:
+        """Take no new connections for long, and give back what is reserved: the process ends soon."""
+        self.draining = True
+        for core in (*self._awake.values(), *self._leaving):
+            core.return_leases()
+
     def longest_s(self) -> float:
         """The longest that a request may still take, in seconds."""
         cores = [*self._awake.values(), *self._leaving]
--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -291,6 +291,11 @@
     settings: Settings
 
 
+@dataclass(slots=True)
+class Draining:
+    """This process ends soon, and nobody goes on from it: what it reserved ahead of use is given back."""
+
+
 @dataclass(slots=True)
 class Succeeded:
     """Another process of this gateway decides from now on (`by_heir`), and holds what this one held of
@@ -388,6 +393,7 @@
     | PeerMessage
     | HostOut
     | SettingsChanged
+    | Draining
     | Succeeded
 )
 Action = Send | Refuse | Fail | Cancel | Timer | Count | Subscribe | Log
--- a/yewstage/limits/estimate.py
+++ b/yewstage/limits/estimate.py
@@ -14,8 +14,9 @@
 SPLIT: Final = (
     1.5  # times the even split, without a counter and with room: use is uneven, replicas may be dead
 )
-OTHERS_MEMORY_MS: Final = 5000.0  # memory of the others' rate of use
-OWED_MS: Final = 500.0  # refill that may be owed: what the others overshot is not told from their leases
+OTHERS_MEMORY_MS: Final = 10000.0  # memory of the others' rate of use
+NEAR_LIMIT: Final = 0.8  # of their even shares that the others use at least where a quota is near its limit
+GRANTED: Final = 0.9  # grant ratio below which it is near it, too
 OUTLIER: Final = 3.0  # standard deviations beyond which a total is no noise, and is believed as it is
 ROUNDING_UNITS: Final = 1e-6  # difference of two sums of units that is taken for rounding
 
@@ -90,17 +91,20 @@
     window's start is not lent on it; a customer that spends evenly seems to have less for that time.
 
     What overshot the quota took nothing from the store: without a lower bound it would be owed ever after.
-    Leases alone know all that is owed, since the others' leases stand in line before a new one.
+    The bound is the refill for which a lease waits, since the others' leases stand in line before a new one.
     """
     first = state.last_total is None
     refill = 0.0 if first else state.plan.rate * span / 1000
     believed = others if first else _believed_use(state, others, span)
     full = state.last_total_upper_bound + refill - believed - (state.used - state.last_total_used)
-    owed = 0.0 if first else state.plan.rate / 1000 * OWED_MS
+    owed = 0.0 if first else state.plan.rate / 1000 * lease.HOLD_MS
     state.last_total_level = min(full, state.upper_bound)
     state.remaining = state.upper_bound = max(state.last_total_level, -owed)
     keep = 0.0 if first else OTHERS_MEMORY_MS / (OTHERS_MEMORY_MS + span)
     state.others_rate = keep * state.others_rate + (1 - keep) * others / span
+    others_share = state.plan.rate / 1000 - state.share_rate
+    near_limit = state.others_rate >= NEAR_LIMIT * others_share or state.grant_ratio < GRANTED
+    state.set_batches(near_limit)
 
 
 def _believed_use(state: QuotaState, others: float, span: float) -> float:
@@ -112,7 +116,7 @@
     many. What is further off than such noise explains is a real change.
     """
     expected = max(state.others_rate, 0.0) * span
-    share = min(batches.SHARE, batches.SPREAD / state.batch_divisor)
+    share = min(state.batch_share, batches.SPREAD / state.batch_divisor)
     batch = max(share * state.remaining - 1.0, 0.0)  # beyond the one unit that is reported with each request
     noise = batch * min(batch * state.replicas / 6, expected)
     off = others - expected
--- a/yewstage/limits/lease.py
+++ b/yewstage/limits/lease.py
@@ -22,7 +22,7 @@
 
 from yewstage.limits.state import QuotaState
 
-HOLD_MS: Final = 1000.0  # refill for which a lease waits: what it would cover later is given back at once
+HOLD_MS: Final = 500.0  # refill for which a lease waits: what it would cover later is given back at once
 IDLE_MS: Final = 5000.0  # how long a lease waits for the customer's next request
 HOT_SHARES: Final = 2.0  # times its even share that a gateway must serve to draw ahead
 DEMAND_MS: Final = 1000.0  # added to the time since the last report: of two requests at once none is hot
--- a/yewstage/limits/quotas.py
+++ b/yewstage/limits/quotas.py
@@ -13,13 +13,13 @@
 from typing import Final
 
 from yewstage import interface as api
-from yewstage.limits import batches, ceiling, estimate, lease, window
+from yewstage.limits import ceiling, estimate, lease, window
 from yewstage.limits.parts import draw
 from yewstage.limits.registry import FORGET_WINDOWS, Registry
 from yewstage.limits.state import QuotaState
 from yewstage.limits.throttle import SILENT_RATE, CallThrottle
 
-GRANT_RATIO_WEIGHT: Final = 0.2  # weight of one wait for a total in the mean of those that found units
+GRANT_RATIO_WEIGHT: Final = 0.3  # weight of one wait for a total in the mean of those that found units
 ROUNDING_UNITS: Final = 1e-9  # what a sum of units may lack of a whole
 
 
@@ -36,6 +36,7 @@
         self.born: float | None = None  # moment of the gateway's start
         self.pressed = False  # the back end does not take all requests
         self.succeeded = False  # another process holds this gateway's parts of ceilings
+        self.draining = False  # this process ends soon: it keeps no leases
         self.window_ms = {plan.name: window.length_ms(plan) for plan in settings.plans}
         self.plan_tags = window.plan_tags(settings.plans)
         self.registry = Registry(settings)
@@ -143,7 +144,7 @@
         if self.now > state.remaining_at:
             self._advance(state, self.now)
         if state.reported > state.used and lease.available(state) >= units:
-            return lease.covers(state, units, self.now)
+            return not self.succeeded and lease.covers(state, units, self.now)
         if state.last_total is None or self.throttle.answer_rate < SILENT_RATE:
             # A split smaller than the request serves it by chance, so that the fleet's sum is right.
             state.remaining = draw(self.rng, state.remaining, units)
@@ -190,12 +191,12 @@
             if now > state.remaining_at:
                 self._advance(state, now)
             remaining, uncovered_ms = state.remaining, state.covered_at - now
-            if amount < batches.SHARE * remaining and uncovered_ms * state.batch_rate < remaining:
+            if amount < state.batch_share * remaining and uncovered_ms * state.batch_rate < remaining:
                 return
             if not self.throttle.may_call(now):
                 return
         else:
-            amount = -lease.surplus(state, self.now) if amount else 0.0
+            amount = -self._lease_surplus(state) if amount else 0.0
             if not amount or not self.throttle.may_call(self.now):
                 return
         if amount > 0:
@@ -209,6 +210,18 @@
         self.calls[state.count_name] = state
         self.out.append(api.Count(state.count_name, amount, window.keep_ms(self.window_ms[plan])))
 
+    def _lease_surplus(self, state: QuotaState) -> float:
+        if self.succeeded:  # the process that goes on holds the lease
+            return 0.0
+        return lease.available(state) if self.draining else lease.surplus(state, self.now)
+
+    def drain(self) -> None:
+        """Give back all leases, now and from now on: this process ends soon."""
+        self.draining = True
+        for state in self.registry.states.values():
+            if state.reported > state.used:
+                self.sync(state)
+
     def replied(self, reply: api.CountReply) -> QuotaState | None:
         """Take the end of one call; whose it was, None where nobody waits for it any more."""
         self.throttle.record_result(reply.result)
--- a/yewstage/limits/state.py
+++ b/yewstage/limits/state.py
@@ -40,6 +40,7 @@
         "share_rate",
         "share_ms",
         "batch_rate",
+        "batch_share",
         "batch_divisor",
         "last_total_level",
         "lease_confirmed",
@@ -99,7 +100,12 @@
         self.replicas = replicas
         self.share_rate = self.plan.rate / 1000 / replicas  # even share of the refill, units per ms
         self.share_ms = 1 / self.share_rate if self.has_quota else 0.0  # in which it refills a unit
-        self.batch_divisor = batches.divisor(replicas)
+        self.set_batches(near_limit=False)
+
+    def set_batches(self, near_limit: bool) -> None:
+        """Set how large the batches are in which use is reported; see `batches`."""
+        self.batch_share = batches.share(self.replicas, near_limit)
+        self.batch_divisor = batches.divisor(self.replicas, near_limit)
         self.batch_rate = self.share_rate * self.batch_divisor
 
     def uncover(self, now: float) -> None:
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -193,6 +193,15 @@
         self.draining = False
         self._shut = False  # nothing new is taken any more
 
+    def drain(self) -> None:
+        """Take no new connections for long, and give back what was reserved: the process ends soon."""
+        self.draining = True
+        self.return_leases()
+
+    def return_leases(self) -> None:
+        """Give back what is reserved of quotas ahead of use."""
+        self._post(api.Draining())
+
     def fail_all(self) -> None:
         """Answer all that is open as failed, and refuse what still comes: the process is about to end."""
         self._shut = True
--- a/yewstage/net/life.py
+++ b/yewstage/net/life.py
@@ -24,6 +24,9 @@
 
     draining: bool
 
+    def drain(self) -> None:
+        """Set `draining`, and give back what is reserved elsewhere."""
+
     def longest_s(self) -> float:
         """The longest that a request may still take, in seconds."""
 
@@ -71,7 +74,7 @@
         if self._core.draining:
             return
         logging.info("draining")
-        self._core.draining = True
+        self._core.drain()
         self._loop.call_later(ACCEPT_S, self._stop_accepting)
         self._loop.call_later(min(self._core.longest_s(), self._most_s) + LAST_S, self._end)
 
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -212,6 +212,8 @@
                 self._finish(self.held.get(event.request))
             case api.HostOut():
                 self.fleet.by_hand(event.server, event.out)
+            case api.Draining():
+                self.quotas.drain()
             case api.Succeeded():
                 self.quotas.succeeded = event.by_heir
             case api.SettingsChanged():
