Docstrings for the public methods of net/

Need: 42 public methods in net/ had no docstring, most of them callbacks of asyncio and httptools or overrides; what these add to their base could be seen only from the code. Eight overrides in private connection classes had none either.

Change: one line each, with units, bounds and errors where there are any; an override says what it adds to its base.

Tests were not run.

--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -131,10 +131,12 @@
     # The methods of asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport, and register with the server."""
         self.transport = cast(asyncio.Transport, transport)
         self._server.opened(self)
 
     def data_received(self, data: bytes) -> None:
+        """Parse what has come, or keep it while requests wait (1 MiB on one connection, 4 MiB on all)."""
         if self._ending:
             self._taken += len(data)
             if self._taken > LINGER_BYTES:
@@ -172,9 +174,11 @@
             self._reject(self._status)
 
     def pause_writing(self) -> None:
+        """The transport's write buffer is full: take no further request."""
         self._blocked = True  # guards the memory: no further request is taken until the answers are read
 
     def resume_writing(self) -> None:
+        """The write buffer has drained: go on with the requests that wait."""
         self._blocked = False
         self._pump()
 
@@ -188,6 +192,7 @@
         self._server.waits(self)
 
     def has_left(self, behind: bool) -> bool:
+        """Whether the client has closed or reset; looked for only if `behind` or before a first answer."""
         # Not for every request: a look at the system's buffer is a system call.
         return (behind or not self.answered) and hung_up(self.transport)
 
@@ -197,6 +202,7 @@
         self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is gone: free its room, and call off the request that is open."""
         self._server.closed(self)
         self._gone()
 
@@ -218,16 +224,19 @@
     # httptools; what these raise reaches data_received as an HttpParserError
 
     def on_message_begin(self) -> None:
+        """A request begins; BadRequestError if more than MOST_AHEAD wait already."""
         if len(self._queue) > MOST_AHEAD:
             raise BadRequestError("too many requests at once")  # guards the memory and others' turns
         self._message = self.message()
 
     def on_url(self, url: bytes) -> None:
+        """A piece of the request target."""
         message = self._message
         assert message is not None
         message.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header if it is wanted; BadRequestError once all of them exceed LONGEST_HEAD bytes."""
         message = self._message
         assert message is not None
         if message.method:
@@ -243,6 +252,7 @@
             headers[name] = value.strip(BLANKS)
 
     def on_headers_complete(self) -> None:
+        """Check the framing, and answer `Expect: 100-continue`; BadRequestError (400 or 413) if it is bad."""
         message = self._message
         assert message is not None
         message.method = self._parser.get_method()
@@ -255,6 +265,7 @@
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
+        """Gather the body up to LONGEST_BODY bytes; what exceeds that goes to `beyond`."""
         message = self._message
         assert message is not None
         message.size += len(data)
@@ -273,6 +284,7 @@
         """The last byte of one that is passed on as it comes."""
 
     def on_message_complete(self) -> None:
+        """Queue the whole request; one that is passed on as it comes is queued already."""
         message = self._message
         assert message is not None
         if message.upload is not None:
--- a/yewstage/net/discovery.py
+++ b/yewstage/net/discovery.py
@@ -246,10 +246,13 @@
         self._owner = owner
 
     def replied(self, reply: Reply, reusable: bool) -> None:
+        """Hand an answer to the watch's owner."""
         self._owner.replied(self, reply, reusable)
 
     def spoilt(self) -> None:
+        """Log that an answer could not be read; `lost` follows."""
         log.warning("discovery: an answer that cannot be read, the list is kept")
 
     def lost(self) -> None:
+        """Tell the watch's owner that the connection is gone."""
         self._owner.lost(self)
--- a/yewstage/net/flows.py
+++ b/yewstage/net/flows.py
@@ -124,6 +124,7 @@
     # A body on its way to a host
 
     def beyond(self, data: bytes) -> None:
+        """Pass the body on from here; BadRequestError (413) once it exceeds LONGEST_UPLOAD bytes."""
         message = self._message
         assert message is not None
         if self._upload is None:
@@ -142,6 +143,7 @@
         self._upload.add(data)
 
     def uploaded(self) -> None:
+        """The last byte of a body that is passed on has come."""
         upload = self._upload
         assert upload is not None
         self._message = self._upload = None
@@ -229,11 +231,13 @@
         self.transport.abort()
 
     def pause_writing(self) -> None:
+        """The client reads too slowly: also read no more of its answer from the host."""
         super().pause_writing()
         if self._source is not None:
             self._source.hold(True)
 
     def resume_writing(self) -> None:
+        """The client reads again: also read on from the host."""
         if self._source is not None:
             self._source.hold(False)
         super().resume_writing()
@@ -276,6 +280,7 @@
         self._last_sent = True
 
     def upload(self, attempt: Attempt) -> None:
+        """Attach the attempt's body; `unsent` holds until its last byte has left."""
         self._last_sent = False
         self.unsent = True
         if attempt.upload is not None:
@@ -295,11 +300,13 @@
             self._flow_pool.written(self.attempt)
 
     def pause_writing(self) -> None:
+        """The host reads too slowly: read no more of the body from the client."""
         self.full = True
         if self.attempt is not None and self.attempt.upload is not None and not self.attempt.upload.whole:
             self.attempt.upload.source.hold(True)
 
     def resume_writing(self) -> None:
+        """The write buffer has drained: read on from the client, or all of the request has left."""
         self.full = False
         if self._last_sent:
             super().resume_writing()
@@ -307,12 +314,14 @@
             self.attempt.upload.source.hold(False)
 
     def flow(self, reply: Reply) -> bool:
+        """Begin a long answer at the client; False where it may not be passed on."""
         attempt = self.attempt
         self.flowing = self._flow_pool.began(self, attempt, reply) if attempt is not None else None
         self.moved_at = asyncio.get_running_loop().time()
         return self.flowing is not None
 
     def piece(self, data: bytes) -> None:
+        """Pass more of a long answer on to the client, and note when it came."""
         self.moved_at = asyncio.get_running_loop().time()
         if self.flowing is not None:
             self.flowing.piece(data)
@@ -361,6 +370,7 @@
             attempt.upload.detach(attempt.connection)
 
     def retire(self) -> None:
+        """Also end as timed out the answers of which nothing has come for STANDS_S."""
         super().retire()
         before = self._loop.time() - STANDS_S
         for attempt, connection in list(self._flows.items()):
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -449,6 +449,7 @@
         """Write the rest of its body as it comes."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Prepare the poll for `quiet`, and register with the pool."""
         super().connection_made(transport)
         self._poll = select.poll()
         self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
@@ -475,14 +476,17 @@
         return not self.transport.is_closing() and not self._poll.poll(0)
 
     def replied(self, reply: Reply, reusable: bool) -> None:
+        """Hand a whole answer to the pool, unless its attempt was given up."""
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
             self._pool.replied(self, attempt, reply, reusable)
 
     def spoilt(self) -> None:
+        """Tell the pool that what came cannot be read."""
         self._pool.spoilt(self)
 
     def lost(self) -> None:
+        """Tell the pool that the connection is gone."""
         self._pool.closed(self)
 
 
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -150,6 +150,7 @@
     # The methods of asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport; its write buffer is set so that `resume_writing` means that all has left."""
         self.transport = cast(asyncio.Transport, transport)
         self._up = True
         self.transport.set_write_buffer_limits(high=0)  # so that resume_writing tells of the last byte
@@ -158,9 +159,11 @@
         """Part of what was written waits; `write` has seen so."""
 
     def resume_writing(self) -> None:
+        """The last byte of what was written has left this process."""
         self.unsent = False
 
     def data_received(self, data: bytes) -> None:
+        """Parse, then hand on whole answers that were asked for; drop the connection on anything else."""
         if self.transport.is_closing():
             return
         try:
@@ -188,6 +191,7 @@
             self._came_at, self._odd = time.monotonic(), True
 
     def eof_received(self) -> None:
+        """End an answer that is framed by the connection's close, if one is due."""
         if self._to_end and self._due == 1 and not self.transport.is_closing():
             self._due = 0
             reply = self._reply(False)
@@ -195,6 +199,7 @@
             self.replied(reply, False)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the subclass by `lost`, once."""
         if self._up:
             self._up = False
             self.lost()
@@ -210,9 +215,11 @@
     # httptools; what these raise reaches data_received as an HttpParserError
 
     def on_message_begin(self) -> None:
+        """An answer begins, be it an interim one."""
         self._begun = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header under its name in lower case; SpoiltError on a second Content-Length."""
         name = name.lower()
         if self._in_trailers:
             return  # they come too late to say anything of the answer
@@ -221,6 +228,7 @@
         self._headers[name] = value.strip(BLANKS)
 
     def on_headers_complete(self) -> None:
+        """Decide how the body is framed; SpoiltError if that is unclear or the body is too long."""
         length, coding = self._headers.get(b"content-length"), self._headers.get(b"transfer-encoding")
         status = self._parser.get_status_code()
         if status < 200 or status in NO_BODY:
@@ -271,6 +279,7 @@
         )
 
     def on_body(self, data: bytes) -> None:
+        """Gather the body or pass it on; SpoiltError beyond `longest` bytes, or LONGEST_FLOW if it flows."""
         self._size += len(data)
         if self._flowing:
             if self._size > LONGEST_FLOW:
@@ -286,6 +295,7 @@
             raise SpoiltError("too long")
 
     def on_message_complete(self) -> None:
+        """An answer is whole; an interim one (1xx) is left out."""
         status = self._parser.get_status_code()
         if status >= 200:  # interim answers are not the answer, but count for its bound
             self._taken = 0
--- a/yewstage/net/life.py
+++ b/yewstage/net/life.py
@@ -43,6 +43,7 @@
         self._second, self._lines = 0, 0
 
     def filter(self, record: logging.LogRecord) -> bool:
+        """Whether a record may be written; those left out are counted on stderr in a later second."""
         second = int(time.monotonic())
         if second != self._second:
             if self._lines > self._most:
@@ -53,6 +54,7 @@
 
 
 def set_up_log(name: str) -> None:
+    """Have the root logger write INFO and above to stderr under `name`, at most LINES_PER_S."""
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(logging.Formatter(f"%(asctime)s {name} %(levelname)s %(message)s"))
     handler.addFilter(RateLimit())
--- a/yewstage/net/node.py
+++ b/yewstage/net/node.py
@@ -130,12 +130,14 @@
         return client
 
     def left(self, rid: str) -> None:
+        """The client is gone; also ends attempts whose answer is passed on or whose body is not whole."""
         request = self._requests.get(rid)
         super().left(rid)
         if request is not None:
             self._call_off(request)
 
     def broken(self, rid: str, status: int) -> None:
+        """Answer with `status`; also ends attempts whose answer is passed on or whose body is not whole."""
         request = self._requests.get(rid)
         super().broken(rid, status)
         if request is not None:
--- a/yewstage/net/operated.py
+++ b/yewstage/net/operated.py
@@ -34,11 +34,13 @@
     """Tells its pool when an attempt's last byte has left."""
 
     def begin(self, attempt: Attempt) -> None:
+        """Write an attempt's request, and report it if all of it has left at once."""
         super().begin(attempt)
         if not self.unsent and attempt.upload is None:  # one that flows tells by itself
             self._flow_pool.written(attempt)
 
     def resume_writing(self) -> None:
+        """All that was written has left: report the attempt."""
         super().resume_writing()
         if self.attempt is not None and not self.unsent:
             self._flow_pool.written(self.attempt)
@@ -74,15 +76,18 @@
         self._take_over: TakeOver | None = None
 
     def start(self) -> None:
+        """Also begin to look for hosts that are taken out by hand, every LOOK_S."""
         super().start()
         self._look()
 
     async def listen(self, address: tuple[str, int] | None) -> None:
+        """Take operators' calls at an address, where there is one; OSError if that cannot be listened on."""
         if address is not None:
             host, port = await self._operators.start(address)
             log.info("operators call at %s:%d", host, port)
 
     def stop(self) -> None:
+        """Also close the operators' connections and those for a hand-over."""
         super().stop()
         self._operators.stop()
         self._hand_over.stop()
@@ -90,13 +95,16 @@
             self._take_over.close()
 
     def reload(self, config: Config) -> None:
+        """Also count the reload."""
         super().reload(config)
         self.figures_kept.loads += 1
 
     def not_reloaded(self) -> None:
+        """Count a new configuration that was turned down."""
         self.figures_kept.load_errors += 1
 
     def ready(self) -> bool:
+        """Whether requests can be served: False until clients are let in."""
         return self._server is not None and super().ready()
 
     def could_serve(self) -> bool:
