Docstrings for the public methods of hosted/ and recovery/

Need: 19 public methods in hosted/ and 4 in recovery/ had no docstring, all of them overrides.

Change: one line each, with units, bounds and errors where there are any; an override says what it adds to its base.

Tests were not run.

--- a/yewstage/hosted/core.py
+++ b/yewstage/hosted/core.py
@@ -58,11 +58,13 @@
     """One connection to a tenant's host; keeps the header lines that the client gets, too."""
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Also keep the line for the client, unless it is hop-by-hop, the gateway's own or a trailer."""
         super().on_header(name, value)
         if name.lower() not in OWN_HEADERS and b":done" not in self._headers:
             self._headers[LINES_KEPT] = b"%b%b: %b\r\n" % (self._headers.get(LINES_KEPT, b""), name, value)
 
     def on_headers_complete(self) -> None:
+        """Check the framing as the base does; header lines from here on are trailers."""
         super().on_headers_complete()
         self._headers[b":done"] = b""  # what still comes are trailers
 
@@ -114,10 +116,12 @@
         self._resources.hosts.give(self._tenant)  # it stands for itself now, if it is up
 
     def opened(self, connection: _Connection) -> None:
+        """Also charge the connection to the tenant's share."""
         super().opened(connection)
         self._resources.hosts.charge(self._tenant, 1.0)
 
     def closed(self, connection: _Connection) -> None:
+        """Also give the connection back to the tenant's share, if it was up."""
         if connection in self._connections:
             self._resources.hosts.give(self._tenant)
         super().closed(connection)
@@ -243,6 +247,7 @@
                 self._loop.call_soon(self._close_if_done)
 
     def left(self, rid: str) -> None:
+        """Also count a request whose client left before its answer."""
         request = self._requests.get(rid)
         if request is not None and request.client is not None:
             self.stats.left += 1
--- a/yewstage/hosted/front.py
+++ b/yewstage/hosted/front.py
@@ -147,12 +147,14 @@
         self.passing = False  # the answer that is being written is a host's
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Also limit the system's send buffer to SEND_BUFFER bytes, and note the client's address."""
         # Guards the system's memory, too: it would take megabytes for a client that does not read.
         transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
         self._peer = str((transport.get_extra_info("peername") or ("",))[0]).encode()
         super().connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
+        """Handle what has come, or defer it while the owner takes much more of the loop than its part."""
         if self._behind or (self.owner != UNHEARD and self._service.resources.loop.heavy(self.owner)):
             if not self._behind and not self._paused:
                 self.transport.pause_reading()  # guards the memory: one chunk of a connection waits, not more
@@ -174,6 +176,7 @@
             self.transport.resume_reading()
 
     def close_if_idle(self) -> None:
+        """As the base does, unless data that was read is deferred."""
         if not self._behind:
             super().close_if_idle()
 
@@ -185,24 +188,29 @@
         self._spent(time.perf_counter() - began - self._taking_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Also give back what was held against the owner's share of the buffer."""
         self._hold(0)
         self._service.resources.buffer.give(self.owner, self.reading)
         self.reading = 0
         super().connection_lost(exc)
 
     def pause_writing(self) -> None:
+        """Also hold the unread bytes against the owner's share; beyond it the connection is aborted."""
         super().pause_writing()
         self._hold(self.transport.get_write_buffer_size())
 
     def resume_writing(self) -> None:
+        """Also adjust what is held against the owner's share to the bytes still unread."""
         self._hold(self.transport.get_write_buffer_size())
         super().resume_writing()
 
     def on_message_begin(self) -> None:
+        """Also refresh the set of headers to keep, which the tenants' routes change."""
         super().on_message_begin()
         self.wanted = self._front.wanted()  # those that some tenant's routes go by are among them
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Also keep a line that goes on to the host unchanged."""
         super().on_header(name, value)
         name = name.lower()
         if name not in OWN_HEADERS:
@@ -210,6 +218,7 @@
             self._message.rest.append((name, value))
 
     def on_headers_complete(self) -> None:
+        """Also keep the reason of a BadRequestError for the answer, and note whether it is HTTP/1.0."""
         try:
             super().on_headers_complete()
         except BadRequestError as error:
@@ -219,6 +228,7 @@
         self._message.old = self._parser.get_http_version() == "1.0"
 
     def check(self, now: float) -> None:
+        """As the base does, but abort after IDLE_S with answers that the client does not read."""
         # Guards the memory: a close waits for the client to read, and this one does not.
         if now - self.since > IDLE_S and self.transport.get_write_buffer_size():
             self.transport.abort()
@@ -536,10 +546,12 @@
                 self.loop.call_soon(self._go_on)
 
     def opened(self, connection: TenantConnection) -> None:
+        """Also charge the connection to UNHEARD, until a request names its tenant."""
         self.service.resources.clients.charge(UNHEARD, 1.0)
         super().opened(connection)
 
     def closed(self, connection: TenantConnection) -> None:
+        """Also give the connection back to its owner's share."""
         if connection in self.connections:
             self.service.resources.clients.give(connection.owner)
         super().closed(connection)
@@ -556,10 +568,12 @@
         clients.charge(owner, 1.0)
 
     def waits(self, connection: TenantConnection) -> None:
+        """Also list the connection among its owner's idle ones."""
         super().waits(connection)
         self._idle.setdefault(connection.owner, {})[connection] = None
 
     def owes(self, connection: TenantConnection) -> None:
+        """Also take the connection off the list of its owner's idle ones."""
         super().owes(connection)
         idle = self._idle.get(connection.owner)
         if idle is not None:
--- a/yewstage/recovery/node.py
+++ b/yewstage/recovery/node.py
@@ -82,11 +82,13 @@
         return listening
 
     def stop(self) -> None:
+        """Also write the last snapshot as exact, unless a successor serves."""
         super().stop()
         if not self._succeeded:
             self._snapshots.seal()
 
     def gone(self, heir: Heir) -> None:
+        """The successor serves: also write no more snapshots, and set the last one aside."""
         self._succeeded = True
         self._snapshots.give_up()
         super().gone(heir)
@@ -94,9 +96,11 @@
     # How far it has come back
 
     def phase(self) -> str:
+        """The name of the phase, followed by the causes that keep it from the next one."""
         return self._phases.now.text()
 
     def figures(self) -> dict[str, object]:
+        """All figures, with the phase, its causes, and the seconds until it was full (None: not yet)."""
         phases = self._phases
         took = None if phases.took_ms is None else round(phases.took_ms / 1000, 2)
         return {
