Docstrings for the callbacks in lab/, counter/ and operate/

Need: 21 public methods in lab/ had no docstring, nor had nine callbacks of the private connection classes in counter/service.py and operate/service.py.

Change: one line each, with units, bounds and errors where there are any; an override says what it adds to its base.

Tests were not run.

--- a/yewstage/counter/service.py
+++ b/yewstage/counter/service.py
@@ -104,6 +104,7 @@
         return self._close
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register with the server; reset the connection if there is no room for it."""
         self._transport = cast(asyncio.Transport, transport)
         self._address = str((transport.get_extra_info("peername") or ("",))[0])
         if not self._server.opened(self, self._address):
@@ -113,9 +114,11 @@
             self.drop()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Free the connection's place."""
         self._server.closed(self, self._address)
 
     def data_received(self, data: bytes) -> None:
+        """Parse and answer what has come; 400 on bad HTTP, or a head above LONGEST_HEAD bytes."""
         if self._transport.is_closing() or self._close:
             return
         self.heard_at = time.monotonic()
@@ -135,9 +138,11 @@
             self.drop()  # guards the memory: it calls and does not read
 
     def on_url(self, url: bytes) -> None:
+        """A piece of the request target."""
         self._target += url
 
     def on_message_complete(self) -> None:
+        """Add the call to the store, and queue its answer."""
         target, self._target, self._taken = self._target, b"", 0
         keep = self._parser.should_keep_alive()
         if self._close:
--- a/yewstage/lab/links.py
+++ b/yewstage/lab/links.py
@@ -64,11 +64,13 @@
         self._answered = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register on the link, and make the receiver."""
         self._transport = transport
         self.link.wires.add(self)
         self._receiver = self._made(self)
 
     def data_received(self, data: bytes) -> None:
+        """Pass bytes on to the receiver; under a cut drop them and mark the connection as lost."""
         link = self.link
         if link.cut_in or self.lost:
             self.lost = True
@@ -151,11 +153,13 @@
             self._receiver.ended()
 
     def eof_received(self) -> bool:
+        """Pass the other side's end on, unless the way to the stand-in is cut; the transport then closes."""
         if not self.link.cut_in and not self.lost:
             self._bring(None)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the receiver that the connection is gone; under a cut only once the path is back."""
         ours = self.closing  # we have ended it, or are about to
         self.closing = self._gone = True
         if self.link.cut_in or self.lost:
--- a/yewstage/lab/standins/counter.py
+++ b/yewstage/lab/standins/counter.py
@@ -40,6 +40,7 @@
         return line
 
     def gone(self, line: Line) -> None:
+        """Forget a connection that is over."""
         self._lines.discard(line)
 
     def open(self) -> None:
@@ -74,6 +75,7 @@
         self.at_second = gateways
 
     def asked(self, asked: Asked) -> None:
+        """Add a call to the copy that its gateway sees; 400 on a bad name, amount or `ttl_ms`."""
         gateway = asked.line.wire.link.a
         name = asked.path.removeprefix("/v1/count/")
         try:
--- a/yewstage/lab/standins/discovery.py
+++ b/yewstage/lab/standins/discovery.py
@@ -127,6 +127,7 @@
             self._answer_watches()
 
     def asked(self, asked: Asked) -> None:
+        """Answer with the list or its changes, or hold a watch for `wait_ms`; 404 on another path."""
         if asked.path != "/v1/endpoints":
             asked.reply(message(404))
         elif self.silent:
@@ -143,6 +144,7 @@
             self._clock.after(wait_ms, self._waited, asked)
 
     def gone(self, line: Line) -> None:
+        """Drop the watches and held requests of a connection that is over."""
         self._lines.pop(line, None)
         self._watches = [(a, after) for a, after in self._watches if a.line is not line]
         self._held = [a for a in self._held if a.line is not line]
--- a/yewstage/lab/standins/host.py
+++ b/yewstage/lab/standins/host.py
@@ -83,6 +83,7 @@
         return line
 
     def gone(self, line: Line) -> None:
+        """A connection is over: nobody waits for its jobs, those that run go on."""
         assert isinstance(line, HostLine)
         self._lines.discard(line)
         for job in line.jobs.values():
@@ -115,6 +116,7 @@
         self._note(self.name, "up", started=True)
 
     def asked(self, asked: Asked) -> None:
+        """Run the request as a job of the model, or answer a health check, a fault or a lack of room."""
         line = asked.line
         assert isinstance(line, HostLine)
         if asked.path == "/health":
--- a/yewstage/lab/standins/http.py
+++ b/yewstage/lab/standins/http.py
@@ -53,6 +53,7 @@
         self._headers: dict[str, str] = {}
 
     def received(self, data: bytes) -> None:
+        """Parse bytes; what is no HTTP request resets the connection."""
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -60,6 +61,7 @@
             self.wire.reset()
 
     def ended(self) -> None:
+        """The other side has ended: tell the owner once, and reset the connection."""
         if not self.over:
             self.over = True
             self.owner.gone(self)
@@ -73,15 +75,19 @@
             self.wire.write(data)
 
     def on_message_begin(self) -> None:
+        """A request begins."""
         self._url, self._headers = b"", {}
 
     def on_url(self, url: bytes) -> None:
+        """A piece of the request target."""
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header under its name in lower case."""
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_message_complete(self) -> None:
+        """Queue the whole request for its answer, and hand it to the owner."""
         asked = Asked(self._parser.get_method().decode(), httptools.parse_url(self._url), self._headers, self)
         self.waiting.append(asked)
         self.owner.asked(asked)
--- a/yewstage/lab/standins/instant.py
+++ b/yewstage/lab/standins/instant.py
@@ -47,19 +47,24 @@
         self._parser = httptools.HttpRequestParser(self)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
         self.transport: Any = transport
 
     def data_received(self, data: bytes) -> None:
+        """Count the bytes, and parse them."""
         self._traffic.bytes_read += len(data)
         self._parser.feed_data(data)
 
     def on_message_begin(self) -> None:
+        """A request begins."""
         self._url = b""
 
     def on_url(self, url: bytes) -> None:
+        """A piece of the request target."""
         self._url += url
 
     def on_message_complete(self) -> None:
+        """Count the call, and write its answer, if there is one now."""
         self._traffic.calls += 1
         answer = self._answer(self._url, self)
         if answer is not None:
--- a/yewstage/operate/service.py
+++ b/yewstage/operate/service.py
@@ -63,11 +63,13 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register with the server; the connection is ended after SILENT_S."""
         self._transport = cast(asyncio.Transport, transport)
         self._timer = asyncio.get_running_loop().call_later(SILENT_S, self.end)
         self._server.opened(self)
 
     def data_received(self, data: bytes) -> None:
+        """Answer the first line, or what exceeds LONGEST_LINE bytes; the rest is ignored."""
         if self._done:
             return
         self._line += data
@@ -76,6 +78,7 @@
             self._answer(line.rstrip(b"\r") if len(line) <= LONGEST_LINE else b"\0")
 
     def eof_received(self) -> bool:
+        """Answer a last line without its end; True keeps the transport open for the answer."""
         if not self._done and self._line:
             self._answer(self._line.rstrip(b"\r"))  # a last line may lack its end
         return self._done  # half closed: the answer still goes out
@@ -87,6 +90,7 @@
         self._transport.close()
 
     def connection_lost(self, error: Exception | None) -> None:
+        """Free the connection's place, and stop its timer."""
         if self._timer is not None:
             self._timer.cancel()
         self._server.closed(self)
