--- a/yewstage/lab/virtual/counting_checks.py
+++ b/yewstage/lab/virtual/counting_checks.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 from yewstage.lab.virtual.counting import HollowGateway
-from yewstage.limits import lease
+from yewstage.limits import batches, lease
 from yewstage.limits.state import QuotaState
 
 REQUEST_UNITS: Final = 1.0  # of each request
@@ -46,7 +46,7 @@
 
 def _check_lease(gateway: HollowGateway, state: QuotaState) -> None:
     held = lease.available(state)
-    most = REQUEST_UNITS + state.plan.burst / state.batch_divisor
+    most = REQUEST_UNITS + state.plan.burst / batches.divisor(state.replicas)
     if not 0 <= held <= most + ROUNDING_UNITS:
         raise _broken(gateway, state, f"lease of {held:g} units, at most {most:g}")
 
@@ -54,7 +54,7 @@
 def _check_unreported(gateway: HollowGateway, state: QuotaState, now: float) -> None:
     unreported = state.used - state.reported
     share = state.share_rate * max(now - state.called_at, 0.0)
-    most = share + state.plan.burst / state.batch_divisor + REQUEST_UNITS
+    most = share + state.plan.burst / batches.divisor(state.replicas) + REQUEST_UNITS
     if unreported > most + ROUNDING_UNITS:
         raise _broken(gateway, state, f"{unreported:g} units unreported, at most {most:g}")
 
