--- a/yewstage/limits/estimate.py
+++ b/yewstage/limits/estimate.py
@@ -14,8 +14,8 @@
 SPLIT: Final = (
     1.5  # times the even split, without a counter and with room: use is uneven, replicas may be dead
 )
-OTHERS_MEMORY_MS: Final = 10000.0  # memory of the others' rate of use
-NEAR_LIMIT: Final = 0.8  # of their even shares that the others use at least where a quota is near its limit
+OTHERS_MEMORY_MS: Final = 5000.0  # memory of the others' rate of use
+NEAR_LIMIT: Final = 0.9  # of their even shares that the others use at least where a quota is near its limit
 GRANTED: Final = 0.9  # grant ratio below which it is near it, too
 OUTLIER: Final = 3.0  # standard deviations beyond which a total is no noise, and is believed as it is
 ROUNDING_UNITS: Final = 1e-6  # difference of two sums of units that is taken for rounding
