Pipelined input that waits unparsed is never overtaken by input that arrives later

Callers: a client that pipelines could have bytes of one of its requests run inside the body of another, or get a 400.

Cause: data_received held a piece only while no message was half received. With pieces held and the parser in the middle of a message, the next piece was parsed before the held ones.

Evidence: the new test writes such pieces one by one. Before the change it failed: the fifth request reached the host with 1,000 bytes of the seventh in its body ('g' where 'e' was sent).

Why this works: a piece that arrives while any is held is held behind it, so input is parsed in the order of arrival. The hosted connection and the counter's were read for the same fault: the first calls this method in order, the other holds nothing.

--- a/hillmux/net/client_connection.py
+++ b/hillmux/net/client_connection.py
@@ -72,7 +72,7 @@
         """
         if self._closing:
             self._discard(data)
-        elif self._queue and self._message is None:
+        elif self._unparsed.size or (self._queue and self._message is None):
             self._unparsed.append(data)
             self._update_reading()
         else:
--- a/tests/net/test_client_disconnects.py
+++ b/tests/net/test_client_disconnects.py
@@ -164,3 +164,37 @@
             writer.close()
 
     on_loop(scenario, 20)
+
+
+def test_pieces_behind_unparsed_input_are_not_parsed_before_it(tmp_path: Path) -> None:
+    """Guards against bytes of one request in the body of another."""
+
+    async def scenario() -> None:
+        async with Rig(tmp_path, silent) as rig:
+            (host,) = rig.hosts
+            reader, writer = await rig.connect()
+            bodies = [bytes([ord("a") + i]) * 2000 for i in range(8)]
+            requests = [message("put", rid=b"id-%d" % i, body=bodies[i]) for i in range(8)]
+            middle = len(requests[0]) - 1000
+            writer.write(requests[0])
+            await host.until(lambda fake: len(fake.seen) == 1)
+            for piece in (
+                requests[1],
+                requests[2] + requests[3] + requests[4][:middle],
+                requests[4][middle:] + requests[5] + requests[6][:middle],
+            ):
+                writer.write(piece)
+                await asyncio.sleep(0.05)  # so that the gateway reads it alone
+            host.seen[0].writer.write(reply(b"0"))
+            await host.until(lambda fake: len(fake.seen) == 2)
+            writer.write(requests[6][middle:] + requests[7])
+            await asyncio.sleep(0.05)
+            for i in range(8):
+                await host.until(lambda fake, i=i: len(fake.seen) > i)
+                assert host.seen[i].body == bodies[i]
+                if i:
+                    host.seen[i].writer.write(reply(b"%d" % i))
+                assert (await read_message(reader, writer)).body == b"%d" % i
+            writer.close()
+
+    on_loop(scenario, 10)
