Requests that arrive piece by piece behind a slow one are held, not rejected with a 400

Callers: 400 and the end of the connection for well-formed pipelined requests, where the host of the first took long and pieces of input ended in the middle of a request.

Cause: input was held unparsed only where the piece before it ended with a whole message, so with bodies nearly every piece was parsed and the seventeenth waiting request was rejected.

Why this works: whatever arrives while a request waits is held, up to the 1 MiB at which reading pauses; only a body that is passed on as it comes is parsed on. What we hold is not timed as a slow client's. The limit of 17 within one read stays, with its test.

--- a/hillmux/net/client_connection.py
+++ b/hillmux/net/client_connection.py
@@ -72,13 +72,17 @@
         """
         if self._closing:
             self._discard(data)
-        elif self._unparsed.size or (self._queue and self._message is None):
+        elif self._unparsed.size or (self._queue and not self._receiving_streamed_body()):
             self._unparsed.append(data)
             self._update_reading()
         else:
             self._parse(data)
             self._take_requests()
 
+    def _receiving_streamed_body(self) -> bool:
+        """Whether the body that is being received is passed on piece by piece, however many requests wait."""
+        return self._message is not None and self._message.streamed_body is not None
+
     def _discard(self, data: bytes) -> None:
         self._received_bytes += len(data)
         if self._received_bytes > MAX_LINGER_BYTES:
--- a/hillmux/net/streaming_client.py
+++ b/hillmux/net/streaming_client.py
@@ -96,9 +96,9 @@
         upload.discard()
 
     def check_body_timeout(self, now: float) -> None:
-        """Reject a body that stalls, unless it waits for a host."""
-        message = self._message
-        if message is not None and not self._body_paused and is_receiving_too_slowly(message, now):
+        """Reject a body that stalls, unless it waits for a host or for the requests before it."""
+        message, waits_for_us = self._message, self._body_paused or self._unparsed.size > 0
+        if message is not None and not waits_for_us and is_receiving_too_slowly(message, now):
             self._reject(408)
             self._take_requests()
 
--- a/tests/net/test_client_disconnects.py
+++ b/tests/net/test_client_disconnects.py
@@ -198,3 +198,28 @@
             writer.close()
 
     on_loop(scenario, 10)
+
+
+def test_pipelined_requests_that_arrive_piece_by_piece_are_not_counted_together(tmp_path: Path) -> None:
+    """Guards against a 400 for the requests of a client that sends faster than its host answers."""
+
+    async def scenario() -> None:
+        def answer(seen: Seen) -> bytes | None:
+            return reply(seen.headers["x-request-id"].encode()) if go_on.is_set() else None
+
+        go_on = asyncio.Event()
+        async with Rig(tmp_path, answer) as rig:
+            (host,) = rig.hosts
+            reader, writer = await rig.connect()
+            sent = b"".join(message("put", rid=b"id-%d" % i, body=b"x" * 1000) for i in range(60))
+            for start in range(0, len(sent), 5000):  # four requests and some; most pieces end in a request
+                writer.write(sent[start : start + 5000])
+                await asyncio.sleep(0.02)
+            go_on.set()
+            first = host.seen[0]
+            first.writer.write(reply(first.headers["x-request-id"].encode()))
+            for i in range(60):
+                assert (await read_message(reader, writer)).body == b"id-%d" % i
+            writer.close()
+
+    on_loop(scenario, 20)
