Lab: a run that ends applies no further fault, and waits for starts that are under way

Cause: timers of kills and starts went on while the run ended, so it started gateways that nobody ended; their tasks were cancelled while the process was being made, for which asyncio of Python 3.11 waits for ever. At the ordinary end starts under way were cancelled.

Why this works: no timer of the run outlives it, an ended gateway makes no process, and one that is being made is waited for and killed, never cancelled.

--- a/hillmux/lab/processes.py
+++ b/hillmux/lab/processes.py
@@ -61,6 +61,7 @@
 
     process: asyncio.subprocess.Process
     end_requested: bool = False  # it was told to end: that it does is no refusal to start
+    ready: bool = False
     killed: bool = False  # SIGKILL went out: whatever it still shows, it takes nothing more
 
     def alive(self) -> bool:
@@ -92,6 +93,7 @@
         self.current: RunningProcess | None = None
         self._starting = asyncio.Lock()  # held from a start's turn until its process is there
         self._pending_starts = 0  # starts asked for whose process is not there yet
+        self._ended = False  # no process of it is started any more
         self._queued_signals: list[str] = []  # signals for the next process
         self._readers: set[asyncio.Task[None]] = set()
         self.lines: list[str] = []
@@ -176,6 +178,13 @@
         """Whether a process of it runs."""
         return self.current is not None and self.current.alive()
 
+    def is_starting(self) -> bool:
+        """Whether its process is not ready yet, or is made next: no process before it has to end."""
+        if self.alive():
+            assert self.current is not None
+            return not self.current.ready
+        return self._pending_starts > 0
+
     def memory_kb(self) -> int:
         """What it holds now; 0 while it is dead."""
         if self.current is None or not self.current.alive():
@@ -198,6 +207,8 @@
             try:
                 if self.current is not None:
                     await self.current.process.wait()
+                if self._ended:
+                    return
                 self._prepare_directories(how, twin)
                 started = await self._spawn()
             finally:
@@ -249,6 +260,8 @@
             env={**os.environ, "PYTHONPATH": str(self._tree), "ROUTER_CONFIG": str(path), "TMPDIR": str(own)},
         )
         self.current = RunningProcess(process)
+        if self._ended:
+            self._kill()
         waiting, self._queued_signals = self._queued_signals, []
         for what in waiting:
             self._send(self.current, what)
@@ -280,6 +293,7 @@
                 writer.close()
                 if line.split()[1:2] == [b"200"] and started is self.current:
                     self._note(self.name, "ready")
+                    started.ready = True
                     return
             except OSError:
                 pass
@@ -303,13 +317,25 @@
         started.process.send_signal(SIGNALS[what])
 
     async def end(self) -> None:
-        """End it whatever it does, and wait for that."""
-        if self.current is not None and self.current.process.returncode is None:
-            self.current.process.kill()
+        """End it whatever it does, and wait for that; starts that were asked for begin no more.
+
+        A start whose process is being made is waited for: asyncio never ends a process whose making was
+        cancelled before its pipes were connected.
+        """
+        self._ended = True
+        self._kill()
+        async with self._starting:
+            pass  # what is being made is killed as soon as it is there
+        if self.current is not None:
             await self.current.process.wait()
         await asyncio.gather(*self._readers)
         self._port_reservation.close()
 
+    def _kill(self) -> None:
+        if self.current is not None and self.current.process.returncode is None:
+            self.current.end_requested = self.current.killed = True
+            self.current.process.kill()
+
 
 def _class_settings(request_class: Class) -> dict[str, Any]:
     return {
--- a/hillmux/lab/run.py
+++ b/hillmux/lab/run.py
@@ -16,7 +16,13 @@
 
 from hillmux.lab import checks, record
 from hillmux.lab.measures import Figures, measure
-from hillmux.lab.processes import ROOT, GatewayProcess, NotReadyError, die_with_parent
+from hillmux.lab.processes import (
+    READY_TIMEOUT_S,
+    ROOT,
+    GatewayProcess,
+    NotReadyError,
+    die_with_parent,
+)
 from hillmux.lab.record import Recorder
 from hillmux.lab.scenario import GATEWAY_FAULTS, Scenario, Strike, free_mb, schedule, terms, too_much
 from hillmux.lab.virtual import play as virtual
@@ -116,7 +122,8 @@
         self._report, self._show_progress = say, show
         self._environment, self._load = HelperProcess("hillmux.lab.world"), HelperProcess("hillmux.lab.load")
         self.gateways: dict[str, GatewayProcess] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()  # restarts that have not come about yet
+        self._timers: list[asyncio.TimerHandle] = []  # of faults, and of the next look at the memory
         self._unstarted: list[str] = []  # starts that had not come about when the run was over
         self._failed: list[str] = []
 
@@ -150,9 +157,8 @@
         self._report(f"starting {len(self.gateways)} gateways")
         names = list(self.gateways)
         for at in range(0, len(names), CONCURRENT_STARTS):
-            await asyncio.gather(
-                *(self.gateways[name].request_start() for name in names[at : at + CONCURRENT_STARTS])
-            )
+            starts = (self.gateways[name].request_start() for name in names[at : at + CONCURRENT_STARTS])
+            await asyncio.shield(asyncio.gather(*starts))  # a start is ended by its gateway's `end` alone
         ports = {name: gateway.port for name, gateway in self.gateways.items()}
         await self._load.start({"scenario": raw, "folder": str(self.folder), "ports": ports})
         t0 = 1000 * (time.monotonic() + LEAD_TIME_S)
@@ -162,11 +168,13 @@
         loop = asyncio.get_running_loop()
         for strike in schedule(scenario):
             if strike.fault.what in GATEWAY_FAULTS:
-                loop.call_later((t0 + strike.at_ms) / 1000 - time.monotonic(), self._apply_fault, strike)
+                delay_s = (t0 + strike.at_ms) / 1000 - time.monotonic()
+                self._timers.append(loop.call_later(delay_s, self._apply_fault, strike))
         self._sample_memory()
         over = await asyncio.wait_for(
             self._receive_until_over(), scenario.length_s + LEAD_TIME_S + OVERRUN_TIMEOUT_S
         )
+        await self._await_starts_under_way()
         return t0, over["late_ms"]
 
     async def _receive_until_over(self) -> dict[str, Any]:
@@ -178,7 +186,8 @@
         for gateway in self.gateways.values():
             if memory := gateway.memory_kb():
                 self.note(gateway.name, "memory", kb=memory)
-        asyncio.get_running_loop().call_later(MEMORY_SAMPLE_INTERVAL_S, self._sample_memory)
+        timer = asyncio.get_running_loop().call_later(MEMORY_SAMPLE_INTERVAL_S, self._sample_memory)
+        self._timers.append(timer)
 
     def _apply_fault(self, strike: Strike) -> None:
         gateway, what = self.gateways[strike.target], strike.fault.what
@@ -205,14 +214,21 @@
         except NotReadyError as error:
             self._failed.append(str(error))
 
+    async def _await_starts_under_way(self) -> None:
+        """Wait for processes that are there and not ready yet: a busy machine takes long to start them."""
+        under_way = [task for task in self._tasks if self.gateways[task.get_name()].is_starting()]
+        if under_way:
+            await asyncio.wait(under_way, timeout=READY_TIMEOUT_S)
+
     async def _end(self) -> None:
-        """End what was started, and only that."""
-        for task in list(self._tasks):
+        """End what was started, and only that; nothing is started any more."""
+        for timer in self._timers:
+            timer.cancel()
+        for task in self._tasks:
             self._unstarted.append(f"{task.get_name()}: a start had not come about by the end")
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._load.end()
         await asyncio.gather(*(gateway.end() for gateway in self.gateways.values()))
+        await asyncio.gather(*self._tasks)
         await self._environment.end()
         self.note.close()
 
--- a/tests/lab/test_run.py
+++ b/tests/lab/test_run.py
@@ -19,7 +19,7 @@
 from hillmux.lab.checks import Verdict
 from hillmux.lab.measures import Figures
 from hillmux.lab.processes import GatewayProcess, NotReadyError
-from hillmux.lab.run import Result, play, unmet
+from hillmux.lab.run import Result, Run, play, unmet
 from hillmux.lab.scenario import Hold, Scenario
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -227,3 +227,75 @@
         cwd=ROOT, capture_output=True, text=True, check=False)  # fmt: skip
     assert done.returncode == 2 and not (tmp_path / "o").exists()
     assert "length_s: found -1" in done.stderr and "fleet: " in done.stderr
+
+
+def test_an_ended_gateway_starts_nothing_more_and_waits_for_a_start_under_way(tmp_path: Path) -> None:
+    """Guards against faults that go on after Ctrl-C, and a lab that waits for a process nobody ends."""
+
+    async def scenario() -> None:
+        note = record.Recorder(tmp_path / "lab.jsonl", lambda: 0.0)
+        told = {"discovery": [1, 1], "counter": 1, "peers": {},
+                "known": {"generation": 1, "reset": True, "instances": []}}  # fmt: skip
+        gateway = GatewayProcess(0, day(rules=("answered",)), tmp_path, note, ROOT, told)
+        first = asyncio.ensure_future(gateway.request_start())
+        await asyncio.sleep(0)  # its process is being made
+        second = asyncio.ensure_future(gateway.request_start())  # waits for the first
+        await asyncio.gather(gateway.end(), first, second)
+        await gateway.request_start()
+        note.close()
+        assert not gateway.alive()
+        assert [e["ev"] for e in record.read(tmp_path)] == ["start", "ended"]
+
+    on_loop(scenario, 10)
+
+
+def test_starts_under_way_at_the_end_of_a_run_are_waited_for(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against verdicts on gateways that a busy machine has not started yet."""
+    wait_until_ready = GatewayProcess._wait_until_ready
+
+    async def slow(gateway: GatewayProcess, started: Any) -> None:
+        await asyncio.sleep(3.0 if gateway._starts > 1 else 0.0)
+        await wait_until_ready(gateway, started)
+
+    monkeypatch.setattr(GatewayProcess, "_wait_until_ready", slow)
+    result = play(day(
+        {"at_s": 1.0, "what": "kill", "who": "gateway:1"},
+        {"at_s": 1.8, "what": "start", "who": "gateway:1"},
+        rules=("answered",), length_s=1.9,
+    ), tmp_path / "run")  # fmt: skip
+    assert result.unmet == [] and count(result, "ready", who="g1") == 2
+
+
+def test_interrupted_run_applies_no_further_fault(tmp_path: Path) -> None:
+    """Guards against gateways that are started while the run ends."""
+
+    async def scenario() -> None:
+        later = {"at_s": 0.4, "what": "start", "who": "gateway:*"}
+        early = {"at_s": 0.3, "what": "kill", "who": "gateway:*"}
+        begun, ended = asyncio.Event(), asyncio.Event()
+        said = {"playing": begun.set}
+        run = Run(
+            day(early, later, rules=("answered",)),
+            tmp_path / "run",
+            say=lambda text: said.get(text, lambda: None)(),
+        )
+        end_load = run._load.end
+
+        async def slow_end() -> None:
+            await asyncio.sleep(1.5)  # the faults are due meanwhile
+            ended.set()
+            await end_load()
+
+        run._load.end = slow_end
+        playing = asyncio.create_task(run.play())
+        await begun.wait()
+        playing.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await playing
+        assert ended.is_set()
+
+    on_loop(scenario, 30)
+    events = [e["ev"] for e in record.read(tmp_path / "run")]
+    assert events.count("start") == events.count("ended") == 4 and "kill" not in events
