--- a/hillmux/hot_restart/state_codec.py
+++ b/hillmux/hot_restart/state_codec.py
@@ -120,7 +120,7 @@
         "scalars": {name: _scalar(gateway, name) for name in SCALARS}
         | {name: getattr(quotas.throttle, COUNTER_ATTRIBUTES[name]) for name in COUNTER},
         "warm_rate": fleet.slow_start.warm_work_rate,
-        "latency": dict(gateway.latency.per_unit_ms),
+        "latency": gateway.latency.learned(),
         "asked_at": dict(quotas.registry.last_request_at),
         "cells": [
             [*key, share.value, share.work, share.admit_fraction, share.accumulator]
@@ -239,10 +239,10 @@
         else:
             part, attribute = SCALAR_ATTRIBUTES[name]
             setattr(getattr(gateway, part), attribute, value)
-    classes, plans = gateway.context.classes, gateway.context.plans
+    plans = gateway.context.plans
     gateway.quotas.started_at = gateway.context.started_at
     gateway.quotas.shedding_load = gateway.admission.admit_fraction < 1
-    gateway.latency.per_unit_ms.update({n: v for n, v in state.latency.items() if n in classes})
+    gateway.latency.restore(state.latency)
     gateway.quotas.registry.last_request_at.update({n: v for n, v in state.asked_at.items() if n in plans})
     gateway.fleet.slow_start.warm_work_rate = state.warm_rate
 
--- a/tests/balancing/test_selection.py
+++ b/tests/balancing/test_selection.py
@@ -66,6 +66,36 @@
     assert sum(1 for load in loads if load) >= 50
 
 
+def hosts_of(driver: Driver, requests: int, took_ms: float) -> collections.Counter[str]:
+    """Where lone requests went, each answered after the same time."""
+    chosen: collections.Counter[str] = collections.Counter()
+    for _ in range(requests):
+        request_id, actions = driver.ask(after=5)
+        chosen[of(actions, api.SendAttempt)[0].host] += 1
+        driver.end(request_id, took=took_ms)
+    return chosen
+
+
+@pytest.mark.parametrize("took_ms", [1.0, 100.0, 900.0])
+def test_hosts_without_a_record_are_chosen_like_those_that_have_answered(took_ms: float) -> None:
+    """Guards against one host for all requests until the latency assumed at first is forgotten."""
+    chosen = hosts_of(Driver(servers=4, slow_start_ms=0.0), 60, took_ms)
+    assert len(chosen) == 4 and min(chosen.values()) >= 5
+
+
+def test_responses_that_took_no_time_are_taken_into_the_mean() -> None:
+    assert hosts_of(Driver(servers=1), 60, 0.0) == {"h0": 60}
+
+
+def test_enabled_host_is_chosen_at_once_where_hosts_are_fast() -> None:
+    """Guards against a host that an operator has enabled and that gets nothing."""
+    driver = Driver(servers=2, slow_start_ms=0.0)
+    driver.give(api.HostDisabled("h0", True))
+    assert hosts_of(driver, 20, 1.0) == {"h1": 20}
+    driver.give(api.HostDisabled("h0", False))
+    assert hosts_of(driver, 20, 1.0)["h0"] >= 4
+
+
 def test_a_lone_host_is_selected_again_though_it_was_tried() -> None:
     balancer = make_balancer(1)
     (host,) = balancer.hosts.values()
