Tests: the rig holds its port while its gateway is dead, and shows why a start ended

Seen: test_restart_on_same_port_after_sigkill failed once, "the program ended at its start", with nothing of what the program had said (entry of KNOWN-RED.txt).

Cause: the rig used a port that the system had chosen again after a kill; in between another socket may be given it.

The entry's own output was not kept, so that this was its cause is inferred. Test and gateway are unchanged.

Also: a failed test of the rig prints what its clients sent and received, with times.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 import os
 import resource
 import signal
+import socket
 import sys
 from collections.abc import Callable, Coroutine
 from pathlib import Path
@@ -15,6 +16,7 @@
 import known_red
 import pytest
 import uvloop
+from fakes.diagnostics import Transcript, holders_of
 
 from hillmux import interface as api
 from hillmux.decision.gateway import Gateway
@@ -342,8 +344,15 @@
         self.totals: dict[str, float] = {}
         self.counter = Fake(lambda seen: adding(seen, self.totals))
         self.process: asyncio.subprocess.Process | None = None
-        self.port = 0
+        # Bound for as long as the rig lives: else another test's socket may be given the port of a process
+        # that is dead for the moment.
+        self.port_reservation = socket.socket()
+        self.port_reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.port_reservation.bind((LOOP, 0))
+        self.port: int = self.port_reservation.getsockname()[1]
         self.log: list[str] = []
+        self.transcript = Transcript()
+        self._connections = 0
 
     async def __aenter__(self) -> Rig:
         for host in self.hosts:
@@ -441,7 +450,7 @@
         """Start the program, again on the same port if it ran before, and wait until it is ready."""
         self.process = await self.run(self.write_config())
         while "listening on" not in (line := (await self.process.stderr.readline()).decode()):
-            assert line, "the program ended at its start"
+            assert line, await self._start_failure()
             self.log.append(line)
             if "operators call at" in line:
                 self.operator_port = int(line.rsplit(":", 1)[1])
@@ -452,6 +461,11 @@
         while (await self.ask(b"GET /ready HTTP/1.1\r\n\r\n")).line.split()[1] != "200":
             await asyncio.sleep(0.02)
 
+    async def _start_failure(self) -> str:
+        """What is known of a start that ended: exit status, the program's own words, who holds its port."""
+        status = await self.process.wait()
+        return "\n".join((f"the program ended at its start with {status}", *self.log, *holders_of(self.port)))
+
     async def upgrade(self, stop: bool = True) -> asyncio.subprocess.Process:
         """Start the program once more, as the platform does for a new version, and end the old process once
         the new one says yes; returns the old one."""
@@ -470,7 +484,11 @@
             self.log.append(line)
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        return await asyncio.open_connection(LOOP, self.port)
+        """A client's connection, whose bytes are shown if the test fails."""
+        reader, writer = await asyncio.open_connection(LOOP, self.port)
+        self._connections += 1
+        self.transcript.record(f"client {self._connections}", reader, writer)
+        return reader, writer
 
     async def ask(self, data: bytes) -> Seen:
         """One request on a connection of its own; its answer."""
@@ -485,6 +503,9 @@
         return int((await self.ask(data)).line.split()[1])
 
     async def __aexit__(self, *exc: object) -> None:
+        if exc[0] is not None:
+            print(*self.transcript.lines, sep="\n")
+            print(*self.log, sep="", end="")
         for process, reading in (*self.old, (self.process, self.reading)):
             if process.returncode is None:
                 process.kill()
@@ -492,6 +513,7 @@
             reading.cancel()
         for fake in (*self.hosts, self.counter, self.directory.fake):
             fake.stop()
+        self.port_reservation.close()
 
 
 def on_loop(scenario: Callable[[], Coroutine], limit_s: float = 30.0) -> None:
