A start that finds its address in use says so in one line

Operators saw `accept failed: EINVAL` above the error: a socket counted as listening before bind and listen had succeeded, and the clean-up accepted on it. Now it counts once it listens, and one that fails is closed at once. The new test failed before (two lines); tests/net, tests/admin and tests/hot_restart pass (361).

--- a/hillmux/net/listening_sockets.py
+++ b/hillmux/net/listening_sockets.py
@@ -32,13 +32,17 @@
         for address in addresses:
             family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
             sock = socket.socket(family, socket.SOCK_STREAM)
+            try:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                if shared:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+                sock.setblocking(False)
+                sock.bind(address)
+                sock.listen(LISTEN_BACKLOG)
+            except OSError:
+                sock.close()
+                raise
             self.sockets.append(sock)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            if shared:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-            sock.setblocking(False)
-            sock.bind(address)
-            sock.listen(LISTEN_BACKLOG)
 
     def inherit(self, descriptor: int) -> None:
         """Listen on another process's socket, and take what waits in its backlog."""
--- a/tests/net/test_process_signals.py
+++ b/tests/net/test_process_signals.py
@@ -155,3 +155,16 @@
             assert await rig.process.wait() == 0
 
     on_loop(scenario)
+
+
+def test_start_at_an_address_in_use_ends_with_one_line(tmp_path: Path) -> None:
+    """Guards against a warning of a socket that never listened, above the line that says why."""
+
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve) as rig:
+            second = await rig.run(tmp_path / "config.json")
+            _, said = await second.communicate()
+            assert second.returncode == 2
+            assert said.decode().splitlines() == ["listen: [Errno 98] Address already in use"]
+
+    on_loop(scenario)
