hillmux lab soak: scenarios drawn from a seed, played with real processes and judged

Found in the lab on the way, mended: discovery that moved twice within its grace closed the address it had moved back to; unruly clients' ids were no ids.

--- a/hillmux/lab/checks.py
+++ b/hillmux/lab/checks.py
@@ -7,13 +7,15 @@
 from __future__ import annotations
 
 from collections import defaultdict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
 Event = dict[str, Any]
 SLACK_MS = 50.0  # the protocol's, on sockets
 ANSWER_SLACK_MS = 500.0  # an answer so long after its client gave up is late, not lost
+MAX_PAUSE_MS = 160.0  # 0.15 s, for which deadlines allow, and what the lab's own signals are late
+MIN_KILL_AFTER_TERM_MS = 700.0  # what an earlier SIGKILL finds unanswered is not lost
 MOST_SHOWN = 20
 LOSES_CALLS = frozenset(("counter_stop", "counter_split", "cut", "cut_in", "cut_out", "reset_after"))
 TURNED_AWAY = frozenset(("full", "draining"))  # proves that a request did not run
@@ -47,41 +49,66 @@
     fall_ms: float  # a cold host falls by what comes in so long
     ceilings: dict[str, tuple[float, float, float]]  # by plan: rate in units a second, store, slack
     quotas: dict[str, tuple[float, float]]  # by plan: rate, burst
+    earliest_kill_ms: float = 3700.0  # after SIGTERM: the longest deadline, 3 s at most, and 0.7 s
     timed: bool = True  # the load itself was in time, so that lateness is the program's
 
 
+class _Outages:
+    """What befell one gateway, as far as it excuses what the gateway owed."""
+
+    def __init__(self) -> None:
+        self._events: list[Event] = []
+        self._term: Event | None = None  # SIGTERM to the present process
+
+    def note(self, event: Event) -> None:
+        """Add a signal or a start."""
+        what, last = event["ev"], self._events[-1] if self._events else None
+        if what == "term":
+            self._term = self._term or event
+        elif what == "kill" and self._term and event["t"] >= self._term["t"] + MIN_KILL_AFTER_TERM_MS:
+            return
+        elif what == "cont" and last and last["ev"] == "stop" and event["t"] <= last["t"] + MAX_PAUSE_MS:
+            self._events.pop()
+        else:
+            if what == "start":
+                self._term = None
+            self._events.append(event)
+
+    def excuse(self, asked: Event) -> bool:
+        """Whether an answer to a request of this moment is not owed."""
+        if self._events and self._events[-1]["ev"] in ("stop", "kill"):
+            return True
+        return any(e["t"] >= asked["t"] - SLACK_MS and e["ev"] != "start" for e in self._events)
+
+
 def answered(events: Iterable[Event], timed: bool = True) -> Verdict:
     """One final answer for each request that a running gateway took, and none after it.
 
     A try whose connection broke under it, or that came too late, is excused where its gateway was killed or
     stopped meanwhile, and so is one that was never written. A gateway that ended by itself, or in its drain,
-    has lost what it had taken. Where the machine was too busy for times (not `timed`), an answer that came
-    late breaks nothing; one that never came does.
+    has lost what it had taken; a pause of up to MAX_PAUSE_MS excuses nothing, nor does a SIGKILL later
+    than MIN_KILL_AFTER_TERM_MS after SIGTERM. Where the machine was too busy for times (not `timed`), an
+    answer that came late breaks nothing; one that never came does.
     """
     verdict = Verdict("answered")
     events = list(events)
     came = set() if timed else {event["rid"] for event in events if event["ev"] == "came"}
     wrote: dict[str, Event] = {}
-    down: dict[str, list[Event]] = defaultdict(list)  # what befell each gateway
+    outages: dict[str, _Outages] = defaultdict(_Outages)
     for event in events:
         match event["ev"]:
             case "wrote":
                 wrote[event["rid"]] = event
-            case "kill" | "stop" | "cont" | "start":
-                down[event["who"]].append(event)
+            case "kill" | "stop" | "cont" | "start" | "term":
+                outages[event["who"]].note(event)
             case "second" | "foreign":  # one more answer, or one that no host made for this request
                 verdict.show([event])
             case "answer" if event["rid"] in wrote:
                 verdict.exercised += 1
                 asked = wrote.pop(event["rid"])
-                if event["result"] in ("late", "reset") and event["rid"] not in came:
-                    befell = down[event["gw"]]
-                    dead = bool(befell) and befell[-1]["ev"] in ("stop", "kill")
-                    excused = dead or any(
-                        e["t"] >= asked["t"] - SLACK_MS and e["ev"] != "start" for e in befell
-                    )
-                    if not excused:
-                        verdict.show([asked, event])
+                owed = event["result"] in ("late", "reset") and event["rid"] not in came
+                if owed and not outages[event["gw"]].excuse(asked):
+                    verdict.show([asked, event])
     for asked in wrote.values():
         verdict.show([asked])
     return verdict
@@ -217,19 +244,3 @@
         elif event["ev"] == "stranger":
             verdict.show([event])
     return verdict
-
-
-CHECKERS: dict[str, Callable[[list[Event], Terms], Verdict]] = {
-    "answered": lambda events, terms: answered(events, terms.timed),
-    "effects": lambda events, terms: effects(events),
-    "drains": lambda events, terms: drains(events, terms.drain_grace_ms),
-    "cold": lambda events, terms: cold(events, terms.fall_ms),
-    "ceilings": lambda events, terms: ceilings(events, terms.ceilings),
-    "units": lambda events, terms: units(events),
-    "datagrams": lambda events, terms: datagrams(events),
-}
-
-
-def judge(events: list[Event], terms: Terms, rules: Iterable[str]) -> list[Verdict]:
-    """The verdicts of the named rules."""
-    return [CHECKERS[rule](events, terms) for rule in rules]
--- a/hillmux/lab/commands.py
+++ b/hillmux/lab/commands.py
@@ -11,6 +11,8 @@
 
 import click
 
+from hillmux.lab.soak_command import soak
+
 if TYPE_CHECKING:
     from hillmux.lab.run import Result
     from hillmux.lab.scenario import Scenario
@@ -26,6 +28,9 @@
     """Play fleets of gateways between stand-ins, with faults, and judge what they did."""
 
 
+lab.add_command(soak)
+
+
 def _scenario(path: Path) -> Scenario:
     from hillmux.lab.scenario import ScenarioError, load
 
--- a/hillmux/lab/load.py
+++ b/hillmux/lab/load.py
@@ -17,6 +17,7 @@
 import os
 from collections import Counter, deque
 from functools import partial
+from math import inf
 from typing import Any
 
 import httptools
@@ -28,9 +29,10 @@
 from hillmux.lab.clock import RealClock
 from hillmux.lab.pipe import begun, tell
 from hillmux.lab.record import Recorder
-from hillmux.lab.scenario import Scenario
+from hillmux.lab.scenario import Scenario, schedule
 from hillmux.lab.streams import Stream
 from hillmux.lab.traffic import PlannedRequest, plan_requests
+from hillmux.lab.unruly import UnrulyClients
 
 MAX_LATENESS_US = 60_000_000
 READY_CHECK_INTERVAL_MS = (
@@ -39,6 +41,7 @@
 MAX_IDLE_MS = 1500.0  # a connection unused for longer is not used again: its other side may be closing it
 ATTEMPT_DEADLINE_SHARE = 0.75  # of the class's deadline that one try may take
 SECOND_ANSWER_WAIT_S = 1.0
+NEW_CONNECTIONS_MS = 350.0  # after SIGTERM, for which the platform's clients go on opening connections
 LATE_ANSWER_TIMEOUT_MS = 10_000.0  # an answer that does not come for so long after the last try is lost
 MAX_KEPT_BODY_BYTES = 64  # of an answer, kept to be looked at
 GC_ALLOCATIONS = 100_000
@@ -109,7 +112,7 @@
             attempt.resent = True
             self.gateway.generator.resend(attempt)
         else:
-            attempt.finish("reset", 0, 0.0)
+            attempt.finish("shut" if self.gateway.crowded and not self.answers else "reset", 0, 0.0)
 
 
 class FrontGateway:
@@ -120,6 +123,22 @@
         self.idle: deque[ClientConnection] = deque()
         self.failing_since = 0.0  # since when dials fail; 0: they don't
         self.removed = False
+        self.terminated_ms = inf  # when its process was told to end
+        self.crowded = False  # it may shut new connections unread
+
+    def takes_connections(self) -> bool:
+        """Whether new connections are sent to it; those that are open are used as long as they stay open."""
+        return not self.removed and self.generator.clock.now < self.terminated_ms + NEW_CONNECTIONS_MS
+
+    def has_idle(self) -> bool:
+        """Whether a connection to it is open that carries nothing."""
+        return any(not connection.transport.is_closing() for connection in self.idle)
+
+    def told_to_end(self) -> None:
+        """SIGTERM goes out now: the front looks for its next process."""
+        if self.terminated_ms == inf:
+            self.terminated_ms = self.generator.clock.now
+            self.generator.clock.after(NEW_CONNECTIONS_MS, self._start_ready_check)
 
     def take_connection(self) -> ClientConnection | None:
         """An idle connection that was used recently."""
@@ -157,7 +176,7 @@
         except (OSError, TimeoutError):
             ready = False
         if ready:
-            self.removed, self.failing_since = False, 0.0
+            self.removed, self.failing_since, self.terminated_ms = False, 0.0, inf
             self.generator.note("front", "in", gw=self.name)
         else:
             self.generator.clock.after(READY_CHECK_INTERVAL_MS, self._start_ready_check)
@@ -247,7 +266,8 @@
         self._next_planned, self._serial = 0, 0
         self._stream = Stream(scenario.seed, "clients")
         self._tasks: set[asyncio.Task[None]] = set()
-        self._run_id = f"{os.getpid() & 0xFFFF:04x}"
+        self.run_id = f"{os.getpid() & 0xFFFF:04x}"
+        self.unruly = UnrulyClients(self)
 
     def run_in_background(self, work: Any) -> None:
         """Run in the background, and keep hold of it."""
@@ -258,6 +278,12 @@
     def play(self, t0: float) -> None:
         """Begin; first tries come when they are due whatever became of those before."""
         self._t0 = t0
+        by_name = {gateway.name: gateway for gateway in self.gateways}
+        for strike in schedule(self.scenario):
+            if strike.fault.what == "term":
+                self.clock.at(t0 + strike.at_ms, by_name[strike.target].told_to_end)
+        self.gateways[0].crowded = self.scenario.traffic.crowd > 0
+        self.unruly.play(t0)
         if not self._planned:
             self.done.set()
             return
@@ -281,7 +307,7 @@
             self.lateness.record_value(max(int(1000 * (now - due)), 1))
             self.open_requests += 1
             self._serial += 1
-            request = ClientRequest(f"{self._run_id}{self._serial:011x}0", one, due)
+            request = ClientRequest(f"{self.run_id}{self._serial:011x}0", one, due)
             self.note(
                 "client",
                 "first",
@@ -305,7 +331,7 @@
         place = (request.gateway_number - customer.first_gateway) % count
         for step in range(customer.replicas):
             gateway = self.gateways[(customer.first_gateway + (place + step) % customer.replicas) % count]
-            if not gateway.removed:
+            if gateway.takes_connections() or (not gateway.removed and gateway.has_idle()):
                 return gateway
         return self.gateways[request.gateway_number]
 
@@ -333,6 +359,9 @@
     async def _dial(self, attempt: ClientAttempt) -> None:
         gateway = attempt.gateway
         connection = ClientConnection(gateway)
+        if not gateway.takes_connections():
+            attempt.finish("refused_dial", 0, 0.0)
+            return
         try:
             await self.loop.create_connection(lambda: connection, "127.0.0.1", gateway.port)
         except OSError:
@@ -383,7 +412,7 @@
         """Wait for a second answer, and for those that were given up."""
         await asyncio.sleep(SECOND_ANSWER_WAIT_S)
         end = self.clock.now + LATE_ANSWER_TIMEOUT_MS
-        while self.unanswered and self.clock.now < end:
+        while (self.unanswered or self.unruly.active) and self.clock.now < end:
             await asyncio.sleep(0.05)
 
     def attempt_ended(self, request: ClientRequest, result: str, wait_ms: float) -> None:
--- a/hillmux/lab/run.py
+++ b/hillmux/lab/run.py
@@ -14,7 +14,7 @@
 
 import orjson
 
-from hillmux.lab import checks, record
+from hillmux.lab import checks, record, rules
 from hillmux.lab.measures import Figures, measure
 from hillmux.lab.processes import (
     READY_TIMEOUT_S,
@@ -50,6 +50,10 @@
     late_ms: list[float]
     unmet: list[str]
 
+    def is_timed(self) -> bool:
+        """Whether times were judged: the load itself was in time."""
+        return self.late_ms[1] <= MAX_LOAD_LATENESS_MS
+
     def holds(self) -> bool:
         """Whether every rule was exercised and held, and every figure asked for was met."""
         return not self.unmet and all(v.says() == "held" for v in self.verdicts)
@@ -239,7 +243,7 @@
     """The verdicts and figures of a record; `wrong`: what else the run did not come to."""
     events = list(record.read(folder))
     given = replace(terms(scenario), timed=late_ms[1] <= MAX_LOAD_LATENESS_MS)
-    verdicts = checks.judge(events, given, scenario.hold.rules)
+    verdicts = rules.judge(events, given, scenario.hold.rules)
     figures = measure(events, t0, scenario.length_s, given)
     missed = [*wrong, *unmet(scenario, figures, late_ms)]
     result = Result(scenario, folder, t0, verdicts, figures, late_ms, missed)
--- a/hillmux/lab/scenario.py
+++ b/hillmux/lab/scenario.py
@@ -13,7 +13,8 @@
 import tomli
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
-from hillmux.lab.checks import CHECKERS, Terms
+from hillmux.lab.checks import MIN_KILL_AFTER_TERM_MS, Terms
+from hillmux.lab.rules import CHECKERS, OPTIONAL_RULES
 from hillmux.lab.streams import generator
 from hillmux.lab.traffic import ClassTraffic, PlanTraffic, TrafficModel
 
@@ -32,7 +33,8 @@
 FAULTS = (*GATEWAY_FAULTS, *HOST_FAULTS, *LINK_FAULTS, *PEER_FAULTS, *COUNTER_FAULTS, *DISCOVERY_FAULTS)
 NOT_OF_DATAGRAMS = ("throttle", "reset_after")
 RULES = tuple(CHECKERS)
-USUAL_RULES = tuple(rule for rule in RULES if rule != "datagrams")  # no gateway sends any by itself
+USUAL_RULES = tuple(rule for rule in RULES if rule not in OPTIONAL_RULES)
+MAX_DRAIN_MS = 3000.0  # of the longest deadline that the platform waits for after SIGTERM
 NEEDS_VALUE = ("slow", "failing", "delay", "throttle", "reset_after", *PEER_FAULTS)
 HOWS = {
     "counter_start": ("all", "nothing", "old"),
@@ -117,6 +119,8 @@
     retries: Annotated[int, Field(ge=0, le=10)] = 3
     backoff_ms: NotNegative = 300
     honour: Share = 0.6  # of the clients that obey Retry-After
+    unruly_per_s: NotNegative = 0.0  # clients that leave, halt, pipeline, write slowly or have no time
+    crowd: Annotated[int, Field(ge=0, le=2000)] = 0  # idle connections held at the first gateway
 
     def model(self, length_s: float) -> TrafficModel:
         """The traffic as it is drawn."""
@@ -311,6 +315,7 @@
             if p.ceiling
         },
         {p.name: (p.rate, p.burst) for p in plans},
+        min(max(c.deadline_ms for c in scenario.traffic.classes), MAX_DRAIN_MS) + MIN_KILL_AFTER_TERM_MS,
     )
 
 
--- a/hillmux/lab/standins/discovery.py
+++ b/hillmux/lab/standins/discovery.py
@@ -66,6 +66,8 @@
         self._clock.after(OLD_ADDRESS_CLOSES_AFTER_MS, self._close_old_address, old)
 
     def _close_old_address(self, old: GatedListener) -> None:
+        if old is self.listener:
+            return  # it has moved back since
         old.close()
         for connection in [
             connection for connection, listener in self._connections.items() if listener is old
--- a/hillmux/lab/virtual/play.py
+++ b/hillmux/lab/virtual/play.py
@@ -8,7 +8,7 @@
 
 from typing import Any
 
-from hillmux.lab import checks, measures
+from hillmux.lab import checks, measures, rules
 from hillmux.lab.checks import Event
 from hillmux.lab.scenario import Scenario, Strike, schedule, terms
 from hillmux.lab.virtual.counter import CounterModel
@@ -73,7 +73,7 @@
     play(scenario, events)
     given = terms(scenario)
     return (
-        checks.judge(events, given, scenario.hold.rules),
+        rules.judge(events, given, scenario.hold.rules),
         measures.measure(events, START_MS, scenario.length_s, given),
     )
 
