--- a/tests/decision/test_admission.py
+++ b/tests/decision/test_admission.py
@@ -91,6 +91,7 @@
 
 
 def test_attempt_open_during_a_stall_gives_no_sample() -> None:
+    """Guards against a paused machine whose backlog looks like slow hosts."""
     d = Driver()
     request_id, _ = d.ask()
     d.end(request_id, took=5000, after=5000)
--- a/tests/net/test_deadlines.py
+++ b/tests/net/test_deadlines.py
@@ -84,7 +84,10 @@
 
 
 def test_deadlines_cancelled_after_a_stall_do_not_expire() -> None:
-    """All are due at once; answers that lay unread cancel most of them between two turns."""
+    """All are due at once; answers that lay unread cancel most of them between two turns.
+
+    Guards against a paused machine: timers are due before the answers of the pause are read.
+    """
     loop, expired, deadlines = create()
     slots = {i: deadlines.add(i, 0.2) for i in range(1000)}
     loop.run_once(1.2)
--- a/tests/net/test_discovery_races.py
+++ b/tests/net/test_discovery_races.py
@@ -123,7 +123,10 @@
 
 
 def test_stall_of_the_loop_is_not_taken_for_silence_of_the_agent(quick: None) -> None:
-    """The answer came in time and lies unread: timers fire first, and must not end the watch."""
+    """The answer came in time and lies unread: timers fire first, and must not end the watch.
+
+    Guards against a paused machine, or a long collection, that is over before timers fire.
+    """
 
     async def scenario() -> None:
         listener = socket.create_server((LOOP, 0))
--- a/tests/net/test_failed_attempts.py
+++ b/tests/net/test_failed_attempts.py
@@ -91,7 +91,10 @@
 
 
 def test_response_read_after_a_stall_precedes_its_time_out(tmp_path: Path) -> None:
-    """Our own stall must not turn an answer that came in time into a time-out."""
+    """Our own stall must not turn an answer that came in time into a time-out.
+
+    The pause is that of an overloaded core.
+    """
 
     async def scenario() -> None:
         async with Rig(tmp_path, silent) as rig:
--- a/tests/net/test_gateway_core.py
+++ b/tests/net/test_gateway_core.py
@@ -52,7 +52,10 @@
 def test_after_a_stall_all_endpoint_changes_are_handled_before_held_events(
     monkeypatch: pytest.MonkeyPatch, answers: bool
 ) -> None:
-    """The watch that was open brings the first; the second comes at once when asked for, or in vain."""
+    """The watch that was open brings the first; the second comes at once when asked for, or in vain.
+
+    Guards against a virtual machine that was paused while hosts drained.
+    """
 
     async def scenario() -> None:
         told: list[str] = []
@@ -203,6 +206,8 @@
 
 
 def test_stall_of_the_loop_is_not_reported_as_host_latency(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an overloaded core or a collection: our wait is no host's latency."""
+
     async def scenario() -> None:
         host = Fake(lambda seen: None)
         core, decisions = await start_gateway_core(monkeypatch, host)
--- a/tests/net/test_sending_races.py
+++ b/tests/net/test_sending_races.py
@@ -320,7 +320,10 @@
 def test_request_of_a_disconnected_client_is_not_forwarded_after_a_stall(
     monkeypatch: pytest.MonkeyPatch, behind: bool
 ) -> None:
-    """Both came while we stood still; the loop reads the request first. Without a stall there is no look."""
+    """Both came while we stood still; the loop reads the request first. Without a stall there is no look.
+
+    Guards against a process that was stopped, or had no core, while its clients left.
+    """
 
     async def scenario() -> None:
         host = Fake(lambda seen: reply(b"served"))
--- a/tests/recovery/test_process_restart.py
+++ b/tests/recovery/test_process_restart.py
@@ -51,6 +51,7 @@
 
 @pytest.mark.parametrize("stood_ms", [OUTDATED_MS + 200, 60_000, 3_600_000])
 def test_admit_fraction_from_before_a_long_stall_rejects_nothing(stood_ms: float) -> None:
+    """Guards against a virtual machine that was paused in an overload and wakes after it."""
     d = jammed()
     d.now += stood_ms
     assert let_in(d) == 50 and not d.gateway.quotas.shedding_load
