--- a/hillmux/net/config.py
+++ b/hillmux/net/config.py
@@ -209,8 +209,10 @@
 
 
 def _settings(pairs: dict[str, str]) -> api.Settings:
+    # A key that holds `=` is split there, as on the simulator's wire.
+    values = dict(f"{path}={value}".partition("=")[::2] for path, value in pairs.items())
     try:
-        settings = parse_settings(pairs)
+        settings = parse_settings(values)
         settings.check()
     except ValueError as error:
         raise ConfigError(f"settings: {error}") from None
--- a/tests/compatibility/test_configurations.py
+++ b/tests/compatibility/test_configurations.py
@@ -47,6 +47,13 @@
     assert schema_keys(TypeAdapter(model).json_schema()) == stored("parsed.json")["schema"][name]
 
 
+def test_settings_key_that_holds_an_equals_sign_is_split_there(tmp_path: Path) -> None:
+    """Guards against a setting that earlier versions read and that became an unknown key."""
+    settings = {name: value for name, value in inputs.PLATFORM_CONFIG["settings"].items() if name != "zone"}
+    config = platform_config.parse({**inputs.PLATFORM_CONFIG, "settings": {**settings, "zone=east": "a"}})
+    assert config.settings.zone == "east=a"
+
+
 def test_measurements_are_read_and_written_as_before(tmp_path: Path) -> None:
     measurements = Measurements.read(RECORDED / "measurements.json")
     figures = [[plain(figure), figure.at(inputs.FIGURE_SIZE)] for figure in measurements.figures.values()]
