--- a/hillmux/lab/unruly.py
+++ b/hillmux/lab/unruly.py
@@ -6,14 +6,11 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
 
 from hillmux.lab.checks import ANSWER_SLACK_MS
+from hillmux.lab.front import FrontGateway, Load
 from hillmux.lab.streams import Stream
 
-if TYPE_CHECKING:
-    from hillmux.lab.load import FrontGateway, LoadGenerator
-
 KINDS = ("leave", "halt", "pipeline", "slow", "hurry")
 HALTED_CLIENT_MS = 3000.0  # within which a client that halts gets its error, or a close
 LAST_BEFORE_END_S = 5.0  # none begins later than this before the run's end
@@ -29,8 +26,9 @@
 class UnrulyClients:
     """Draws when the next one comes, which gateway it goes to and what it does."""
 
-    def __init__(self, load: LoadGenerator) -> None:
+    def __init__(self, load: Load, gateways: list[FrontGateway], run_id: str) -> None:
         traffic = load.scenario.traffic
+        self._gateways, self._run_id = gateways, run_id
         self._load, self._rate, self._crowd = load, traffic.unruly_per_s, traffic.crowd
         self._class, self._plan = traffic.classes[0], traffic.plans[0]
         self._stream = Stream(load.scenario.seed, "unruly")
@@ -50,7 +48,7 @@
         await asyncio.sleep((self._begin_ms - self._load.clock.now) / 1000)
         while self._load.clock.now < self._end_ms:
             await asyncio.sleep(self._stream.uniform(0, 2 / self._rate))
-            open_gateways = [g for g in self._load.gateways if g.takes_connections()]
+            open_gateways = [g for g in self._gateways if g.takes_connections()]
             if open_gateways:
                 gateway = open_gateways[int(self._stream.uniform(0, len(open_gateways)))]
                 kind = KINDS[int(self._stream.uniform(0, len(KINDS)))]
@@ -86,7 +84,7 @@
     def _new_request(self, deadline_ms: float = DEADLINE_MS) -> tuple[str, bytes]:
         """An id and the bytes of a request under it, by a customer of its own."""
         self._serial += 1
-        rid, cls = f"{self._load.run_id}f{self._serial:010x}0", self._class
+        rid, cls = f"{self._run_id}f{self._serial:010x}0", self._class
         customer = f"{UNRULY_CUSTOMERS + self._serial:016x}"
         return rid, (
             f"GET /api/{customer}?work={cls.work_ms:.1f}&true=1&kind=safe&window=0&units=1"
@@ -155,7 +153,7 @@
 
     async def _hold_crowd(self) -> None:
         """Hold idle connections at the first gateway, and dial again for those that it closes."""
-        gateway = self._load.gateways[0]
+        gateway = self._gateways[0]
         held: list[asyncio.StreamWriter] = []
         while self._load.clock.now < self._end_ms:
             held = [writer for writer in held if not writer.is_closing()]
