--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -36,19 +36,22 @@
     plan: dict[str, Any] = PLAN,
     heavy: float = 0.2,
     per_s: float = 80,
+    length_s: float = 6.0,
+    unruly_per_s: float = 0.0,
     **fleet: Any,
 ) -> Scenario:
-    """Six seconds of four gateways and six hosts."""
+    """Some seconds of four gateways and six hosts."""
     return Scenario.model_validate(
         {
             "name": "planted",
             "seed": 3,
-            "length_s": 6.0,
+            "length_s": length_s,
             "fleet": {"gateways": 4, "hosts": 6, "cold_ms": 4000, "list_late_ms": [10, 150], **fleet},
             "traffic": {
                 "per_s": per_s,
                 "heavy": heavy,
                 "heavy_x": 5.0,
+                "unruly_per_s": unruly_per_s,
                 "plans": [plan],
                 "classes": [READ, booking],
             },
@@ -86,6 +89,14 @@
     {"at_s": 1.5, "what": "term", "who": "gateway:*", "over_s": 2.0},
     {"at_s": 3.0, "what": "start", "who": "gateway:*", "over_s": 2.0},
 )
+ENDED = (
+    {"at_s": 0.5, "what": "term", "who": "gateway:0"},
+    {"at_s": 4.25, "what": "kill", "who": "gateway:0"},  # the earliest: 3 s and 0.7 s later
+)
+RESTARTED = (
+    {"at_s": 1.0, "what": "kill", "who": "gateway:0"},
+    {"at_s": 1.1, "what": "start", "who": "gateway:0"},
+)
 CALM = ({"at_s": 1.0, "what": "slow", "who": "host:h0", "value": 1.5},)
 TIGHT = {**PLAN, "ceiling": 0.5}  # it binds before the quota does
 QUOTAS, RETRIES = "hillmux/quotas/quotas.py", "hillmux/decision/retries.py"
@@ -172,6 +183,30 @@
         "units",
         day(*CALM),
     ),
+    Planted(
+        "a gateway that is told to end never does",
+        "hillmux/net/shutdown.py",
+        "        if self._listener.close_idle() or self._loop.time() > self._flush_until:",
+        "        if False:",
+        "exits",
+        day(*ENDED),
+    ),
+    Planted(
+        "a gateway takes long to start",
+        "hillmux/__main__.py",
+        "    gateway.start()",
+        "    await asyncio.sleep(10.5)\n    gateway.start()",
+        "restarts",
+        day(*RESTARTED),
+    ),
+    Planted(
+        "a client that halts in the middle of a head is left alone",
+        "hillmux/net/client_timeouts.py",
+        "HEAD_TIMEOUT_S: Final = 2.6",
+        "HEAD_TIMEOUT_S: Final = 26.0",
+        "unruly",
+        day(*CALM, length_s=9.0, unruly_per_s=20.0),
+    ),
 )
 
 
