--- a/hillmux/lab/commands.py
+++ b/hillmux/lab/commands.py
@@ -60,12 +60,13 @@
 def run(path: Path, seed: int | None, out: Path, tree: Path | None, virtual: bool) -> None:
     """Play a scenario. Ends with 1 where something does not hold, or was not exercised."""
     from hillmux.lab.processes import ROOT, NotReadyError
+    from hillmux.lab.record import free_folder
     from hillmux.lab.run import RunError, play, play_virtual
 
     scenario = _scenario(path)
     if seed is not None:
         scenario = scenario.model_copy(update={"seed": seed})
-    folder = _folder(out, f"{scenario.name}-{scenario.seed}")
+    folder = free_folder(out, f"{scenario.name}-{scenario.seed}")
     if virtual:
         result = play_virtual(scenario, folder, lambda t: click.echo(t, err=True))
         show(result)
@@ -111,13 +112,6 @@
         yield shown
 
 
-def _folder(out: Path, name: str) -> Path:
-    serial = 1
-    while (out / f"{name}-{serial}").exists():
-        serial += 1
-    return out / f"{name}-{serial}"
-
-
 def show(result: Result) -> None:
     """A run as tables."""
     from rich.console import Console
@@ -239,11 +233,12 @@
 
     from hillmux.lab.compare import compare as compared
     from hillmux.lab.processes import NotReadyError
+    from hillmux.lab.record import free_folder
     from hillmux.lab.run import RunError
     from hillmux.lab.trees import TreeError
 
     scenario = _scenario(path)
-    folder = _folder(out, f"compare-{scenario.name}")
+    folder = free_folder(out, f"compare-{scenario.name}")
     try:
         rows, results = compared(base, head, scenario, pairs, folder, lambda text: click.echo(text, err=True))
     except (RunError, NotReadyError, TreeError, TimeoutError) as error:
--- a/hillmux/lab/record.py
+++ b/hillmux/lab/record.py
@@ -53,6 +53,14 @@
         os.close(self._file)
 
 
+def free_folder(out: Path, name: str) -> Path:
+    """The first folder of this name and a number that does not exist."""
+    serial = 1
+    while (out / f"{name}-{serial}").exists():
+        serial += 1
+    return out / f"{name}-{serial}"
+
+
 def _lines(path: Path) -> Iterator[Event]:
     with path.open("rb") as file:
         for line in file:
--- a/hillmux/lab/soak.py
+++ b/hillmux/lab/soak.py
@@ -12,6 +12,7 @@
 
 from hillmux.lab.checks import Verdict
 from hillmux.lab.processes import NotReadyError
+from hillmux.lab.record import free_folder
 from hillmux.lab.run import RunError, play
 from hillmux.lab.scenario import Scenario
 from hillmux.lab.soak_draw import draw_scenario
@@ -76,7 +77,7 @@
 def play_seed(seed: int, length_s: float, out: Path) -> SeedResult:
     """Draw, play and judge one seed."""
     scenario = draw_scenario(seed, length_s)
-    folder = _free_folder(out, f"soak-{seed}")
+    folder = free_folder(out, f"soak-{seed}")
     result = SeedResult(seed, scenario.about, folder)
     try:
         played = play(scenario, folder)
@@ -91,13 +92,6 @@
     return result
 
 
-def _free_folder(out: Path, name: str) -> Path:
-    serial = 1
-    while (out / f"{name}-{serial}").exists():
-        serial += 1
-    return out / f"{name}-{serial}"
-
-
 def _broken_rule(verdict: Verdict) -> BrokenRule:
     chain = verdict.chains[0] if verdict.chains else []
     return BrokenRule(verdict.rule, verdict.broken, next((e["rid"] for e in chain if "rid" in e), ""))
