--- a/hillmux/lab/scenario.py
+++ b/hillmux/lab/scenario.py
@@ -21,7 +21,7 @@
 Share = Annotated[float, Field(ge=0, le=1)]
 Positive = Annotated[float, Field(gt=0)]
 NotNegative = Annotated[float, Field(ge=0)]
-PROCESS_MB, PROCESS_FILES = 40, 64  # what a gateway's process takes at rest, measured, and rounded up
+PROCESS_MB, PROCESS_FILES = 40, 64  # of a gateway's process at rest
 SPARE_MB = 512
 MOST_UNITS = 4  # of a request
 GATEWAY_FAULTS = ("kill", "term", "hup", "stop", "cont", "start")
