Review case 1: bodies in small chunks take the gateway over its memory limit

Done: `review/1` lets 200 bad clients send 63,000 bytes of a body in chunks of two bytes and stop. The gateway keeps each chunk as an object of its own.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,72 +1,119 @@
-"""Long bookings while one of four hosts hangs: each that was written whole is owed an answer in its time."""
+"""Bad clients stop in the middle of a body of 63 KB and stay: the gateway has to keep to its memory limit."""
 
 import asyncio
-import signal
+import json
+import os
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins import CannotRun, Fleet, main, read_answer, request_head
+from standins import MEMORY_MB, ROOT, CannotRun, Fleet, main, read_answer, request_head
 
 HOSTS = 4
-WORK_MS = 200  # the brief: 150 to 260 ms
-SEGMENT = 1448  # the hosts' largest segment, as on an Ethernet; the loopback's own would be 65,483
-LONG_BYTES = 1_000_000
-LONG_REQUESTS = 12
-TIME_LEFT_MS = 3000  # half of the class's give-up time, the least that the brief has
-LATE_S = 0.55  # "up to half a second after its time it only earns nothing", and 50 ms on sockets
-HANG_S = 8.0
-
-
-async def book(fleet, number, size, answers):
-    """Send one booking on a connection of its own; note when its last byte was written and what came back."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", fleet.gateway.port)
-    writer.transport.set_write_buffer_limits(high=0)
-    writer.write(request_head(number, "slot-booking", TIME_LEFT_MS, size) + b"x" * size)
+WORK_MS = 200
+CLIENTS = 8
+BAD_CLIENTS = int(os.environ.get("BAD_CLIENTS", "200"))  # "others connect by hundreds"
+BODY_BYTES = 63_000  # "Bodies hold at most 64 KiB"
+CHUNK_BYTES = int(os.environ.get("CHUNK_BYTES", "2"))
+BEFORE_S, BAD_S, AFTER_S = 2, 8, 2
+
+
+def resident_mb(pid):
+    """The memory that a process holds, as the system counts it; 0 once it has ended."""
     try:
-        await asyncio.wait_for(writer.drain(), HANG_S)  # until the system has taken the last byte
-    except TimeoutError:
-        fleet.record.write(f"client {number}: its last byte could not be written; not judged")
-        writer.close()
-        return
-    written = time.monotonic()
-    fleet.record.write(f"client {number}: {size} bytes, the last one written; waits {TIME_LEFT_MS} ms")
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+    except OSError:
+        pass
+    return 0.0
+
+
+class Platform:
+    """Watches the gateway's memory, and kills it when it holds more than its configuration allows."""
+
+    def __init__(self, fleet):
+        self.fleet, self.most_mb, self.killed_at_mb = fleet, 0.0, 0.0
+
+    async def watch(self):
+        """Look every 20 ms."""
+        process = self.fleet.gateway.process
+        while process.returncode is None:
+            now_mb = resident_mb(process.pid)
+            if now_mb > self.most_mb + 10:
+                self.fleet.record.write(f"platform: the gateway holds {now_mb:.0f} MB")
+                self.most_mb = now_mb
+            if now_mb > MEMORY_MB:
+                self.killed_at_mb = now_mb
+                self.fleet.record.write(f"platform: over {MEMORY_MB} MB, killed")
+                process.kill()
+                return
+            await asyncio.sleep(0.02)
+
+
+async def usual_client(fleet, name, end, counts):
+    """Send bookings one after another on a kept connection."""
+    serial = 0
+    while time.monotonic() < end:
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", fleet.gateway.port)
+            answer = (0, b"")
+            while time.monotonic() < end and answer is not None:
+                writer.write(request_head(f"{name}-{serial}", "slot-booking", 3000))
+                answer = await asyncio.wait_for(read_answer(reader), 10)
+                fleet.record.write(f"client {name}: {name}-{serial} got {answer and answer[0]}")
+                counts[answer and answer[0]] = counts.get(answer and answer[0], 0) + 1
+                serial += 1
+                await asyncio.sleep(0.1)
+            writer.close()
+        except (OSError, TimeoutError) as error:
+            fleet.record.write(f"client {name}: {error!r}")
+            await asyncio.sleep(0.5)
+
+
+async def bad_clients(fleet):
+    """Run the bad clients, and record how their connections ended."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        str(ROOT / "review" / "bad_crowd.py"),
+        *map(str, (fleet.gateway.port, BAD_CLIENTS, BODY_BYTES, CHUNK_BYTES, BAD_S)),
+        stdout=asyncio.subprocess.PIPE,
+    )
     try:
-        answer = await asyncio.wait_for(read_answer(reader), HANG_S + 6)
-    except TimeoutError:
-        answer = "nothing"
-    took = time.monotonic() - written
-    status = answer[0] if isinstance(answer, tuple) else ("a cut connection" if answer is None else answer)
-    fleet.record.write(f"client {number}: got {status} after {took:.3f} s")
-    answers[number] = (status, took)
-    writer.close()
+        while line := await process.stdout.readline():
+            entry = json.loads(line)
+            fleet.record.write(f"bad client: {entry['outcome']} after {entry['after_s']} s", entry["at"])
+        await process.wait()
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
 
 
 async def case(record, trouble):
     """Return what broke the rule."""
-    answers = {}
-    async with Fleet(record, HOSTS, WORK_MS, SEGMENT) as fleet:
-        await asyncio.gather(*(book(fleet, f"short-{i}", 200, answers) for i in range(8)))
-        if trouble:
-            fleet.hosts[0].signal(signal.SIGSTOP)
-            record.write("host-0 hangs from now on")
-        long = asyncio.gather(*(book(fleet, f"long-{i}", LONG_BYTES, answers) for i in range(LONG_REQUESTS)))
-        await asyncio.sleep(HANG_S)
+    counts = {}
+    async with Fleet(record, HOSTS, WORK_MS) as fleet:
+        platform = Platform(fleet)
+        watching = asyncio.create_task(platform.watch())
+        end = time.monotonic() + BEFORE_S + BAD_S + AFTER_S
+        usual = asyncio.gather(*(usual_client(fleet, f"c{i}", end, counts) for i in range(CLIENTS)))
+        await asyncio.sleep(BEFORE_S)
+        if not counts.get(200):
+            raise CannotRun("nothing was served")
         if trouble:
-            fleet.hosts[0].signal(signal.SIGCONT)
-            record.write("host-0 goes on")
-        await long
-        if not fleet.gateway.alive():
-            raise CannotRun("the gateway ended")
-    if len(answers) < LONG_REQUESTS // 2:
-        raise CannotRun("too few requests could be written whole")
-    return [
-        f"{number}: written whole, time {TIME_LEFT_MS / 1000:.1f} s, got {status} after {took:.2f} s"
-        for number, (status, took) in answers.items()
-        if status in ("nothing", "a cut connection") or took > TIME_LEFT_MS / 1000 + LATE_S
-    ]
+            record.write(f"{BAD_CLIENTS} bad clients begin, chunks of {CHUNK_BYTES} bytes")
+            await bad_clients(fleet)
+            record.write("the bad clients have ended")
+        await usual
+        record.write(f"usual clients got {counts}")
+        ended = not fleet.gateway.alive() and not platform.killed_at_mb
+        watching.cancel()
+    if platform.killed_at_mb:
+        return [f"the gateway held {platform.killed_at_mb:.0f} MB, {MEMORY_MB} MB are allowed: it is killed"]
+    return ["the gateway's process has ended"] if ended else []
 
 
 main(case)
--- a/review/standins.py
+++ b/review/standins.py
@@ -18,7 +18,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 CUSTOMER = "00000000b4d65521"
-REFUSED = (429, 503)
+MEMORY_MB = 192  # "On the days that are scored the limits are at most 192 MB and 1,024 descriptors"
 
 
 def settings(**changes):
@@ -319,7 +319,7 @@
             "discovery": f"127.0.0.1:{agent.port}",
             "counter": f"127.0.0.1:{counter.port}",
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024},
             "settings": settings(**changes),
         }
         path = self.folder / "config.json"
