--- a/review/1/case.py
+++ b/review/1/case.py
@@ -62,6 +62,7 @@
             answer = (0, b"")
             while time.monotonic() < end and answer is not None:
                 writer.write(request_head(f"{name}-{serial}", "slot-booking", 3000))
+                fleet.record.write(f"client {name}: {name}-{serial} sent, waits 3000 ms")
                 answer = await asyncio.wait_for(read_answer(reader), 10)
                 fleet.record.write(f"client {name}: {name}-{serial} got {answer and answer[0]}")
                 counts[answer and answer[0]] = counts.get(answer and answer[0], 0) + 1
@@ -84,7 +85,7 @@
     try:
         while line := await process.stdout.readline():
             entry = json.loads(line)
-            fleet.record.write(f"bad client: {entry['outcome']} after {entry['after_s']} s", entry["at"])
+            fleet.record.write(f"bad client: sent {entry['sent']} bytes, {entry['outcome']}", entry["at"])
         await process.wait()
     finally:
         if process.returncode is None:
--- a/review/bad_crowd.py
+++ b/review/bad_crowd.py
@@ -1,7 +1,7 @@
 """Bad clients that stop in the middle of a booking's body and stay, each on a connection of its own.
 
 Command line: port, number of clients, bytes of body that each sends, bytes in a chunk, seconds until all end.
-They read what they are sent, and don't come back. Prints a JSON line for each connection that ended.
+They read what they are sent, and don't come back. Prints a JSON line for each connection at its end.
 """
 
 import json
@@ -19,13 +19,14 @@
     "Idempotency-Key: bad-{0}\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
 end = time.monotonic() + seconds
-unsent, began = {}, {}
+unsent, began, lengths = {}, {}, {}
 
 
 def ended(sock, outcome):
     """Print how a connection ended, and close it."""
-    line = {"at": time.monotonic(), "outcome": outcome, "after_s": round(time.monotonic() - began[sock], 2)}
-    print(json.dumps(line), flush=True)
+    sent = lengths[sock] - len(unsent[sock])
+    line = {"at": time.monotonic(), "outcome": outcome, "sent": sent}
+    print(json.dumps({**line, "after_s": round(time.monotonic() - began[sock], 2)}), flush=True)
     del unsent[sock], began[sock]
     sock.close()
 
@@ -37,6 +38,7 @@
         break
     sock.setblocking(False)
     unsent[sock], began[sock] = memoryview(HEAD.format(number).encode() + BODY), time.monotonic()
+    lengths[sock] = len(unsent[sock])
 while unsent and time.monotonic() < end:
     readable, writable, _ = select.select(list(unsent), [s for s, rest in unsent.items() if rest], [], 0.1)
     for sock in writable:
@@ -51,3 +53,5 @@
                 ended(sock, answer.split(b"\r\n")[0].decode() if answer else "closed")
             except OSError as error:
                 ended(sock, repr(error))
+for sock in list(unsent):
+    ended(sock, "ended with the test")
