Hosted service: trailers of a request are dropped, not forwarded as headers

Hosts of a tenant were sent a field from behind a chunked body as if it were a header of the request. Found while the paths of the memory fault were read.

Cause: TenantConnection.on_header kept every field that is not replaced, also after the head was complete; trailers did not count towards the limit of the head, so their number was bounded by the size of a request only.

Change: a field behind the head is dropped (RFC 9110 section 6.5.1).

Result: test_trailers_are_not_forwarded_as_headers saw `x-role` at the host before, and passes now.

--- a/hillmux/hosted/tenant_connection.py
+++ b/hillmux/hosted/tenant_connection.py
@@ -142,9 +142,10 @@
         """Also keep a header that is forwarded unchanged; it counts FIELD_OVERHEAD_BYTES more."""
         message = self._message
         assert isinstance(message, TenantMessage)
+        is_trailer = message.method != b""
         super().on_header(name, value)
         name = name.lower()
-        if name not in REPLACED_HEADERS:
+        if not is_trailer and name not in REPLACED_HEADERS:
             message.head_bytes += FIELD_OVERHEAD_BYTES
             message.other_headers.append((name, value))
 
--- a/tests/hosted/test_front.py
+++ b/tests/hosted/test_front.py
@@ -354,6 +354,19 @@
     on_loop(scenario)
 
 
+def test_trailers_are_not_forwarded_as_headers() -> None:
+    """Guards against trailers that are held without a bound, and that a host takes for headers."""
+
+    async def scenario() -> None:
+        async with Hosted("a") as rig:
+            data = request("a", "/api/pay/p", "POST", Transfer_Encoding="chunked")
+            data = data.replace(b"Content-Length: 0\r\n", b"") + b"1\r\nx\r\n0\r\nX-Role: admin\r\n\r\n"
+            assert await rig.status(data) == 200
+            assert "x-role" not in rig.hosts["a"].seen[0].headers
+
+    on_loop(scenario)
+
+
 @pytest.mark.parametrize("fields, wanted", [(500, 200), (2000, 400)])
 def test_number_of_header_fields_is_bounded(fields: int, wanted: int) -> None:
     """Guards against heads of a few kilobytes that hold thousands of objects."""
