Compatibility test gives a request its body as bytes, as the parser now does

RequestMessage.body is a buffer since, no list of pieces; the test set it to a list and failed with a TypeError.

--- a/tests/compatibility/test_messages.py
+++ b/tests/compatibility/test_messages.py
@@ -65,7 +65,7 @@
     message = RequestMessage()
     message.method, message.url, headers, body = inputs.CLIENT_REQUESTS[number]
     message.headers = {**headers, b"quota-info": inputs.QUOTA_INFO}
-    message.body, message.body_bytes = [body], len(body)
+    message.body, message.body_bytes = body, len(body)
     request = parse_request(message, RequestRules(platform().settings))
     attempt = Attempt("1", 0, "cabin-0", request.head, request.body, 100.0, 200.0)
     attempt.timeout_s = 1.25
