Input of many small pieces is parsed over several turns of the event loop

Cause: the work of a read follows its chunks and header fields, not its bytes, and nothing bounded it. Each chunk was a call into the connection, a reading of the clock, an object and a write to the host, all before the loop looked at another socket or timer.

Evidence: strace, 5 s in the middle of the case: 142,763 write, 3 read, no epoll_wait. perf in a later part, when the body is dropped: no writes, all parser callbacks and the clock. So both count; slow hosts and late timers as the origin are out, as neither is reached.

Change: data of a body is passed on once for each 32 KiB parsed. A connection that has parsed 1,024 pieces of a read stops with reading paused; such connections parse the rest round robin, 8,192 pieces a turn together. Responses of hosts, counter and discovery go the same way. `vars` has longest_stall_ms and parse_deferrals, which tell a held loop from slow hosts; the compatibility test asserts the recorded metrics and exactly these two.

Why it works: what one connection, and all expensive ones together, may do in a turn is bounded by what costs. A usual read has some tens of pieces and is parsed as before.

--- a/hillmux/hosted/tenant_connection.py
+++ b/hillmux/hosted/tenant_connection.py
@@ -113,6 +113,17 @@
         started_at = time.perf_counter()
         self._charged_s = 0.0
         super().data_received(data)
+        self._charge_parsing(started_at)
+
+    def parse_deferred(self) -> int:
+        """Also charge the owner for the memory and the loop's time."""
+        started_at = time.perf_counter()
+        self._charged_s = 0.0
+        pieces = super().parse_deferred()
+        self._charge_parsing(started_at)
+        return pieces
+
+    def _charge_parsing(self, started_at: float) -> None:
         self._charge_request()
         self._charge_loop_time(time.perf_counter() - started_at - self._charged_s)
 
--- a/hillmux/hosted/tenant_requests.py
+++ b/hillmux/hosted/tenant_requests.py
@@ -8,6 +8,7 @@
 from hillmux import interface as api
 from hillmux.hosted.tenant_service import TenantInfo
 from hillmux.interface import Idempotency
+from hillmux.net.body_buffer import to_bytes
 from hillmux.net.forward_request import ForwardRequest
 from hillmux.net.requests import (
     DEADLINE_VALUE,
@@ -112,7 +113,7 @@
         headers.get(b"x-retry") == b"1",
         message.read_at,
         _encode_head(message, target, route, request_class, request_id, partner, peer),
-        bytes(message.body),
+        to_bytes(message.body),
         route.pool,
     )
 
--- a/hillmux/net/body_buffer.py
+++ b/hillmux/net/body_buffer.py
@@ -17,3 +17,10 @@
         body = bytearray(body)
     body += piece
     return body
+
+
+def to_bytes(body: Body) -> bytes:
+    """Return the body as `bytes`; a body of one piece is not copied."""
+    if isinstance(body, bytearray):
+        return bytes(body)
+    return body
--- a/hillmux/net/client_connection.py
+++ b/hillmux/net/client_connection.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import re
+import time
 from typing import TYPE_CHECKING, Any, Final, cast
 
 import httptools
@@ -22,6 +23,7 @@
     has_unread_input,
     peer_has_closed,
 )
+from hillmux.net.parse_scheduler import MAX_PIECES_PER_READ, PARSE_SLICE_BYTES, running_loop_scheduler
 from hillmux.net.request_parser import MAX_HEAD_BYTES, RequestParser
 from hillmux.net.requests import BadRequestError, RejectedRequest, RequestMessage, parse_request
 from hillmux.net.response_writer import encode_response
@@ -33,6 +35,7 @@
 ABSOLUTE_FORM_ORIGIN: Final = re.compile(rb"^https?://[^/?#]*(?=/)", re.IGNORECASE)  # RFC 9112 section 3.2.2
 READY_PATH: Final = b"/ready"
 API_PREFIX: Final = b"/api/"
+MEMORY_CHECK_INTERVAL_S: Final = 0.005  # while the unparsed input of all connections is over its limit
 
 
 class ClientConnection(RequestParser):
@@ -54,6 +57,8 @@
         self.answered = False  # at least one request of this connection has been answered
         self._taking_requests = self._reading_paused = False
         self._unparsed = UnparsedInput(listener.unparsed_total)
+        self._piece_budget = MAX_PIECES_PER_READ  # value of `_pieces` above which parsing is deferred
+        self._is_deferred = False  # the unparsed input waits for a turn of the event loop
         self._writing_paused = False  # the write buffer is full: the client does not read its responses
         # The loop's time when the connection was opened, last became idle, or began to receive a message
         self.waiting_since = 0.0
@@ -77,7 +82,12 @@
         elif self._unparsed.size or (self._queue and not self._receiving_streamed_body()):
             self._unparsed.append(data)
             self._update_reading()
+        elif self._pieces > MAX_PIECES_PER_READ:  # the previous read was expensive, so this one may be, too
+            self._pieces = 0
+            self._unparsed.append(data)
+            self._defer()
         else:
+            self._pieces, self._piece_budget = 0, MAX_PIECES_PER_READ
             self._parse(data)
             self._take_requests()
 
@@ -85,7 +95,7 @@
         """Whether a streamed body is being received, which is parsed even if requests are queued."""
         return self._message is not None and self._message.streamed_body is not None
 
-    def _discard(self, data: bytes) -> None:
+    def _discard(self, data: bytes | memoryview) -> None:
         self._received_bytes += len(data)
         if self._received_bytes > MAX_LINGER_BYTES:
             if self._answer_due or self._queue:
@@ -93,12 +103,57 @@
             else:
                 self.transport.abort()
 
-    def _parse(self, data: bytes) -> None:
+    def _parse(self, data: bytes | memoryview) -> None:
+        """Parse input within the budget of pieces, and defer the rest to later turns of the event loop."""
+        if len(data) <= PARSE_SLICE_BYTES:
+            self._parse_slice(data)
+            return
+        view = memoryview(data)
+        while view:
+            if self._closing:
+                self._discard(view)
+                return
+            if self._pieces > self._piece_budget:
+                self._unparsed.appendleft(view)
+                self._defer()
+                return
+            self._parse_slice(view[:PARSE_SLICE_BYTES])
+            view = view[PARSE_SLICE_BYTES:]
+
+    def _defer(self) -> None:
+        """Pause reading, and parse the unparsed input in later turns of the event loop."""
+        if not self._is_deferred:
+            self._is_deferred = True
+            self._deferred_read_at = time.monotonic()
+            running_loop_scheduler().add(self)
+            self._update_reading()
+
+    def parse_deferred(self) -> int:
+        """Parse a part of the deferred input, and resume reading once all is parsed.
+
+        While the unparsed input of all connections is over its limit, one whose input is expensive to parse
+        reads no more.
+        """
+        parsed_before = self._pieces
+        self._piece_budget = parsed_before + MAX_PIECES_PER_READ
+        self._take_requests()
+        if not self._closing and self._unparsed.size and self._pieces > self._piece_budget:
+            running_loop_scheduler().add(self)
+        elif not self._closing and self._unparsed.total_over_limit():
+            self._loop.call_later(MEMORY_CHECK_INTERVAL_S, self.parse_deferred)
+        else:
+            self._is_deferred = False
+            self._deferred_read_at = 0.0
+            self._update_reading()
+        return self._pieces - parsed_before
+
+    def _parse_slice(self, data: bytes | memoryview) -> None:
         self._received_bytes += len(data)
         if self._message is None and not self._answer_due and self.answered:
             self._listener.mark_idle(self)
         try:
             self._parser.feed_data(data)
+            self.on_input_parsed()
             in_head = self._message is not None and self._message.method == b""
             if self._received_bytes > (MAX_HEAD_BYTES if in_head else self.max_request_bytes):
                 self._reject(400)  # bounds the memory used by a head that never ends
@@ -183,6 +238,9 @@
                     self._take_request(self._queue.popleft())
                 if self._queue or self._closing or not self._unparsed.size:
                     break
+                if self._pieces > self._piece_budget:
+                    self._defer()
+                    break
                 self._parse(self._unparsed.popleft())  # MAX_PIPELINED applies to each piece
         finally:
             self._taking_requests = False
@@ -200,6 +258,7 @@
             self._body_paused
             or (self._closing and answers_due and self._received_bytes > MAX_LINGER_BYTES)
             or self._unparsed.over_limit()
+            or self._is_deferred
         )
         if pause == self._reading_paused or self.transport.is_closing():
             return
@@ -328,6 +387,8 @@
         if self._closing:
             if waited > LINGER_TIMEOUT_S:
                 self.transport.abort()  # frees the descriptor even if the client does not read its response
+        elif self._is_deferred and self._unparsed.size:
+            pass  # the gateway has not parsed what the client has sent
         elif self._message is not None:
             if waited > HEAD_TIMEOUT_S and is_receiving_too_slowly(self._message, now):
                 self._reject(408)
@@ -350,8 +411,12 @@
             self.close_if_idle()
 
     def can_close_without_loss(self) -> bool:
-        """Whether all responses have left this process and no input is unread."""
-        return not self.transport.get_write_buffer_size() and not has_unread_input(self.transport)
+        """Whether all responses have left this process and no input is unread or unparsed."""
+        return (
+            not self._unparsed.size
+            and not self.transport.get_write_buffer_size()
+            and not has_unread_input(self.transport)
+        )
 
     def migrate(self) -> bool:
         """Pass the connection to the successor process if it is idle and all responses have been sent.
--- a/hillmux/net/http1.py
+++ b/hillmux/net/http1.py
@@ -13,7 +13,8 @@
 
 import httptools
 
-from hillmux.net.body_buffer import Body, append_piece
+from hillmux.net.body_buffer import Body, append_piece, to_bytes
+from hillmux.net.parse_scheduler import MAX_PIECES_PER_READ, PARSE_SLICE_BYTES, running_loop_scheduler
 
 MAX_BUFFERED_BODY_BYTES: Final = 64 * 1024
 MAX_ENDPOINT_LIST_BYTES: Final = 4 * 1024 * 1024
@@ -74,9 +75,9 @@
     base would keep its attributes in a dictionary.
 
     A subclass that sets `accepts_streams` gets a response longer than the limit as a stream:
-    `on_stream_start` as soon as the length is known to exceed the limit, `on_stream_data` for each piece of
-    the body, and `on_response` with a `streamed` response at the end. It also accepts a response that is
-    delimited by an orderly close of the connection (RFC 9112 section 6.3, rule 8).
+    `on_stream_start` as soon as the length is known to exceed the limit, `on_stream_data` for each part of
+    the body that was parsed at once, and `on_response` with a `streamed` response at the end. It also accepts
+    a response that is delimited by an orderly close of the connection (RFC 9112 section 6.3, rule 8).
     """
 
     accepts_streams = False
@@ -90,6 +91,11 @@
         self._responses_due = 0
         self._received_bytes = 0  # bytes received of the current response, including interim responses
         self._complete_responses: list[Response] = []
+        self._pieces = 0  # header fields, pieces of bodies and responses parsed since the latest read
+        self._piece_budget = MAX_PIECES_PER_READ  # value of `_pieces` above which parsing is deferred
+        self._deferred: bytes | memoryview = b""  # input that waits for a turn of the event loop
+        self._pauses_requested = False  # `pause_reading` was called last, not `resume_reading`
+        self._stream_part: Body = b""  # parsed data of a streamed body that is not passed on yet
         self._reset()
 
     def _reset(self) -> None:
@@ -127,7 +133,7 @@
         return False
 
     def on_stream_data(self, data: bytes) -> None:
-        """Handle a piece of the body of a streamed response."""
+        """Handle a part of the body of a streamed response."""
 
     def on_malformed_response(self) -> None:
         """Handle unparsable input received while responses are due; the connection is then aborted."""
@@ -180,15 +186,29 @@
         """
         if self.transport.is_closing():
             return
-        try:
-            if self._responses_due:
-                self._received_bytes += len(data)
-                self._parser.feed_data(data)
-            well_formed = (
-                self._responses_due > 0
-                and self._received_bytes <= MAX_FRAMING_BYTES + (MAX_CHUNK_OVERHEAD + 1) * self._body_bytes
-            )
-        except httptools.HttpParserError:
+        if self._responses_due:
+            self._received_bytes += len(data)
+        if self._pieces > MAX_PIECES_PER_READ:  # the previous read was expensive, so this one may be, too
+            self._pieces = 0
+            self._defer(data)
+            return
+        self._pieces, self._piece_budget = 0, MAX_PIECES_PER_READ
+        self._process(data)
+
+    def _process(self, data: bytes | memoryview) -> None:
+        """Parse input within the budget of pieces; after all of a read, deliver the responses."""
+        well_formed = self._responses_due > 0
+        if well_formed:
+            try:
+                if len(data) <= PARSE_SLICE_BYTES:
+                    self._parse_slice(data)
+                else:
+                    self._parse_slices(memoryview(data))
+            except httptools.HttpParserError:
+                well_formed = False
+            if self._deferred:
+                return
+        if self._received_bytes > MAX_FRAMING_BYTES + (MAX_CHUNK_OVERHEAD + 1) * self._body_bytes:
             well_formed = False
         responses, self._complete_responses = self._complete_responses, []
         requested = responses[: self._responses_due]
@@ -204,6 +224,50 @@
         elif self._received_bytes and not self._first_byte_at and self._responses_due:
             self._first_byte_at, self._needs_reset = time.monotonic(), True
 
+    def _parse_slices(self, data: memoryview) -> None:
+        while data:
+            if self._pieces > self._piece_budget:
+                self._defer(data)
+                return
+            self._parse_slice(data[:PARSE_SLICE_BYTES])
+            data = data[PARSE_SLICE_BYTES:]
+
+    def _parse_slice(self, data: bytes | memoryview) -> None:
+        self._parser.feed_data(data)
+        if self._stream_part:
+            part, self._stream_part = self._stream_part, b""
+            self.on_stream_data(to_bytes(part))
+
+    def _defer(self, data: bytes | memoryview) -> None:
+        """Pause reading, and parse the input in later turns of the event loop."""
+        self._deferred = data
+        self._update_reading()
+        running_loop_scheduler().add(self)
+
+    def parse_deferred(self) -> int:
+        """Parse a part of the deferred input, and resume reading once all is parsed."""
+        data, self._deferred = self._deferred, b""
+        if not data or self.transport.is_closing():
+            return 0
+        parsed_before = self._pieces
+        self._piece_budget = parsed_before + MAX_PIECES_PER_READ
+        self._process(data)
+        self._update_reading()
+        return self._pieces - parsed_before
+
+    def pause_reading(self, pause: bool) -> None:
+        """Pause or resume reading on behalf of the receiver of a streamed response."""
+        self._pauses_requested = pause
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        if self.transport.is_closing():
+            return
+        if self._pauses_requested or self._deferred:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
     def eof_received(self) -> None:
         """Complete a response that is delimited by the close of its connection, if one is due."""
         if self._ends_with_connection and self._responses_due == 1 and not self.transport.is_closing():
@@ -214,6 +278,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Call `on_connection_lost`, at most once."""
+        self._deferred = b""
         if self._connected:
             self._connected = False
             self.on_connection_lost()
@@ -239,6 +304,7 @@
             MalformedResponseError: There is a second Content-Length, or more than MAX_HEADER_FIELDS.
         """
         name = name.lower()
+        self._pieces += 1
         if self._in_trailers:
             return
         self._header_fields += 1
@@ -292,7 +358,7 @@
             raise MalformedResponseError("response may not be streamed")
 
     def _make_response(self, keep_alive: bool) -> Response:
-        body = b"" if self._streaming else bytes(self._body)
+        body = b"" if self._streaming else to_bytes(self._body)
         return Response(
             self._parser.get_status_code(),
             self._headers,
@@ -309,22 +375,24 @@
         Raises:
             MalformedResponseError: The body exceeds its limit.
         """
+        self._pieces += 1
         self._body_bytes += len(data)
         if self._streaming:
             if self._body_bytes > MAX_STREAMED_BODY_BYTES:
                 raise MalformedResponseError("streamed body too long")
-            self.on_stream_data(data)
+            self._stream_part = append_piece(self._stream_part, data)
         elif self._body_bytes <= self._max_body_bytes:
             self._body = append_piece(self._body, data)
         elif self.accepts_streams:
             self._start_stream()
             body, self._body = self._body, b""
-            self.on_stream_data(bytes(append_piece(body, data)))
+            self._stream_part = append_piece(body, data)
         else:
             raise MalformedResponseError("body too long")
 
     def on_message_complete(self) -> None:
         """Store the complete response; interim ones (1xx) are skipped, but count towards the size limit."""
+        self._pieces += 1
         status = self._parser.get_status_code()
         if status >= 200:
             self._received_bytes = 0
@@ -332,6 +400,6 @@
             self._complete_responses.append(
                 self._make_response(keep_alive)
                 if self._needs_reset
-                else Response(status, self._headers, bytes(self._body), keep_alive)
+                else Response(status, self._headers, to_bytes(self._body), keep_alive)
             )
         self._prepare_next()
--- a/hillmux/net/loop_lag.py
+++ b/hillmux/net/loop_lag.py
@@ -17,6 +17,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
         self._last_stall_ms = 0.0
+        self.longest_stall_ms = 0.0  # since the start
         self._next_heartbeat_at = time.monotonic() + HEARTBEAT_INTERVAL_S
         self._timer: asyncio.TimerHandle | None = None
 
@@ -36,6 +37,7 @@
         late_ms = (now - self._next_heartbeat_at) * 1000
         if late_ms > MIN_STALL_MS:
             self._last_stall_ms = late_ms
+            self.longest_stall_ms = max(self.longest_stall_ms, late_ms)
             self._loop.call_later(CLEAR_DELAY_S, self._clear_stall)
         self._next_heartbeat_at = now + HEARTBEAT_INTERVAL_S
         self._timer = self._loop.call_later(HEARTBEAT_INTERVAL_S, self.heartbeat)
--- a/hillmux/net/managed_gateway.py
+++ b/hillmux/net/managed_gateway.py
@@ -22,6 +22,7 @@
 from hillmux.net.forward_request import OpenRequest
 from hillmux.net.http1 import Response
 from hillmux.net.listener import Listener
+from hillmux.net.parse_scheduler import running_loop_scheduler
 from hillmux.net.platform_gateway import PlatformGateway
 from hillmux.net.streaming_upstream import StreamingUpstreamConnection, StreamingUpstreamPool
 
@@ -204,12 +205,15 @@
         """All metrics by name, as JSON values."""
         open_now = sum(request.client is not None for request in self.requests.values())
         load_balancer = self.decision_module.load_balancer
-        return self.metrics.to_dict(
+        by_name = self.metrics.to_dict(
             [c.name for c in self.settings.classes],
             open_now,
             len(load_balancer.hosts),
             load_balancer.skipped_count(),
         )
+        by_name["longest_stall_ms"] = round(self.loop_lag.longest_stall_ms)
+        by_name["parse_deferrals"] = running_loop_scheduler().deferrals
+        return by_name
 
     def override_host(self, host: str, disabled: bool) -> str:
         """Disable or enable a host; returns "" once that is in effect, otherwise the reason why not."""
--- a/hillmux/net/request_parser.py
+++ b/hillmux/net/request_parser.py
@@ -44,6 +44,9 @@
         self._queue: deque[RequestMessage | RejectedRequest] = deque()  # requests in order of arrival
         self._answer_due = False  # a request is open: its response has not been sent
         self._parse_error_status = 400
+        self._pieces = 0  # header fields and pieces of bodies parsed since the latest read
+        self._has_body_data = False  # the slice of input being parsed has data of a body
+        self._deferred_read_at = 0.0  # time.monotonic when the deferred input was read; 0 if there is none
         # Bytes received of the current message, or discarded after a rejection or the last response
         self._received_bytes = 0
 
@@ -72,6 +75,7 @@
         """
         message = self._message
         assert message is not None
+        self._pieces += 1
         if message.method:
             return
         message.head_bytes += len(name) + len(value)
@@ -105,8 +109,9 @@
         """Buffer the body up to MAX_BUFFERED_BODY_BYTES; data beyond that goes to `on_oversized_body`."""
         message = self._message
         assert message is not None
+        self._pieces += 1
+        self._has_body_data = True
         message.body_bytes += len(data)
-        message.last_data_at = self._loop.time()
         if message.body_bytes > MAX_BUFFERED_BODY_BYTES:
             self.on_oversized_body(data)
         else:
@@ -121,6 +126,13 @@
         self._parse_error_status = 413
         raise BadRequestError("body", 413)
 
+    def on_input_parsed(self) -> None:
+        """Record when body data arrived; called after each slice of input parsed without an error."""
+        if self._has_body_data:
+            self._has_body_data = False
+            if self._message is not None:
+                self._message.last_data_at = self._loop.time()
+
     def on_streamed_body_complete(self) -> None:
         """Called when the last byte of a streamed body has arrived."""
 
@@ -134,5 +146,5 @@
         self._message = None
         self._received_bytes = 0
         message.keep_alive = self._parser.should_keep_alive()
-        message.read_at = time.monotonic()
+        message.read_at = self._deferred_read_at or time.monotonic()
         self._queue.append(message)
--- a/hillmux/net/requests.py
+++ b/hillmux/net/requests.py
@@ -8,7 +8,7 @@
 
 from hillmux import interface as api
 from hillmux.interface import Idempotency
-from hillmux.net.body_buffer import Body
+from hillmux.net.body_buffer import Body, to_bytes
 from hillmux.net.forward_request import ForwardRequest
 from hillmux.net.http1 import MAX_BUFFERED_BODY_BYTES
 
@@ -159,7 +159,7 @@
         headers.get(b"x-retry") == b"1",
         message.read_at,
         _encode_head(message, request_class),
-        bytes(message.body),
+        to_bytes(message.body),
         streamed_body=message.streamed_body,
     )
 
--- a/hillmux/net/streamed_body.py
+++ b/hillmux/net/streamed_body.py
@@ -17,7 +17,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
-from hillmux.net.body_buffer import Body, append_piece
+from hillmux.net.body_buffer import Body, append_piece, to_bytes
 from hillmux.net.http1 import MAX_BUFFERED_BODY_BYTES
 
 if TYPE_CHECKING:
@@ -75,7 +75,7 @@
         """Write the data that has arrived, and all further data, to a connection."""
         self._upstream = connection
         if self._replay_buffer:
-            connection.write_body_data(self._framed(bytes(self._replay_buffer)))
+            connection.write_body_data(self._framed(to_bytes(self._replay_buffer)))
         self._limit_replay_buffer()
         if self.complete:
             connection.finish_body(self._terminator())
--- a/hillmux/net/streaming_client.py
+++ b/hillmux/net/streaming_client.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING, Any, ClassVar, Final
 
+from hillmux.net.body_buffer import Body, append_piece, to_bytes
 from hillmux.net.client_connection import ClientConnection
 from hillmux.net.client_timeouts import is_receiving_too_slowly
 from hillmux.net.http1 import Response
@@ -30,6 +31,7 @@
         super().__init__(listener)
         self._receiving: set[StreamingClientConnection] = listener.receiving
         self._incoming_body: StreamedBody | None = None  # the streamed body that is being received
+        self._parsed_data: Body = b""  # data of that body that was parsed, but is not added to it yet
         self._upstream: StreamingUpstreamConnection | None = None  # source of the response being streamed
         self._response_chunked = False
 
@@ -49,7 +51,7 @@
                 self, None if length is None else int(length)
             )
             body, message.body = message.body, b""
-            self._incoming_body.add_data(bytes(body))
+            self._incoming_body.add_data(to_bytes(body))
             message.read_at = time.monotonic()
             message.keep_alive = self._parser.should_keep_alive()
             self._queue.append(message)  # handled in order, like a complete request
@@ -57,10 +59,21 @@
         if message.body_bytes > MAX_STREAMED_REQUEST_BYTES:
             self._parse_error_status = 413
             raise BadRequestError("body", 413)
-        self._incoming_body.add_data(data)
+        self._parsed_data = append_piece(self._parsed_data, data)
+
+    def on_input_parsed(self) -> None:
+        """Also add the data to the streamed body: once per slice, however many chunks it has."""
+        super().on_input_parsed()
+        self._add_parsed_data()
+
+    def _add_parsed_data(self) -> None:
+        if self._parsed_data and self._incoming_body is not None:
+            data, self._parsed_data = self._parsed_data, b""
+            self._incoming_body.add_data(to_bytes(data))
 
     def on_streamed_body_complete(self) -> None:
         """Finish a streamed body whose last byte has arrived."""
+        self._add_parsed_data()
         upload = self._incoming_body
         assert upload is not None
         self._message = self._incoming_body = None
@@ -79,6 +92,7 @@
     def _reject(self, status: int) -> None:
         """Also reject a queued or open request whose streamed body can no longer be completed."""
         upload, self._incoming_body = self._incoming_body, None
+        self._parsed_data = b""
         if upload is None or self._closing:
             super()._reject(status)
             return
@@ -159,6 +173,7 @@
     def _on_client_disconnected(self) -> None:
         self._receiving.discard(self)
         upload, self._incoming_body = self._incoming_body, None
+        self._parsed_data = b""
         if upload is not None:
             upload.discarded = True
         super()._on_client_disconnected()
--- a/hillmux/net/streaming_upstream.py
+++ b/hillmux/net/streaming_upstream.py
@@ -90,8 +90,7 @@
 
     def pause_response(self, pause: bool) -> None:
         """Pause reading a response whose client reads too slowly, or resume."""
-        if not self.transport.is_closing():
-            (self.transport.pause_reading if pause else self.transport.resume_reading)()
+        self.pause_reading(pause)
 
 
 class StreamingUpstreamPool(UpstreamPool):
--- a/hillmux/net/unparsed_input.py
+++ b/hillmux/net/unparsed_input.py
@@ -1,4 +1,4 @@
-"""Input that was read while requests of its connection were queued, and has not been parsed yet."""
+"""Input of one connection that was read, but waits to be parsed: behind queued requests, or for its turn."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
     def __init__(self, total: UnparsedTotal) -> None:
         self._total = total
-        self._pieces: deque[bytes] = deque()
+        self._pieces: deque[bytes | memoryview] = deque()
         self.size = 0
 
     def append(self, data: bytes) -> None:
@@ -30,7 +30,12 @@
         self._pieces.append(data)
         self._add(len(data) + PIECE_OVERHEAD_BYTES)
 
-    def popleft(self) -> bytes:
+    def appendleft(self, data: memoryview) -> None:
+        """Put back the rest of the oldest piece, which must not be empty."""
+        self._pieces.appendleft(data)
+        self._add(len(data) + PIECE_OVERHEAD_BYTES)
+
+    def popleft(self) -> bytes | memoryview:
         """Remove and return the oldest piece."""
         data = self._pieces.popleft()
         self._add(-len(data) - PIECE_OVERHEAD_BYTES)
@@ -43,7 +48,11 @@
 
     def over_limit(self) -> bool:
         """Whether reading must pause, because of the limit for this connection or for the whole listener."""
-        return self.size > MAX_CONNECTION_BYTES or (self.size > 0 and self._total.size > MAX_TOTAL_BYTES)
+        return self.size > MAX_CONNECTION_BYTES or (self.size > 0 and self.total_over_limit())
+
+    def total_over_limit(self) -> bool:
+        """Whether the connections of the listener together hold more than their limit."""
+        return self._total.size > MAX_TOTAL_BYTES
 
     def _add(self, size: int) -> None:
         self.size += size
--- a/tests/compatibility/test_messages.py
+++ b/tests/compatibility/test_messages.py
@@ -101,7 +101,8 @@
     async def metrics() -> dict[str, object]:
         return SnapshottingGateway(platform(), asyncio.get_running_loop()).metrics_by_name()
 
-    assert asyncio.run(metrics()) == stored("messages.json")["metrics"]
+    added = {"longest_stall_ms": 0, "parse_deferrals": 0}  # since the previous version
+    assert asyncio.run(metrics()) == stored("messages.json")["metrics"] | added
 
 
 def help_texts(command: click.Command, name: str, parent: click.Context | None = None) -> dict[str, Any]:
--- a/tests/fakes/client_connection.py
+++ b/tests/fakes/client_connection.py
@@ -1,4 +1,4 @@
-"""The two sides of a client connection without sockets: a handler that records, a transport that records."""
+"""What surrounds a connection, without sockets: handler, transport, host; each records what it gets."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 
 from hillmux.net.config import parse
 from hillmux.net.forward_request import ForwardRequest
+from hillmux.net.http1 import Response, ResponseProtocol
 
 SETTINGS = parse(
     {
@@ -28,10 +29,15 @@
     def __init__(self) -> None:
         self.bodies: list[bytes] = []
         self.ids: list[bytes] = []
+        self.read_at: list[float] = []
+        self.streamed_bodies: list[Any] = []
 
     def request(self, client: Any, forward_request: ForwardRequest) -> str:
         self.ids.append(forward_request.client_request_id)
         self.bodies.append(forward_request.body)
+        self.read_at.append(forward_request.read_at)
+        if forward_request.streamed_body is not None:
+            self.streamed_bodies.append(forward_request.streamed_body)
         return str(len(self.ids))
 
     def client_disconnected(self, request_id: str) -> None:
@@ -83,3 +89,53 @@
     def close_sockets(self) -> None:
         self.sock.close()
         self._other.close()
+
+
+class RecordingResponseProtocol(ResponseProtocol):
+    """A connection to a host, the counter or discovery, that records responses."""
+
+    def __init__(self, max_body_bytes: int) -> None:
+        super().__init__(max_body_bytes)
+        self.received: list[
+            tuple[Response, bool]
+        ] = []  # each response, and whether its connection is reusable
+        self.malformed = 0
+
+    def on_response(self, response: Response, reusable: bool) -> None:
+        self.received.append((response, reusable))
+
+    def on_malformed_response(self) -> None:
+        self.malformed += 1
+
+    def on_connection_lost(self) -> None:
+        pass
+
+
+class RecordingUpstream:
+    """A connection to a host that records what is written of a streamed body in chunks."""
+
+    write_paused = False
+
+    def __init__(self) -> None:
+        self.written: list[bytes] = []
+        self.attached = self.finished = False
+
+    def attach(self, body: Any) -> None:
+        self.attached = True
+        body.attach(self)
+
+    def write_body_data(self, data: bytes) -> None:
+        self.written.append(data)
+
+    def finish_body(self, data: bytes) -> None:
+        self.written.append(data)
+        self.finished = True
+
+    def body(self) -> bytes:
+        """The body that was written, decoded."""
+        data, parts = b"".join(self.written), []
+        while data:
+            size, _, data = data.partition(b"\r\n")
+            parts.append(data[: int(size, 16)])
+            data = data[int(size, 16) + 2 :]
+        return b"".join(parts)
--- a/tests/net/test_small_pieces.py
+++ b/tests/net/test_small_pieces.py
@@ -9,9 +9,9 @@
 
 import pytest
 from conftest import message, on_loop
-from fakes.client_connection import FlowControlledTransport, RecordingHandler
+from fakes.client_connection import FlowControlledTransport, RecordingHandler, RecordingResponseProtocol
 
-from hillmux.net.http1 import MAX_BUFFERED_BODY_BYTES, MAX_ENDPOINT_LIST_BYTES, Response, ResponseProtocol
+from hillmux.net.http1 import MAX_BUFFERED_BODY_BYTES, MAX_ENDPOINT_LIST_BYTES
 from hillmux.net.streamed_body import MAX_REPLAYABLE_BYTES
 from hillmux.net.streaming_client import StreamingClientConnection, StreamingListener
 from hillmux.net.unparsed_input import MAX_CONNECTION_BYTES
@@ -42,24 +42,6 @@
         tracemalloc.stop()
 
 
-class RecordingResponseProtocol(ResponseProtocol):
-    """A connection to a host, the counter or discovery, that records responses."""
-
-    def __init__(self, max_body_bytes: int) -> None:
-        super().__init__(max_body_bytes)
-        self.responses: list[Response] = []
-        self.malformed = 0
-
-    def on_response(self, response: Response, reusable: bool) -> None:
-        self.responses.append(response)
-
-    def on_malformed_response(self) -> None:
-        self.malformed += 1
-
-    def on_connection_lost(self) -> None:
-        pass
-
-
 def open_connection() -> Any:
     """A client connection on a transport that records."""
     listener = StreamingListener(RecordingHandler(), asyncio.get_running_loop(), 1024)
