Reading resumes after a streamed response whose end its client paused

No caller reported it. A connection to a host went back to the idle ones with reading paused if the end of a long response came in the read that filled the client's buffer: the client had let go of it and nobody resumed it, so the next request on it would get no answer from its host. Found while reading got a second reason to pause.

Change: the end of a response resumes reading.

Result: test_reading_resumes_after_a_response_whose_end_its_client_paused failed before, passes now.

--- a/hillmux/net/http1.py
+++ b/hillmux/net/http1.py
@@ -216,6 +216,8 @@
         if len(responses) > len(requested) or (self._response_begun and not self._responses_due):
             well_formed = False
         for response in requested:
+            if self._pauses_requested:  # the receiver of a streamed response does not resume after its end
+                self.pause_reading(False)
             self.on_response(response, well_formed and response.keep_alive)
         if not well_formed:
             if self._responses_due:
--- a/tests/net/test_streaming.py
+++ b/tests/net/test_streaming.py
@@ -6,14 +6,18 @@
 import contextlib
 from collections.abc import AsyncIterator
 from pathlib import Path
+from typing import Any
+from unittest.mock import Mock
 
 import pytest
 from conftest import Rig, instance, message, on_loop, read_message
+from fakes.client_connection import FlowControlledTransport
 from fakes.raw import Peer, RawHost, Script
 
 from hillmux.net.http1 import MAX_BUFFERED_BODY_BYTES
 from hillmux.net.streamed_body import MAX_REPLAYABLE_BYTES
 from hillmux.net.streaming_client import MAX_STREAMED_REQUEST_BYTES
+from hillmux.net.streaming_upstream import StreamingUpstreamConnection
 
 LONG_BODY_BYTES = 300_000
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nContent-Type: x/y\r\n\r\n"
@@ -239,6 +243,29 @@
     on_loop(scenario)
 
 
+def test_reading_resumes_after_a_response_whose_end_its_client_paused() -> None:
+    """Guards against an idle connection that does not read the response to its next request."""
+
+    async def scenario() -> None:
+        pool = Mock(loop=asyncio.get_running_loop())
+        connection: Any = StreamingUpstreamConnection(pool, Mock())
+        transport = FlowControlledTransport()
+        pool.start_stream.return_value.write_response_data = lambda data: connection.pause_response(True)
+        connection.connection_made(transport)
+        connection.attempt = Mock()
+        connection.write(b"request")
+        connection.data_received(RESPONSE_HEAD % LONG_BODY_BYTES)
+        connection.data_received(b"z" * (LONG_BODY_BYTES - 1))
+        assert not transport.reading
+        connection.data_received(b"z")
+        assert transport.reading
+        (_, _, response, reusable), _ = pool.response_received.call_args
+        assert response.streamed and reusable
+        transport.close_sockets()
+
+    on_loop(scenario)
+
+
 def test_response_over_the_size_limit_is_not_started(tmp_path: Path) -> None:
     async def scenario() -> None:
         async def script(peer: Peer) -> None:
