Counter service: calls of one read are answered over several turns of the event loop

A gateway that writes thousands of calls at once had all of them answered before the counter looked at any other connection: the cause of the tiny chunks on the counter's side. No caller reported it.

Change: a connection's calls have 4 KiB a turn; the rest waits with reading paused, and is dropped with the connection. A usual read is below that and is handled as before.

--- a/hillmux/counter/service.py
+++ b/hillmux/counter/service.py
@@ -18,6 +18,7 @@
 IDLE_TIMEOUT_S: Final = 10.0
 SWEEP_INTERVAL_S: Final = 1.0
 MAX_HEAD_BYTES: Final = 8 * 1024
+MAX_BYTES_PER_TURN: Final = 4 * 1024  # per connection and turn of the event loop, as every call costs
 MAX_UNSENT_BYTES: Final = 64 * 1024  # per connection; a caller that reads too slowly is disconnected
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)  # SO_LINGER on, for 0 s
 REASON_PHRASES: Final = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 503: b"Service Unavailable"}
@@ -94,6 +95,7 @@
         self._transport: asyncio.Transport
         self._address = ""
         self._target = b""  # of the request that is being parsed
+        self._deferred = memoryview(b"")  # input for the following turns of the event loop
         self._unparsed_bytes = 0  # received since the last complete request
         self._responses: list[bytes] = []
         self._closing = False
@@ -113,14 +115,35 @@
             self.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Unregister the connection."""
+        """Drop the deferred input, and unregister the connection."""
+        self._deferred = memoryview(b"")
         self._server.unregister(self, self._address)
 
     def data_received(self, data: bytes) -> None:
-        """Parse and answer the received bytes; 400 for malformed HTTP or a head above `MAX_HEAD_BYTES`."""
+        """Parse and answer the received bytes, at most MAX_BYTES_PER_TURN in each turn of the event loop."""
         if self._transport.is_closing() or self._closing:
             return
         self.received_at = time.monotonic()
+        if len(data) <= MAX_BYTES_PER_TURN:
+            self._answer_calls(data)
+            return
+        self._transport.pause_reading()
+        self._deferred = memoryview(data)
+        self._answer_next()
+
+    def _answer_next(self) -> None:
+        data, self._deferred = self._deferred[:MAX_BYTES_PER_TURN], self._deferred[MAX_BYTES_PER_TURN:]
+        if data:
+            self._answer_calls(data)
+        if self._transport.is_closing() or self._closing:
+            return
+        if self._deferred:
+            asyncio.get_running_loop().call_soon(self._answer_next)
+        else:
+            self._transport.resume_reading()
+
+    def _answer_calls(self, data: bytes | memoryview) -> None:
+        """Parse and answer calls; 400 for malformed HTTP or a head above `MAX_HEAD_BYTES`."""
         if not self._parse(data) and not self._is_closing():
             self._respond(400, b"no HTTP/1.1 call", keep_alive=False)
         responses, self._responses = self._responses, []
@@ -130,7 +153,7 @@
         elif self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.abort()  # bounds the memory of responses that the caller does not read
 
-    def _parse(self, data: bytes) -> bool:
+    def _parse(self, data: bytes | memoryview) -> bool:
         self._unparsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
--- a/tests/counter/test_store.py
+++ b/tests/counter/test_store.py
@@ -7,14 +7,18 @@
 
 import pytest
 from conftest import on_loop
+from fakes.client_connection import FlowControlledTransport
 
 from hillmux import interface as api
 from hillmux.counter import EmbeddedCounter, Store, StoreFullError
 from hillmux.counter.codec import InvalidCallError, parse_call
-from hillmux.counter.service import MAX_CONNECTIONS_PER_ADDRESS, CounterServer
+from hillmux.counter.service import MAX_CONNECTIONS_PER_ADDRESS, CounterConnection, CounterServer
 from hillmux.counter.store import format_total
 from hillmux.interface import AttemptResult
 
+COUNTER_CALL = b"POST /v1/count/a?add=1&ttl_ms=60000 HTTP/1.1\r\nContent-Length: 0\r\n\r\n"
+COUNTER_SLICE_BYTES = 4 * 1024  # what one connection's calls may have in a turn of the loop
+
 
 def test_retention_of_a_name_starts_at_its_first_addition_only() -> None:
     store = Store()
@@ -194,3 +198,45 @@
         server.stop()
 
     on_loop(scenario)
+
+
+def test_many_calls_in_one_read_are_answered_over_many_turns() -> None:
+    """Guards against one gateway's calls that keep the counter from all others."""
+
+    async def scenario() -> None:
+        server = CounterServer(Store(), asyncio.get_running_loop())
+        transport = FlowControlledTransport()
+        connection = CounterConnection(server)
+        connection.connection_made(transport)
+        calls, bytes_of_a_call = 4000, len(COUNTER_CALL)
+        connection.data_received(COUNTER_CALL * calls)
+        calls_by_turn = [server.calls]
+        assert not transport.reading
+        while not transport.reading:
+            before = server.calls
+            await asyncio.sleep(0)
+            calls_by_turn.append(server.calls - before)
+        assert max(calls_by_turn) <= COUNTER_SLICE_BYTES // bytes_of_a_call + 1
+        assert b"".join(transport.written).count(b"HTTP/1.1 200") == server.calls == calls
+        assert b"".join(transport.written).endswith(b"%d" % calls)
+
+    on_loop(scenario, 10)
+
+
+def test_counter_connection_that_is_lost_answers_no_further_calls() -> None:
+    """Guards against calls that are added although nobody is left to read their totals."""
+
+    async def scenario() -> None:
+        server = CounterServer(Store(), asyncio.get_running_loop())
+        transport = FlowControlledTransport()
+        connection = CounterConnection(server)
+        connection.connection_made(transport)
+        connection.data_received(COUNTER_CALL * 4000)
+        transport.abort()
+        connection.connection_lost(None)
+        calls = server.calls
+        for _ in range(5):
+            await asyncio.sleep(0)
+        assert server.calls == calls < 4000
+
+    on_loop(scenario, 10)
--- a/tests/fakes/client_connection.py
+++ b/tests/fakes/client_connection.py
@@ -60,7 +60,7 @@
         self.closed = False
 
     def get_extra_info(self, name: str) -> Any:
-        return self.sock
+        return self.sock if name == "socket" else ("127.0.0.1", 1)
 
     def pause_reading(self) -> None:
         self.reading = False
