Log and metrics tell requests whose client connection ended before the answer

Now each request whose client's connection ends before its answer has a line with its ids, class and hosts, and is counted (client_disconnects); an eviction of a connection with an open request is an ERROR line and is counted (lost_requests).

--- a/hillmux/net/client_connection.py
+++ b/hillmux/net/client_connection.py
@@ -441,6 +441,10 @@
         self.transport.write_eof()
         self.update_reading()
 
+    def has_open_request(self) -> bool:
+        """Whether a request that was read has not been answered."""
+        return self._answer_due or bool(self._queue)
+
     def check_timeouts(self, now: float) -> None:
         """Close the connection if it has been idle too long, or its request has arrived too slowly.
 
--- a/hillmux/net/gateway_core.py
+++ b/hillmux/net/gateway_core.py
@@ -150,6 +150,7 @@
         """Detach a disconnected client from its request, and report it to the decision module."""
         request = self.requests.get(request_id)
         if request is not None and request.client is not None:
+            self.request_log.record_disconnect(request)
             request.abandoned = True
             self._detach_client(request)
             self.post(api.ClientDisconnected(request_id))
--- a/hillmux/net/listener.py
+++ b/hillmux/net/listener.py
@@ -97,6 +97,7 @@
         self.unparsed_total = UnparsedTotal(self.memory)
         self.connections: set[Connection] = set()
         self.closes = ReasonCounts()
+        self.lost_requests = 0  # evictions of connections with an open request; none is expected
         # Idle connections, ordered by how long they have been idle, longest first
         self._idle_after_answer: dict[Connection, None] = {}
         self._awaiting_first_request: dict[Connection, None] = {}
@@ -245,6 +246,9 @@
             self.memory.release(CLIENT_CONNECTION_BYTES)
         self._overflow.discard(connection)
         self.closes.count(connection.close_reason or CloseReason.CLIENT)
+        if connection.close_reason == CloseReason.EVICTED and connection.has_open_request():
+            self.lost_requests += 1
+            log.error("connection evicted with an open request")
         self._evicted.discard(connection)
         self.mark_busy(connection)
         self._resume_accepting()
--- a/hillmux/net/managed_gateway.py
+++ b/hillmux/net/managed_gateway.py
@@ -225,6 +225,8 @@
         by_name["parse_deferrals"] = running_loop_scheduler().deferrals
         by_name["attempt_failures"] = dict(self.request_log.attempt_failures.by_reason)
         by_name["own_answers"] = dict(self.request_log.own_answers.by_reason)
+        by_name["client_disconnects"] = self.request_log.disconnects
+        by_name["lost_requests"] = self._server.lost_requests if self._server is not None else 0
         by_name["failure_lines_suppressed"] = self.request_log.lines.suppressed
         by_name["closes"] = dict(self._server.closes.by_reason) if self._server is not None else {}
         by_name["resident_bytes"] = resident_bytes()
--- a/hillmux/net/request_log.py
+++ b/hillmux/net/request_log.py
@@ -23,6 +23,7 @@
         self._write = write
         self.attempt_failures = ReasonCounts()
         self.own_answers = ReasonCounts()  # responses that no host made, by status
+        self.disconnects = 0  # clients whose connection ended before their answer
         self.lines = FailureLog()
 
     def record_attempt(self, attempt: Attempt, result: AttemptResult, elapsed_ms: float) -> None:
@@ -45,6 +46,12 @@
         """Record a response that was begun and could not be completed."""
         self.own_answers.count(ABORTED)
 
+    def record_disconnect(self, request: OpenRequest) -> None:
+        """Record a client whose connection ended before its request was answered."""
+        self.disconnects += 1
+        if self.lines.may_write():
+            self._write(logging.INFO, f"client disconnected before its answer: {_describe(request)}")
+
     def record_deadline(self, request: OpenRequest) -> None:
         """Record a request that nobody has answered by its deadline."""
         self._write(
--- a/tests/net/test_diagnostics.py
+++ b/tests/net/test_diagnostics.py
@@ -43,6 +43,23 @@
     on_loop(scenario)
 
 
+def test_client_that_leaves_before_its_answer_is_logged_and_counted(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, silent, operated=True) as rig:
+            _, writer = await rig.connect()
+            writer.write(message(rid=b"left-early"))
+            await rig.hosts[0].until(lambda host: bool(host.seen))
+            writer.close()
+            while not any("disconnected before its answer" in line for line in rig.log):
+                await asyncio.sleep(0.01)
+            (line,) = [line for line in rig.log if "disconnected before its answer" in line]
+            assert "id left-early class read" in line and "attempts: s-0" in line
+            figures = await rig.figures()
+            assert figures["client_disconnects"] == 1 and figures["lost_requests"] == 0
+
+    on_loop(scenario)
+
+
 def test_lines_about_requests_are_limited_and_counted() -> None:
     log = FailureLog(max_lines_per_s=3)
     written = sum(log.may_write() for _ in range(100))
--- a/tests/net/test_memory_waves.py
+++ b/tests/net/test_memory_waves.py
@@ -1,4 +1,4 @@
-"""The process keeps to its memory limit when crowds come and go, and serves others between and beside them."""
+"""The process keeps to its memory limit when crowds come and go, and serves others meanwhile."""
 
 from __future__ import annotations
 
