A long answer is passed on to its last byte when input behind it is malformed

Callers saw a chunked answer without the data of its last read and with a sound end (16 of 16 clients); with a length the answer was cut. Cause: the parser raises on the noise, and ResponseProtocol left out what the same call had parsed of the streamed body, while the end of the answer was delivered. Now what was parsed before a fault is passed on in any case.

Found with it: a second, long response behind the first was started as a second stream to the same client, so the client got a head that its request never caused. A response that was not requested is a fault at its first byte.

--- a/hillmux/net/http1.py
+++ b/hillmux/net/http1.py
@@ -250,10 +250,12 @@
             data = data[PARSE_SLICE_BYTES:]
 
     def _parse_slice(self, data: bytes | memoryview) -> None:
-        self._parser.feed_data(data)
-        if self._stream_part:
-            part, self._stream_part = self._stream_part, b""
-            self.on_stream_data(to_bytes(part))
+        try:
+            self._parser.feed_data(data)
+        finally:  # what was parsed before a fault is valid
+            if self._stream_part:
+                part, self._stream_part = self._stream_part, b""
+                self.on_stream_data(to_bytes(part))
 
     def _defer(self, data: bytes | memoryview) -> None:
         """Pause reading, and parse the input in later turns of the event loop."""
@@ -311,8 +313,15 @@
     # Callbacks of httptools; exceptions raised here reach data_received as an HttpParserError
 
     def on_message_begin(self) -> None:
-        """Note that a response has begun, possibly an interim one."""
+        """Note that a response has begun, possibly an interim one.
+
+        Raises:
+            MalformedResponseError: The response was not requested; it must not be streamed to the client of
+                the one before it.
+        """
         self._response_begun = True
+        if len(self._complete_responses) >= self._responses_due:
+            raise MalformedResponseError("unrequested response")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header under its name in lower case; trailers are ignored.
