A connection is not evicted while a request of it is in hand or queued

Cause: mark_idle may evict any idle connection for a waiting client. _parse_slice called it before parsing, so the connection whose input was in hand could be chosen: the abort takes effect in the next turn, when its request has been forwarded. answer called it with requests of a pipeline still queued.

Now mark_receiving records the same without evicting, eviction leaves out connections with queued requests, and a client whose incomplete request gives way is answered 503. Hosted service: the same at handle_deferred.

--- a/hillmux/hosted/tenant_connection.py
+++ b/hillmux/hosted/tenant_connection.py
@@ -107,11 +107,15 @@
         if self.transport.is_closing():
             return
         if not self._answer_due:
-            self._listener.mark_idle(self)
+            self._listener.mark_receiving(self)
         self._handle(data)
         if not self._deferred_pieces and not self._reading_paused and not self.transport.is_closing():
             self.transport.resume_reading()
 
+    def can_close_without_loss(self) -> bool:
+        """Also require that no input is deferred."""
+        return not self._deferred_pieces and super().can_close_without_loss()
+
     def close_if_idle(self, reason: CloseReason) -> None:
         """Close if idle, unless input is deferred."""
         if not self._deferred_pieces:
--- a/hillmux/hosted/tenant_listener.py
+++ b/hillmux/hosted/tenant_listener.py
@@ -80,9 +80,9 @@
         clients.release(connection.owner)
         clients.charge(owner, 1.0)
 
-    def mark_idle(self, connection: TenantConnection) -> None:
+    def mark_receiving(self, connection: TenantConnection) -> None:
         """Also add the connection to its owner's idle ones."""
-        super().mark_idle(connection)
+        super().mark_receiving(connection)
         self._idle.setdefault(connection.owner, {})[connection] = None
 
     def mark_busy(self, connection: TenantConnection) -> None:
--- a/hillmux/net/client_connection.py
+++ b/hillmux/net/client_connection.py
@@ -114,6 +114,7 @@
             self.take_requests()
             if self._message is not None:
                 self._reserve_incomplete(self._message)
+                self._listener.resume_accepting()  # an incomplete request may give way to a waiting client
 
     def _receiving_streamed_body(self) -> bool:
         """Whether a streamed body is being received, which is parsed even if requests are queued."""
@@ -186,7 +187,7 @@
     def _parse_slice(self, data: bytes | memoryview) -> None:
         self._received_bytes += len(data)
         if self._message is None and not self._answer_due and self.answered:
-            self._listener.mark_idle(self)
+            self._listener.mark_receiving(self)
         try:
             self._parser.feed_data(data)
             self.on_input_parsed()
@@ -479,13 +480,23 @@
             self.close_if_idle(CloseReason.DRAINING)
 
     def can_close_without_loss(self) -> bool:
-        """Whether all responses have left this process and no input is unread or unparsed."""
+        """Whether all responses have left this process, and no complete request or unread input is left."""
         return (
-            not self._unparsed.size
+            not self._queue
+            and not self._unparsed.size
             and not self.transport.get_write_buffer_size()
             and not has_unread_input(self.transport)
         )
 
+    def evict(self) -> None:
+        """Close the idle connection for a waiting client; an incomplete request is rejected."""
+        if self._message is not None and self._message.streamed_body is None:
+            self.transport.set_write_buffer_limits(high=0)  # the response is written before the close
+            retry_after = self._retry_after_line(SHED_RETRY_AFTER_MS)
+            self.transport.write(encode_response(503, b"", b"", retry_after, False))
+        self._closing = True
+        self.abort_for(CloseReason.EVICTED)
+
     def migrate(self) -> bool:
         """Pass the connection to the successor process if it is idle and all responses have been sent.
 
--- a/hillmux/net/listener.py
+++ b/hillmux/net/listener.py
@@ -155,7 +155,7 @@
         return self._start_listening()
 
     def _start_listening(self) -> list[Address]:
-        self._resume_accepting()
+        self.resume_accepting()
         self.loop.call_later(TIMEOUT_CHECK_INTERVAL_S, self._check_timeouts)
         return self._listening.addresses()
 
@@ -163,7 +163,7 @@
         now = self.loop.time()
         for connection in (*self._idle_after_answer, *self._awaiting_first_request):
             connection.check_timeouts(now)
-        self._resume_accepting()  # memory may have become free
+        self.resume_accepting()  # memory may have become free
         self.loop.call_later(TIMEOUT_CHECK_INTERVAL_S, self._check_timeouts)
 
     def stop_accepting(self) -> None:
@@ -187,7 +187,7 @@
     def take_back_socket(self) -> None:
         """Resume accepting after a handover that did not take place."""
         self._listening.lent = False
-        self._resume_accepting()
+        self.resume_accepting()
 
     def hand_over_to(self, successor: SuccessorProcess) -> None:
         """Stop listening and pass on connections: idle ones now, the others after their response."""
@@ -251,15 +251,22 @@
             log.error("connection evicted with an open request")
         self._evicted.discard(connection)
         self.mark_busy(connection)
-        self._resume_accepting()
+        self.resume_accepting()
 
     def mark_idle(self, connection: Connection) -> None:
-        """Record that no response is due on a connection any more."""
+        """Record that no response is due on a connection; it may be evicted at once for a waiting client."""
+        self.mark_receiving(connection)
+        self.resume_accepting()
+
+    def mark_receiving(self, connection: Connection) -> None:
+        """Record that no response is due on a connection whose input is about to be parsed.
+
+        Unlike `mark_idle` this evicts no connection: it might be this one, whose request would be lost.
+        """
         connection.waiting_since = self.loop.time()
         self.mark_busy(connection)
         idle = self._idle_after_answer if connection.answered else self._awaiting_first_request
         idle[connection] = None
-        self._resume_accepting()
 
     def mark_busy(self, connection: Connection) -> None:
         """Record that a response is due on a connection, or that the connection is closing."""
@@ -306,13 +313,14 @@
             if connection.can_close_without_loss():
                 self.mark_busy(connection)
                 self._evicted.add(connection)
-                connection.abort_for(CloseReason.EVICTED)
+                connection.evict()
                 return True
         return False
 
     # Accepting
 
-    def _resume_accepting(self) -> None:
+    def resume_accepting(self) -> None:
+        """Watch the listening sockets again if there is capacity, evicting a connection if necessary."""
         if self._listening.can_watch() and (
             self.ensure_capacity() or not self._client_waiting() or self._may_overflow()
         ):
@@ -337,7 +345,7 @@
             except OSError as error:
                 log.warning("accept failed: %s", errno.errorcode.get(error.errno or 0, error))
                 self._listening.unwatch()
-                self.loop.call_later(ACCEPT_RETRY_DELAY_S, self._resume_accepting)
+                self.loop.call_later(ACCEPT_RETRY_DELAY_S, self.resume_accepting)
                 return
             connection = self.connection_type(self)
             if overflows:
@@ -361,4 +369,4 @@
             self._overflow.discard(connection)
         if not task.cancelled() and task.exception() is not None:
             log.warning("client connection lost during set-up: %s", task.exception())
-        self._resume_accepting()
+        self.resume_accepting()
--- a/hillmux/net/streaming_client.py
+++ b/hillmux/net/streaming_client.py
@@ -101,7 +101,8 @@
         self._received_bytes = 0
         self._receiving.discard(self)
         if not self._answer_due and not self._closing:
-            self._listener.mark_idle(self)  # the request was answered before its body was complete
+            self._listener.mark_receiving(self)  # the request was answered before its body was complete
+            self._loop.call_soon(self._listener.resume_accepting)
         upload.finish()
 
     def window(self) -> int:
