A request that asks for an upgrade is not forwarded without its body

The same class as the short answers: the parser ends a request with Connection: Upgrade at its head, so a booking with a body was forwarded with an empty one and answered 200. Such a request with a body is answered 400 now; one without a body is served, and is the last of its connection, as before. The two tests with a body failed before.

--- a/hillmux/net/client_connection.py
+++ b/hillmux/net/client_connection.py
@@ -194,14 +194,23 @@
             in_head = self._message is not None and self._message.method == b""
             if self._received_bytes > (MAX_HEAD_BYTES if in_head else self.max_request_bytes):
                 self.reject(400)  # bounds the memory used by a head that never ends
-        except httptools.HttpParserUpgrade:  # upgrades are not supported: answer this request, then close
-            self._closing = True
-            last = self._queue[-1]
-            if isinstance(last, RequestMessage):
-                last.keep_alive = False
+        except httptools.HttpParserUpgrade:
+            self._end_at_upgrade()
         except httptools.HttpParserError:
             self.reject(self._parse_error_status)
 
+    def _end_at_upgrade(self) -> None:
+        """Let the request that asks for an upgrade, which is not supported, be the last of its connection.
+
+        The parser ends such a request with its head. With a body it is rejected: it would be forwarded short.
+        """
+        self._closing = True
+        last = self._queue[-1]
+        if isinstance(last, RequestMessage):
+            last.keep_alive = False
+            if last.headers.get(b"content-length", b"0") != b"0" or b"transfer-encoding" in last.headers:
+                self._queue[-1] = RejectedRequest(400)
+
     def pause_writing(self) -> None:
         """Process no further requests while the write buffer is full, to bound memory."""
         self._writing_paused = True
--- a/tests/net/test_rejected_requests.py
+++ b/tests/net/test_rejected_requests.py
@@ -184,3 +184,17 @@
                 await asyncio.sleep(0.05)
 
     on_loop(scenario)
+
+
+@pytest.mark.parametrize(("size", "expected"), [(0, "200"), (10, "400"), (100_000, "400")])
+def test_request_that_asks_for_an_upgrade_is_never_forwarded_without_its_body(
+    tmp_path: Path, size: int, expected: str
+) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, lambda seen: reply()) as rig:
+            upgrade = "Connection: Upgrade\r\nUpgrade: other\r\n"
+            seen = await rig.ask(message("put", body=b"x" * size, more=upgrade))
+            assert seen.line.split()[1] == expected and seen.headers["connection"] == "close"
+            assert all(len(request.body) == size for request in rig.hosts[0].seen)
+
+    on_loop(scenario)
