The memory of a closed connection is released at its close, not by the garbage collector

Cause: a parser refers to its connection by the callbacks, and the connection to its parser, so a closed connection stayed in memory with its incomplete request until the cyclic collector ran, after 20,000 allocations.

--- a/hillmux/counter/service.py
+++ b/hillmux/counter/service.py
@@ -22,6 +22,9 @@
 MAX_UNSENT_BYTES: Final = 64 * 1024  # per connection; a caller that reads too slowly is disconnected
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)  # SO_LINGER on, for 0 s
 REASON_PHRASES: Final = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 503: b"Service Unavailable"}
+CLOSED_PARSER: Final = httptools.HttpRequestParser(
+    object()
+)  # of a closed connection, which it does not refer to
 
 
 class CounterServer:
@@ -115,8 +118,9 @@
             self.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Drop the deferred input, and unregister the connection."""
+        """Drop the deferred input and the parser, which refers to this connection; unregister."""
         self._deferred = memoryview(b"")
+        self._parser = CLOSED_PARSER
         self._server.unregister(self, self._address)
 
     def data_received(self, data: bytes) -> None:
--- a/hillmux/net/client_connection.py
+++ b/hillmux/net/client_connection.py
@@ -236,6 +236,8 @@
         self._listener.on_connection_lost(self)
         self._unsent = None
         self._on_client_disconnected()
+        self._streamed_body = None
+        self.release_parser()
 
     def has_disconnected(self, behind: bool) -> bool:
         """Whether the client has closed or reset the connection, even if the loop has not processed that yet.
--- a/hillmux/net/http1.py
+++ b/hillmux/net/http1.py
@@ -27,6 +27,9 @@
 OPTIONAL_WHITESPACE: Final = b" \t"  # RFC 9110 section 5.5; httptools leaves it after a value
 BODILESS_STATUSES: Final = frozenset((204, 304))
 NOT_CONNECTED: Final = cast(asyncio.Transport, None)  # the transport before the connection is set up
+# Replaces the parser of a closed connection: a parser refers to its connection, so both would stay in memory
+# until the cyclic garbage collector runs.
+CLOSED_PARSER: Final = httptools.HttpResponseParser(object())
 
 
 class MalformedResponseError(Exception):
@@ -301,6 +304,9 @@
         if self._connected:
             self._connected = False
             self.on_connection_lost()
+        self._parser = CLOSED_PARSER
+        self._body = self._stream_part = b""
+        self._complete_responses = []
 
     def on_dial_failed(self) -> None:
         """Handle a dial that failed or was cancelled.
--- a/hillmux/net/request_parser.py
+++ b/hillmux/net/request_parser.py
@@ -22,6 +22,9 @@
 MAX_HEAD_BYTES: Final = 32 * 1024
 MAX_FRAMED_BODY_BYTES: Final = 2 * MAX_BUFFERED_BODY_BYTES  # a buffered body including its chunk lines
 MAX_PIPELINED: Final = 16  # complete requests queued behind the open one
+# Replaces the parser of a closed connection: a parser refers to its connection, so both would stay in memory
+# until the cyclic garbage collector runs.
+CLOSED_PARSER: Final = httptools.HttpRequestParser(object())
 
 
 class RequestParser:
@@ -149,6 +152,11 @@
         message.read_at = (self._deferred_read_at or time.monotonic()) - message.unread_s
         self.queue_complete(message)
 
+    def release_parser(self) -> None:
+        """Release the parser and the incomplete request; no further input follows."""
+        self._parser = CLOSED_PARSER
+        self._message = None
+
     def queue_complete(self, message: RequestMessage) -> None:
         """Queue a complete request."""
         self._queue.append(message)
