--- a/tests/fakes/usual_client.py
+++ b/tests/fakes/usual_client.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import select
+import socket
 from collections import Counter
 
 from conftest import Rig, message, read_message
@@ -16,6 +18,7 @@
 LATE_S = 0.5  # an answer that is later than this after its time is lost
 ATTEMPTS = 3
 PAUSE_S = 0.05
+TCP_CLOSE = 7  # tcpi_state of TCP_INFO, after a reset (tcp(7))
 
 
 def is_closed(connection: Connection) -> bool:
@@ -38,11 +41,18 @@
     return None
 
 
+def was_reset(writer: asyncio.StreamWriter) -> bool:
+    """Whether the connection was reset, also after its end: the request met a closed socket, unread."""
+    descriptor = os.dup(writer.get_extra_info("socket").fileno())
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, descriptor) as duplicate:
+        return duplicate.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_CLOSE
+
+
 async def ask(rig: Rig, request: bytes, statuses: Counter[int], kept: list[Connection]) -> None:
     """Send a request, and count its status, or CUT.
 
-    The request is sent again only if its connection was reset: the system resets a connection that is closed
-    with unread input, while one that is closed after its input was read ends in an orderly way.
+    The request is sent again only if its connection was reset: the system resets a connection when input
+    meets its close unread, while one that is closed after its input was read only ends.
     """
     for _ in range(ATTEMPTS):
         if (connection := take_open(kept)) is None:
@@ -58,7 +68,10 @@
             writer.close()
             continue
         except asyncio.IncompleteReadError:
+            unread = was_reset(writer)
             writer.close()
+            if unread:
+                continue
             statuses[CUT] += 1
             return
         statuses[int(seen.line.split()[1])] += 1
