Reads are bounded by the budget left; the guard measures as fast as clients send

Now a connection without a reservation reads at most what its charge covers while the budget is above its reservable share; the size is measured whenever the charged use has grown by a quarter of what is left, and in intervals; the budget is lowered by the growth, from the highest use that the process has borne, and restored when the size has fallen. Before that the collector runs. Input is parsed from the read buffer, and copied only where it is kept. mark_receiving is called only for messages that are incomplete after a read.

test_memory_budget.py asserted take_peak, which is gone with the guard's old rule; it asserts the peak now, and two tests were added. The soak's clients distinguish requests that were read from those that were not, beside crowds too, and some crowds come in waves; kept connections that end after a request was read are judged now.

--- a/hillmux/hosted/tenant_connection.py
+++ b/hillmux/hosted/tenant_connection.py
@@ -85,7 +85,7 @@
         self._peer = str((transport.get_extra_info("peername") or ("",))[0]).encode()
         super().connection_made(transport)
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """Handle input, or defer it while the owner uses much more than its share of the loop's time.
 
         Reading is paused while input is deferred, so that each connection defers at most one piece.
@@ -97,7 +97,7 @@
                 self.transport.pause_reading()
             self._deferred_pieces += 1
             self._listener.mark_busy(self)  # prevents it from being closed as idle
-            self._tenant_listener.defer(self, data)
+            self._tenant_listener.defer(self, bytes(data))
         else:
             self._handle(data)
 
@@ -121,7 +121,7 @@
         if not self._deferred_pieces:
             super().close_if_idle(reason)
 
-    def _handle(self, data: bytes) -> None:
+    def _handle(self, data: bytes | memoryview) -> None:
         started_at = time.perf_counter()
         self._charged_s = 0.0
         super().data_received(data)
--- a/hillmux/net/client_connection.py
+++ b/hillmux/net/client_connection.py
@@ -86,14 +86,17 @@
 
     def get_buffer(self, size_hint: int) -> memoryview:
         """The buffer that the event loop reads into; it bounds the input that is read at once."""
-        return self._read_buffer
+        memory = self._memory
+        if memory.used <= memory.reservable:
+            return self._read_buffer
+        return memory.buffer_for(self._reservation is not None or self._receiving_streamed_body())
 
     def buffer_updated(self, count: int) -> None:
         """Handle `count` bytes of input in the read buffer."""
-        self.data_received(self._read_buffer[:count].tobytes())
+        self.data_received(self._read_buffer[:count])
 
-    def data_received(self, data: bytes) -> None:
-        """Parse input, or store it unparsed while requests are queued.
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Parse input, or store a copy of it unparsed while requests are queued.
 
         Reading continues while requests are queued because a client may pipeline many requests and then
         disconnect. The end of its input becomes visible only after everything before it has been read; until
@@ -102,11 +105,11 @@
         if self._closing:
             self._discard(data)
         elif self._unparsed.size or (self._queue and not self._receiving_streamed_body()):
-            self._unparsed.append(data)
+            self._unparsed.append(bytes(data))
             self.update_reading()
         elif self._pieces > MAX_PIECES_PER_READ:  # the previous read was expensive, so this one may be, too
             self._pieces = 0
-            self._unparsed.append(data)
+            self._unparsed.append(bytes(data))
             self._defer()
         else:
             self._pieces, self._piece_budget = 0, MAX_PIECES_PER_READ
@@ -149,7 +152,7 @@
                 self._discard(view)
                 return
             if self._pieces > self._piece_budget:
-                self._unparsed.appendleft(view)
+                self._unparsed.appendleft(view.tobytes())
                 self._defer()
                 return
             self._parse_slice(view[:PARSE_SLICE_BYTES])
@@ -186,10 +189,11 @@
 
     def _parse_slice(self, data: bytes | memoryview) -> None:
         self._received_bytes += len(data)
-        if self._message is None and not self._answer_due and self.answered:
-            self._listener.mark_receiving(self)
+        is_between_messages = self._message is None
         try:
             self._parser.feed_data(data)
+            if is_between_messages and self._message is not None and not self._answer_due and self.answered:
+                self._listener.mark_receiving(self)
             self.on_input_parsed()
             in_head = self._message is not None and self._message.method == b""
             if self._received_bytes > (MAX_HEAD_BYTES if in_head else self.max_request_bytes):
--- a/hillmux/net/http1.py
+++ b/hillmux/net/http1.py
@@ -97,7 +97,7 @@
         self._complete_responses: list[Response] = []
         self._pieces = 0  # header fields, pieces of bodies and responses parsed since the latest read
         self._piece_budget = MAX_PIECES_PER_READ  # value of `_pieces` above which parsing is deferred
-        self._deferred: bytes | memoryview = b""  # input that waits for a turn of the event loop
+        self._deferred: bytes = b""  # input that waits for a turn of the event loop
         self._pauses_requested = False  # `pause_reading` was called last, not `resume_reading`
         self._stream_part: Body = b""  # parsed data of a streamed body that is not passed on yet
         self._reset()
@@ -193,7 +193,7 @@
         """Clear `unsent`: the last written byte has left this process."""
         self.unsent = False
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse input and deliver the complete responses that are due; abort on any other input.
 
         A response that was not requested, such as a duplicate after a valid one, would be taken for the
@@ -261,8 +261,8 @@
                 self.on_stream_data(to_bytes(part))
 
     def _defer(self, data: bytes | memoryview) -> None:
-        """Pause reading, and parse the input in later turns of the event loop."""
-        self._deferred = data
+        """Pause reading, and parse a copy of the input in later turns of the event loop."""
+        self._deferred = bytes(data)
         self._update_reading()
         running_loop_scheduler().add(self)
 
--- a/hillmux/net/listener.py
+++ b/hillmux/net/listener.py
@@ -259,9 +259,9 @@
         self.resume_accepting()
 
     def mark_receiving(self, connection: Connection) -> None:
-        """Record that no response is due on a connection whose input is about to be parsed.
+        """Record that no response is due on a connection whose input is being parsed.
 
-        Unlike `mark_idle` this evicts no connection: it might be this one, whose request would be lost.
+        Unlike `mark_idle` this evicts no connection: it might be this one, whose requests would be lost.
         """
         connection.waiting_since = self.loop.time()
         self.mark_busy(connection)
--- a/hillmux/net/memory_budget.py
+++ b/hillmux/net/memory_budget.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -68,6 +69,10 @@
     )
 
 
+def _ignore() -> None:
+    """Do nothing."""
+
+
 class MemoryBudget:
     """Counts the bytes that are kept for peers.
 
@@ -77,28 +82,36 @@
         peak: the largest use since the start.
         window: bytes that are read at once from a connection, and that may wait for a slow receiver.
         read_buffer: the buffer that all connections of the event loop are read into.
+        small_read_buffer: the part of it that connections without a reservation are read into under pressure.
         shed_above: the use above which new requests are rejected.
         rejections: requests and connections that were rejected or closed because of memory.
+        check_above: a peak above which `on_growth` is called; it is to set the next one.
+        on_growth: called when the peak has passed `check_above`.
     """
 
     __slots__ = (
         "limit",
         "used",
         "peak",
-        "_recent_peak",
         "window",
         "read_buffer",
+        "small_read_buffer",
+        "check_above",
+        "on_growth",
         "rejections",
         "reservable",
         "shed_above",
     )
 
     def __init__(self, limit: int = UNLIMITED_BYTES, descriptors: int = DEFAULT_DESCRIPTORS) -> None:
-        self.used = self.peak = self._recent_peak = self.rejections = 0
+        self.used = self.peak = self.rejections = 0
         self.window = min(
             max(int(limit / (WINDOWS_PER_DESCRIPTOR * descriptors)), MIN_WINDOW_BYTES), MAX_WINDOW_BYTES
         )
         self.read_buffer = memoryview(bytearray(self.window))
+        self.small_read_buffer = self.read_buffer[:UNRESERVED_MESSAGE_BYTES]
+        self.check_above = UNLIMITED_BYTES
+        self.on_growth: Callable[[], None] = _ignore
         self.set_limit(limit)
 
     def set_limit(self, limit: int) -> None:
@@ -107,11 +120,6 @@
         self.reservable = int(RESERVABLE_SHARE * limit)
         self.shed_above = int(SHED_SHARE * limit)
 
-    def take_peak(self) -> int:
-        """The largest use since the last call."""
-        peak, self._recent_peak = self._recent_peak, self.used
-        return peak
-
     def max_connections(self) -> int:
         """The number of client connections that there is memory for."""
         return int(CONNECTION_SHARE * self.limit) // CLIENT_CONNECTION_BYTES
@@ -120,6 +128,13 @@
         """Whether `size` bytes may be reserved."""
         return self.used + size <= self.reservable
 
+    def buffer_for(self, reserved: bool) -> memoryview:
+        """The buffer to read into; `reserved` if the memory for what is read is reserved already.
+
+        Under pressure, what is read without a reservation is covered by the charge of its connection.
+        """
+        return self.read_buffer if reserved or self.used <= self.reservable else self.small_read_buffer
+
     def under_pressure(self) -> bool:
         """Whether input that can wait should not be read."""
         return self.used > self.reservable
@@ -127,9 +142,11 @@
     def charge(self, size: int) -> None:
         """Count bytes that are kept whether there is room or not."""
         self.used += size
-        if self.used > self._recent_peak:
-            self._recent_peak = self.used
-            self.peak = max(self.peak, self.used)
+        if self.used > self.peak:
+            self.peak = self.used
+            if self.used > self.check_above:
+                self.check_above = UNLIMITED_BYTES
+                self.on_growth()
 
     def release(self, size: int) -> None:
         """Stop counting bytes."""
--- a/hillmux/net/platform_gateway.py
+++ b/hillmux/net/platform_gateway.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import time
 from dataclasses import replace
 from functools import partial
@@ -27,13 +26,12 @@
 from hillmux.net.http1 import Response
 from hillmux.net.listener import Listener
 from hillmux.net.loop_lag import LoopLagMonitor
-from hillmux.net.memory_budget import MIN_PEER_BYTES, MemoryBudget, MemoryPlan, plan_memory
+from hillmux.net.memory_budget import MemoryBudget, MemoryPlan, plan_memory
+from hillmux.net.memory_guard import MemoryGuard
 from hillmux.net.streaming_client import STREAMED_REQUEST_TIMEOUT_S, StreamingClientConnection
 from hillmux.net.streaming_upstream import StreamingUpstreamConnection, StreamingUpstreamPool
 
 UPSTREAM_SOCKET_SHARE: Final = 0.36  # share of the process's sockets that connections to hosts may use
-MEMORY_CHECK_INTERVAL_S: Final = 0.1
-RESIDENT_GUARD_SHARE: Final = 0.96  # of the memory limit, from which the budget does not grow any more
 # How long a start waits for discovery before it serves with the configured endpoint list. Discovery answers
 # at once, or after seconds when it is overloaded; clients would find no gateway during those.
 DISCOVERY_WAIT_S: Final = 0.25
@@ -50,7 +48,7 @@
         settings = self._limit_customers(config.settings)
         super().__init__(settings, config.seed, loop, LoopLagMonitor(loop), memory)
         self._memory_bytes = config.memory_bytes
-        self._largest_resident_bytes = 0
+        self._memory_guard: MemoryGuard | None = None
         self.streaming_pool = self.pool_class(
             loop,
             int(UPSTREAM_SOCKET_SHARE * config.max_sockets),
@@ -98,27 +96,8 @@
     def measure_memory(self) -> None:
         """Set the memory budget from what the process holds now; called once it accepts clients."""
         if self._memory_bytes is not None:
-            self.memory.set_limit(plan_memory(self._memory_bytes, resident_bytes()).peer_bytes)
-            self._check_memory()
-
-    def _check_memory(self) -> None:
-        """Lower the budget to what is in use if the process grows close to its limit: charges were too low.
-
-        Allocators keep what they have freed, so the size does not fall again; the same use needs no more.
-        """
-        assert self._memory_bytes is not None
-        resident = resident_bytes()
-        if resident > max(RESIDENT_GUARD_SHARE * self._memory_bytes, self._largest_resident_bytes):
-            limit = max(min(self.memory.limit, self.memory.take_peak()), MIN_PEER_BYTES)
-            self.log_message(
-                logging.WARNING,
-                f"memory: process holds {resident} bytes, limit {self._memory_bytes}; "
-                f"budget for peers {limit} bytes",
-            )
-            self.memory.set_limit(limit)
-        self._largest_resident_bytes = max(self._largest_resident_bytes, resident)
-        self.memory.take_peak()
-        self.loop.call_later(MEMORY_CHECK_INTERVAL_S, self._check_memory)
+            self._memory_guard = MemoryGuard(self.memory, self._memory_bytes, self.loop, self.log_message)
+            self._memory_guard.start()
 
     def start(self) -> None:
         """Apply the known endpoint list, then start the discovery watch and connect to the counter."""
--- a/hillmux/net/unparsed_input.py
+++ b/hillmux/net/unparsed_input.py
@@ -38,7 +38,7 @@
 
     def __init__(self, total: UnparsedTotal) -> None:
         self._total = total
-        self._pieces: deque[bytes | memoryview] = deque()
+        self._pieces: deque[bytes] = deque()
         self.size = 0
 
     def append(self, data: bytes) -> None:
@@ -46,12 +46,12 @@
         self._pieces.append(data)
         self._add(len(data) + PIECE_OVERHEAD_BYTES)
 
-    def appendleft(self, data: memoryview) -> None:
+    def appendleft(self, data: bytes) -> None:
         """Put back the rest of the oldest piece, which must not be empty."""
         self._pieces.appendleft(data)
         self._add(len(data) + PIECE_OVERHEAD_BYTES)
 
-    def popleft(self) -> bytes | memoryview:
+    def popleft(self) -> bytes:
         """Remove and return the oldest piece."""
         data = self._pieces.popleft()
         self._add(-len(data) - PIECE_OVERHEAD_BYTES)
--- a/hillmux/net/upstream_connection.py
+++ b/hillmux/net/upstream_connection.py
@@ -68,11 +68,11 @@
 
     def get_buffer(self, size_hint: int) -> memoryview:
         """The buffer that the event loop reads into; it bounds the input that is read at once."""
-        return self._read_buffer
+        return self._pool.memory.buffer_for(self._reservation is not None)
 
     def buffer_updated(self, count: int) -> None:
         """Handle `count` bytes of input in the read buffer."""
-        self.data_received(self._read_buffer[:count].tobytes())
+        self.data_received(self._read_buffer[:count])
 
     def abort_attempt(self) -> None:
         """Shut down the sending side immediately, then close the connection.
--- a/tests/net/test_memory_budget.py
+++ b/tests/net/test_memory_budget.py
@@ -12,6 +12,7 @@
     MIN_CUSTOMERS,
     MIN_PEER_BYTES,
     MIN_WINDOW_BYTES,
+    UNRESERVED_MESSAGE_BYTES,
     MemoryBudget,
     plan_memory,
 )
@@ -76,8 +77,29 @@
 def test_limit_can_be_lowered_while_memory_is_in_use() -> None:
     budget = MemoryBudget(1000)
     reservation = budget.force(500)
-    assert budget.take_peak() == 500
+    assert budget.peak == 500
     budget.set_limit(400)
     assert budget.under_pressure() and budget.reserve(1) is None
     reservation.release()
-    assert not budget.under_pressure() and budget.take_peak() == 500 and budget.take_peak() == 0
+    assert not budget.under_pressure() and budget.peak == 500 and budget.used == 0
+
+
+def test_growth_is_reported_once_until_the_next_threshold_is_set() -> None:
+    budget = MemoryBudget(1000)
+    reports: list[int] = []
+    budget.on_growth = lambda: reports.append(budget.used)
+    budget.check_above = 200
+    for _ in range(4):
+        budget.charge(100)
+    assert reports == [300]
+    budget.check_above = 450
+    budget.charge(100)
+    assert reports == [300, 500]
+
+
+def test_reads_under_pressure_are_small_unless_their_memory_is_reserved() -> None:
+    budget = MemoryBudget(1_000_000, 1)
+    assert budget.buffer_for(False) is budget.read_buffer
+    budget.charge(budget.reservable + 1)
+    assert len(budget.buffer_for(False)) == UNRESERVED_MESSAGE_BYTES < len(budget.read_buffer)
+    assert budget.buffer_for(True) is budget.read_buffer
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -10,6 +10,7 @@
 from enum import StrEnum
 
 from conftest import LOOP, message
+from fakes.usual_client import is_closed, was_reset
 
 ANSWER_LATE_S = 0.5  # an answer that is later than this after its time is lost
 LISTEN_S = 4.0  # how long a client listens after its time, to see answers that are late
@@ -21,7 +22,8 @@
 
     ANSWERED = "answered"
     CUT = "cut"  # a begun answer ended before it was whole
-    CLOSED = "closed"  # the connection was closed without an answer
+    CLOSED = "closed"  # the connection ended without an answer after the request was read
+    RESET = "reset"  # the connection was reset without an answer, so the request was not read
     UNANSWERED = "unanswered"
     LEFT = "left"  # the client closed its connection before an answer
     NOT_SENT = "not_sent"
@@ -69,12 +71,16 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, until: asyncio.Event
     ) -> None:
         is_new = True
-        while not until.is_set():
+        while not until.is_set() and not is_closed((reader, writer)):
             sent = self._new_request(is_new)
             try:
                 stays = await self._ask(sent, reader, writer)
-            except (ConnectionError, asyncio.IncompleteReadError):
-                sent.outcome = Outcome.CUT if sent.first_byte_at else Outcome.CLOSED
+            except ConnectionError:
+                sent.outcome = Outcome.CUT if sent.first_byte_at else Outcome.RESET
+                stays = False
+            except asyncio.IncompleteReadError:
+                without_answer = Outcome.RESET if was_reset(writer) else Outcome.CLOSED
+                sent.outcome = Outcome.CUT if sent.first_byte_at else without_answer
                 stays = False
             except TimeoutError:
                 sent.outcome = Outcome.CUT if sent.first_byte_at else Outcome.UNANSWERED
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -36,6 +36,8 @@
 WATCH_INTERVAL_S = 0.02
 OWN_STALL_S = 0.05
 CROWD_CHANCE = 0.35
+WAVE_CLIENTS = 600
+WAVE_S, WAVE_PAUSE_S = 1.0, 0.3
 PLANNED_CHANCE = 0.75  # of a process's end, that it begins with SIGTERM
 DISCOVERY_WAIT_S = 2.0
 
@@ -50,6 +52,7 @@
     sockets: int
     deadline_s: float
     objective_s: float
+    waves: int  # in which the clients of a crowd come, if one comes
     lives: list[Life] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     sent: list[Sent] = field(default_factory=list)
@@ -61,6 +64,7 @@
     """Draw the limits and deadlines of a day; its events follow from the same generator."""
     rng = random.Random(seed)
     deadline_s = rng.uniform(0.5, 2.0)
+    waves = random.Random(f"waves {seed}").choice((1, 2, 4))  # leaves the other draws as they were
     return Day(
         seed,
         rng,
@@ -68,6 +72,7 @@
         sockets=rng.choice((256, 512, 1024)),
         deadline_s=deadline_s,
         objective_s=rng.uniform(0.3, 0.9) * deadline_s,
+        waves=waves,
     )
 
 
@@ -155,15 +160,27 @@
 
 
 async def send_crowds(day: Day, rig: Rig, until: asyncio.Event) -> None:
-    """Perhaps let a crowd come for a while."""
+    """Perhaps let a crowd come for a while, or several in waves."""
     if day.rng.random() > CROWD_CHANCE:
         return
     await asyncio.sleep(day.rng.uniform(0.2, 2.0))
     habits = [h for h in Habit if not h.startswith(("ignore", "pipeline_behind"))]
+    if day.waves == 1:
+        await send_crowd(day, rig, until, day.rng.choice(habits), day.sockets // 2, day.rng.uniform(1.0, 4.0))
+        return
+    for _ in range(day.waves):
+        await send_crowd(day, rig, until, day.rng.choice(habits), WAVE_CLIENTS, WAVE_S)
+        await asyncio.sleep(WAVE_PAUSE_S)
+
+
+async def send_crowd(
+    day: Day, rig: Rig, until: asyncio.Event, habit: Habit, count: int, seconds: float
+) -> None:
+    """Let a crowd come, and leave together."""
     began_at = time.monotonic()
-    async with Crowd(rig, day.rng.choice(habits), day.sockets // 2):
+    async with Crowd(rig, habit, count):
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(day.rng.uniform(1.0, 4.0)):
+            async with asyncio.timeout(seconds):
                 await until.wait()
     day.crowds.append((began_at, time.monotonic()))
 
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -89,10 +89,12 @@
         yield from _broken_by_answer(request, complete, due_at, label)
     elif request.outcome == Outcome.UNANSWERED and not killed:
         yield f"lost: {label}: no answer, time {request.time_s:.2f} s, runs {[r.behaviour for r in runs]}"
-    elif request.outcome == Outcome.CLOSED and not killed:
+    elif request.outcome in (Outcome.CLOSED, Outcome.RESET) and not killed:
         crowded = any(start <= request.ended_at <= end + 1.0 for start, end in crowds)
         if complete:
             yield f"lost: {label}: forwarded, then closed, runs {[r.behaviour for r in runs]}"
+        elif request.outcome == Outcome.CLOSED and not crossed:
+            yield f"lost: {label}: read, then closed"
         elif request.on_new_connection and request.sent_at and not crowded and not crossed:
             yield f"lost: {label}: closed on a new connection"
     if request.outcome == Outcome.LEFT:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -55,6 +55,9 @@
         ("lost", LIFE, [RUN], replace(SENT, outcome=Outcome.UNANSWERED, ended_at=107.0)),
         ("lost", LIFE, [RUN], replace(SENT, outcome=Outcome.CLOSED)),
         ("lost", LIFE, [], replace(SENT, outcome=Outcome.CLOSED)),
+        ("lost", LIFE, [], replace(SENT, outcome=Outcome.CLOSED, on_new_connection=False)),
+        ("lost", LIFE, [], replace(SENT, outcome=Outcome.RESET)),
+        ("lost", LIFE, [RUN], replace(SENT, outcome=Outcome.RESET, on_new_connection=False)),
         (
             "left",
             LIFE,
@@ -71,6 +74,13 @@
     assert [line.partition(":")[0] for line in broken] == [rule]
 
 
+def test_request_that_was_read_and_closed_is_lost_beside_a_crowd_too() -> None:
+    crowds = [(101.0, 104.0)]
+    closed = replace(SENT, outcome=Outcome.CLOSED)
+    assert broken_rules(MEMORY_MB, [LIFE], [], [closed], crowds)
+    assert not broken_rules(MEMORY_MB, [LIFE], [], [replace(SENT, outcome=Outcome.RESET)], crowds)
+
+
 def test_request_on_a_process_that_is_killed_without_notice_is_not_lost() -> None:
     killed = replace(LIFE, term_at=0.0, exited_at=0.0, killed_at=102.5, gone_at=102.51)
     closed = replace(SENT, outcome=Outcome.CLOSED, ended_at=102.5)
