A request's time runs while its connection waits in the backlog for capacity

Now the first request of a connection that is accepted after a lack of capacity is dated by tcpi_last_data_recv. test_time_of_a_request_runs_while_its_connection_waits_to_be_accepted failed before (0.40 s, 0.1 allowed).

--- a/hillmux/net/listener.py
+++ b/hillmux/net/listener.py
@@ -12,6 +12,7 @@
 from typing import Any, ClassVar, Final, Generic, Protocol, TypeVar, cast
 
 from hillmux import interface as api
+from hillmux.net.backlog_wait import unread_since_s
 from hillmux.net.client_connection import ClientConnection
 from hillmux.net.client_timeouts import TIMEOUT_CHECK_INTERVAL_S
 from hillmux.net.diagnostics import CloseReason, ReasonCounts
@@ -108,6 +109,7 @@
         # Accepted beyond the capacity, to reject the first request of each instead of leaving it unread
         self._overflow: set[Connection] = set()
         self._max_overflow = min(int(self.overflow_share * sockets), MAX_OVERFLOW_CONNECTIONS)
+        self._clients_have_waited = False  # clients in the backlog were not accepted for lack of capacity
         self._evicted: set[Connection] = set()  # aborted to free capacity, but not closed so far
         self.successor: SuccessorProcess | None = None  # now accepts clients and takes over connections
 
@@ -337,10 +339,14 @@
             if overflows and not self._may_overflow():
                 if self._client_waiting():  # if none waits, the socket stays watched for the next one
                     self._listening.unwatch()
+                    self._clients_have_waited = True
                 return
             try:
                 accepted, _ = sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            except BlockingIOError:
+                self._clients_have_waited = False  # all that waited are accepted
+                return
+            except (InterruptedError, ConnectionAbortedError):
                 return
             except OSError as error:
                 log.warning("accept failed: %s", errno.errorcode.get(error.errno or 0, error))
@@ -348,6 +354,8 @@
                 self.loop.call_later(ACCEPT_RETRY_DELAY_S, self.resume_accepting)
                 return
             connection = self.connection_type(self)
+            if self._clients_have_waited:
+                connection.unread_before_accept_s = unread_since_s(accepted)
             if overflows:
                 connection.sheds_load = True
                 self._overflow.add(connection)
--- a/tests/net/test_busy_listener.py
+++ b/tests/net/test_busy_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import Any
 
 import pytest
@@ -14,6 +15,7 @@
 
 SOCKETS = 256
 SOCKETS_FOR_ONE_CLIENT = 2
+WAIT_S, TOLERANCE_S = 0.4, 0.1
 LIMIT_S = 1.0
 
 
@@ -166,3 +168,22 @@
         listener.stop_accepting()
 
     on_loop(scenario)
+
+
+def test_time_of_a_request_runs_while_its_connection_waits_to_be_accepted() -> None:
+    async def scenario() -> None:
+        handler, listener, host, port = open_at_capacity()
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(message(rid=b"first"))
+        await until_requests(handler, 1)
+        _, waiting_writer = await asyncio.open_connection(host, port)
+        waiting_writer.write(message(rid=b"waiting"))
+        sent_at = time.monotonic()
+        await asyncio.sleep(WAIT_S)
+        writer.close()  # makes room
+        await until_requests(handler, 2)
+        assert handler.read_at[1] - sent_at < TOLERANCE_S
+        waiting_writer.close()
+        listener.stop_accepting()
+
+    on_loop(scenario)
