--- a/hillmux/net/client_connection.py
+++ b/hillmux/net/client_connection.py
@@ -458,8 +458,8 @@
         self.update_reading()
 
     def has_open_request(self) -> bool:
-        """Whether a request that was read has not been answered."""
-        return self._answer_due or bool(self._queue)
+        """Whether a request of a client that has not left was read and has not been answered."""
+        return self._request_id is not None or bool(self._queue)
 
     def check_timeouts(self, now: float) -> None:
         """Close the connection if it has been idle too long, or its request has arrived too slowly.
