The counter's answers to calls before malformed input are not lost by a reset

A caller that sent calls and then noise lost the answers to calls that had been added: the counter closed its connection with input unread, so the system reset it and dropped the answers. Now the sending side is shut down, and input is discarded until the caller closes, 1 s at most. test_answers_to_calls_before_noise_are_not_lost_by_a_reset failed before (reset).

--- a/hillmux/counter/service.py
+++ b/hillmux/counter/service.py
@@ -16,6 +16,7 @@
 MAX_CONNECTIONS_PER_ADDRESS: Final = 32  # connections beyond it are reset
 MAX_CONNECTIONS: Final = 1024
 IDLE_TIMEOUT_S: Final = 10.0
+LINGER_TIMEOUT_S: Final = 1.0  # from the last response to the close of the descriptor
 SWEEP_INTERVAL_S: Final = 1.0
 MAX_HEAD_BYTES: Final = 8 * 1024
 MAX_BYTES_PER_TURN: Final = 4 * 1024  # per connection and turn of the event loop, as every call costs
@@ -102,6 +103,7 @@
         self._unparsed_bytes = 0  # received since the last complete request
         self._responses: list[bytes] = []
         self._closing = False
+        self._linger_timer: asyncio.TimerHandle | None = None  # set once the last response has been written
 
     def abort(self) -> None:
         """Close the connection at once."""
@@ -121,6 +123,8 @@
         """Drop the deferred input and the parser, which refers to this connection; unregister."""
         self._deferred = memoryview(b"")
         self._parser = CLOSED_PARSER
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
         self._server.unregister(self, self._address)
 
     def data_received(self, data: bytes) -> None:
@@ -153,10 +157,20 @@
         responses, self._responses = self._responses, []
         self._transport.write(b"".join(responses))
         if self._is_closing():
-            self._transport.close()
+            self._close_gracefully()
         elif self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.abort()  # bounds the memory of responses that the caller does not read
 
+    def _close_gracefully(self) -> None:
+        """Shut down the sending side, then discard input until the caller closes, or for a bounded time.
+
+        Closing with unread input would reset the connection, and destroy responses that are not read yet.
+        """
+        if self._linger_timer is None:
+            self._transport.write_eof()
+            self._linger_timer = asyncio.get_running_loop().call_later(LINGER_TIMEOUT_S, self.abort)
+            self._transport.resume_reading()
+
     def _parse(self, data: bytes | memoryview) -> bool:
         self._unparsed_bytes += len(data)
         try:
--- a/tests/counter/test_store.py
+++ b/tests/counter/test_store.py
@@ -12,7 +12,12 @@
 from hillmux import interface as api
 from hillmux.counter import EmbeddedCounter, Store, StoreFullError
 from hillmux.counter.codec import InvalidCallError, parse_call
-from hillmux.counter.service import MAX_CONNECTIONS_PER_ADDRESS, CounterConnection, CounterServer
+from hillmux.counter.service import (
+    LINGER_TIMEOUT_S,
+    MAX_CONNECTIONS_PER_ADDRESS,
+    CounterConnection,
+    CounterServer,
+)
 from hillmux.counter.store import format_total
 from hillmux.interface import AttemptResult
 
@@ -178,6 +183,40 @@
     on_loop(scenario)
 
 
+def test_answers_to_calls_before_noise_are_not_lost_by_a_reset() -> None:
+    async def scenario() -> None:
+        server = CounterServer(Store(), asyncio.get_running_loop())
+        host, port = await server.start("127.0.0.1", 0)
+        for _ in range(8):
+            reader, writer = await asyncio.open_connection(host, port)
+            writer.write(COUNTER_CALL * 5 + b"\x00" * 3_000_000)
+            await asyncio.sleep(0.05)  # the noise beyond what was read would reset a closed connection
+            statuses = [status for status, _ in await _answers(reader, 6)]
+            assert statuses == [200] * 5 + [400]
+            writer.transport.abort()
+        while server.connections:
+            await asyncio.sleep(0.01)
+        server.stop()
+
+    on_loop(scenario)
+
+
+def test_rejected_connection_is_closed_although_its_caller_does_not_leave() -> None:
+    async def scenario() -> None:
+        server = CounterServer(Store(), asyncio.get_running_loop())
+        host, port = await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(b"no call\r\n\r\n")
+        assert b" 400 " in await reader.read()
+        async with asyncio.timeout(2 * LINGER_TIMEOUT_S):
+            while server.connections:
+                await asyncio.sleep(0.05)
+        writer.close()
+        server.stop()
+
+    on_loop(scenario)
+
+
 def test_connections_per_address_are_limited() -> None:
     async def scenario() -> None:
         server = CounterServer(Store(), asyncio.get_running_loop())
