--- a/tests/net/test_expensive_input.py
+++ b/tests/net/test_expensive_input.py
@@ -19,7 +19,7 @@
 )
 from fakes.raw import Peer, RawHost
 
-from hillmux.net.client_connection import MEMORY_CHECK_INTERVAL_S
+from hillmux.net.client_input import MEMORY_CHECK_INTERVAL_S
 from hillmux.net.http1 import MAX_BUFFERED_BODY_BYTES, Response
 from hillmux.net.parse_scheduler import MAX_PIECES_PER_READ, MAX_PIECES_PER_TURN, PARSE_SLICE_BYTES
 from hillmux.net.streaming_client import StreamingClientConnection, StreamingListener
