--- a/tests/compatibility/test_messages.py
+++ b/tests/compatibility/test_messages.py
@@ -108,6 +108,8 @@
         "own_answers": {},
         "failure_lines_suppressed": 0,
         "closes": {},
+        "client_disconnects": 0,
+        "lost_requests": 0,
     }
     found = asyncio.run(metrics())
     assert cast(int, found.pop("resident_bytes")) > 0
