--- a/tests/fakes/raw.py
+++ b/tests/fakes/raw.py
@@ -37,7 +37,13 @@
         return b"".join(pieces)
 
     async def write(self, data: bytes) -> None:
-        """Write, and wait until the write buffer is below its limit."""
+        """Write, and wait until the write buffer is below its limit.
+
+        Raises:
+            ConnectionResetError: The connection is closed; uvloop itself raises a RuntimeError then.
+        """
+        if self.writer.transport.is_closing():
+            raise ConnectionResetError("connection closed")
         self.writer.write(data)
         await self.writer.drain()
 
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -93,6 +93,8 @@
         return run
 
     async def _read_slowly(self, peer: Peer, head: str) -> None:
+        if peer.writer.transport.is_closing():  # uvloop has no socket then, and raises a RuntimeError
+            raise ConnectionResetError("connection closed")
         raw = peer.writer.get_extra_info("socket")
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER)
         await asyncio.sleep(self._rng.uniform(0.0, 0.5))
