The guard measures growth below an earlier peak, too

The size was measured early only when the use passed its highest value since the start, so after one wave the next was looked at every 0.1 s again. Every use above the threshold counts now. test_growth_below_an_earlier_peak_is_measured_too failed before.

--- a/hillmux/net/memory_budget.py
+++ b/hillmux/net/memory_budget.py
@@ -85,8 +85,8 @@
         small_read_buffer: the part of it that connections without a reservation are read into under pressure.
         shed_above: the use above which new requests are rejected.
         rejections: requests and connections that were rejected or closed because of memory.
-        check_above: a peak above which `on_growth` is called; it is to set the next one.
-        on_growth: called when the peak has passed `check_above`.
+        check_above: the use above which `on_growth` is called; that is to set the next one.
+        on_growth: called when the use has passed `check_above`.
     """
 
     __slots__ = (
@@ -142,11 +142,10 @@
     def charge(self, size: int) -> None:
         """Count bytes that are kept whether there is room or not."""
         self.used += size
-        if self.used > self.peak:
-            self.peak = self.used
-            if self.used > self.check_above:
-                self.check_above = UNLIMITED_BYTES
-                self.on_growth()
+        self.peak = max(self.peak, self.used)
+        if self.used > self.check_above:
+            self.check_above = UNLIMITED_BYTES
+            self.on_growth()
 
     def release(self, size: int) -> None:
         """Stop counting bytes."""
--- a/tests/net/test_memory_guard.py
+++ b/tests/net/test_memory_guard.py
@@ -89,6 +89,19 @@
     on_loop(scenario)
 
 
+def test_growth_below_an_earlier_peak_is_measured_too() -> None:
+    async def scenario() -> None:
+        process = Process()
+        process.memory.charge(10 * MIB)
+        process.memory.release(10 * MIB)
+        process.guard.check()
+        before = process.measurements
+        process.memory.charge(9 * MIB)
+        assert process.measurements > before
+
+    on_loop(scenario)
+
+
 def test_measurement_follows_at_the_latest_when_a_quarter_of_what_is_left_was_charged() -> None:
     async def scenario() -> None:
         process = Process()
