--- a/hillmux/net/client_input.py
+++ b/hillmux/net/client_input.py
@@ -76,7 +76,7 @@
             self.take_requests()
             if self._message is not None:
                 self._reserve_incomplete(self._message)
-                self._listener.resume_accepting()  # an incomplete request may give way to a waiting client
+                self._listener.resume_accepting()  # this connection may be evicted for a waiting client
 
     def _receiving_streamed_body(self) -> bool:
         """Whether a streamed body is being received, which is parsed even if requests are queued."""
--- a/hillmux/net/memory_waiters.py
+++ b/hillmux/net/memory_waiters.py
@@ -10,7 +10,7 @@
 from typing import Final, Protocol
 
 MAX_MEMORY_WAIT_S: Final = 0.4  # then the request is rejected, early in the usual times of clients
-STALLED_HOLDER_S: Final = 0.5  # without input, from which a holder of memory gives way
+STALLED_HOLDER_S: Final = 0.5  # without input, from which a holder of memory is rejected
 RETRY_INTERVAL_S: Final = 0.02
 
 
@@ -27,7 +27,7 @@
 
 
 class MemoryWaiters:
-    """The connections that wait for memory, and the holders that may have to give way."""
+    """The connections that wait for memory, and the holders that may be rejected for them."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
--- a/tests/fakes/usual_client.py
+++ b/tests/fakes/usual_client.py
@@ -17,6 +17,7 @@
 TIME_MS = 2600  # of the requests
 LATE_S = 0.5  # an answer that is later than this after its time is lost
 ATTEMPTS = 3
+USUAL_CLIENTS = 4
 PAUSE_S = 0.05
 TCP_CLOSE = 7  # tcpi_state of TCP_INFO, after a reset (tcp(7))
 
@@ -48,6 +49,12 @@
         return duplicate.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_CLOSE
 
 
+def was_forwarded(rig: Rig, request: bytes) -> bool:
+    """Whether a host has received the request, so that the gateway has read it."""
+    request_id = request.split(b"X-Request-Id: ")[1].split(b"\r\n")[0].decode()
+    return any(seen.headers.get("x-request-id") == request_id for host in rig.hosts for seen in host.seen)
+
+
 async def ask(rig: Rig, request: bytes, statuses: Counter[int], kept: list[Connection]) -> None:
     """Send a request, and count its status, or CUT.
 
@@ -66,6 +73,9 @@
             seen = await read_message(reader, writer)
         except ConnectionError:
             writer.close()
+            if was_forwarded(rig, request):
+                statuses[CUT] += 1
+                return
             continue
         except asyncio.IncompleteReadError:
             unread = was_reset(writer)
@@ -102,6 +112,14 @@
         writer.close()
 
 
+def start_usual_clients(rig: Rig, until: asyncio.Event, statuses: Counter[int]) -> list[asyncio.Task[None]]:
+    """Start USUAL_CLIENTS, which count their statuses until the event is set."""
+    return [
+        asyncio.create_task(usual_client(rig, f"u{number}", until, statuses))
+        for number in range(USUAL_CLIENTS)
+    ]
+
+
 def shares(statuses: Counter[int]) -> str:
     """The shares of requests that were served, rejected, and ended without an answer."""
     total = max(statuses.total(), 1)
--- a/tests/net/test_memory_limit.py
+++ b/tests/net/test_memory_limit.py
@@ -9,11 +9,10 @@
 import pytest
 from conftest import Rig, message, on_loop, read_message, reply
 from fakes.crowd import Crowd, Habit, host_behaviour, peak_resident_mb
-from fakes.usual_client import CUT, UNREAD, shares, usual_client
+from fakes.usual_client import CUT, UNREAD, USUAL_CLIENTS, shares, start_usual_clients
 
 pytestmark = pytest.mark.usefixtures("made_build")
 
-USUAL_CLIENTS = 4
 # Habits whose requests keep the hosts or all connections to them busy, so that others may be rejected.
 HOSTS_ARE_BUSY = (
     Habit.PIPELINE,
@@ -38,9 +37,7 @@
         async with Rig(tmp_path, behave, behave, built=True, memory_mb=memory_mb, sockets=sockets) as rig:
             statuses: Counter[int] = Counter()
             until = asyncio.Event()
-            clients = [
-                asyncio.create_task(usual_client(rig, f"u{i}", until, statuses)) for i in range(USUAL_CLIENTS)
-            ]
+            clients = start_usual_clients(rig, until, statuses)
             while statuses.total() < USUAL_CLIENTS:
                 await asyncio.sleep(0.01)
             async with Crowd(rig, habit, sockets // 2 - DESCRIPTORS_FOR_OTHERS):
--- a/tests/net/test_memory_waves.py
+++ b/tests/net/test_memory_waves.py
@@ -9,11 +9,10 @@
 import pytest
 from conftest import Rig, message, on_loop, reply
 from fakes.crowd import Crowd, Habit, host_behaviour, peak_resident_mb, resident_mb
-from fakes.usual_client import CUT, UNREAD, shares, usual_client
+from fakes.usual_client import CUT, UNREAD, shares, start_usual_clients
 
 pytestmark = pytest.mark.usefixtures("made_build")
 
-USUAL_CLIENTS = 4
 CROWD_CLIENTS = 600
 WAVES = 4
 HOLD_S = 1.5  # how long each wave stays
@@ -50,9 +49,7 @@
         async with Rig(tmp_path, behave, behave, built=True, memory_mb=limit_mb, sockets=sockets) as rig:
             statuses: Counter[int] = Counter()
             until = asyncio.Event()
-            clients = [
-                asyncio.create_task(usual_client(rig, f"u{i}", until, statuses)) for i in range(USUAL_CLIENTS)
-            ]
+            clients = start_usual_clients(rig, until, statuses)
             peaks = []
             for _ in range(WAVES):
                 async with Crowd(rig, habit, CROWD_CLIENTS):
@@ -61,7 +58,7 @@
                 peaks.append(peak_resident_mb(rig.process.pid))
             until.set()
             await asyncio.gather(*clients)
-            print(f"{habit} of {limit_mb} MB: peaks {peaks}, {shares(statuses)}")
+            print(f"{habit} of {limit_mb} MB, {sockets} descriptors: peaks {peaks}, {shares(statuses)}")
             assert max(peaks) <= limit_mb
             assert statuses[CUT] == statuses[UNREAD] == 0
             assert set(statuses) <= {200, 503, CUT, UNREAD}
--- a/tests/net/test_released_connections.py
+++ b/tests/net/test_released_connections.py
@@ -93,11 +93,9 @@
         writer.close()
 
     async def dial(port: int) -> None:
-        loop = asyncio.get_running_loop()
-        _, protocol = await loop.create_connection(
-            lambda: RecordingResponseProtocol(MAX_BUFFERED_BODY_BYTES).as_protocol(), LOOP, port
-        )
-        protocol.write(b"request")  # type: ignore[attr-defined]
+        protocol = RecordingResponseProtocol(MAX_BUFFERED_BODY_BYTES)
+        await asyncio.get_running_loop().create_connection(protocol.as_protocol, LOOP, port)
+        protocol.write(b"request")
 
     async def scenario() -> None:
         server = await asyncio.start_server(serve, LOOP, 0)
