A client that left behind a long body is seen before an attempt is sent

Cause: the close stands behind the body, which takes many reads where windows are small, and before an attempt only connections without an answer so far were polled. Requests that hold memory, so those that are not small or were queued, are polled now; small ones cost what they did.

--- a/hillmux/net/client_connection.py
+++ b/hillmux/net/client_connection.py
@@ -58,6 +58,7 @@
         self._handler = listener.handler
         self._request_id: str | None = None  # the id of the open request
         self._keep_alive = True
+        self._holds_memory = False  # the open request is not small, or was queued behind another one
         self._taking_requests = self._reading_paused = False
         self._writing_paused = False  # the write buffer is full: the client does not read its responses
         self.close_reason: CloseReason | None = None  # None: the client closes the connection
@@ -111,10 +112,11 @@
         """Whether the client has closed or reset the connection, even if the loop has not processed that yet.
 
         Args:
-            behind: Whether the event loop is running late. Otherwise only a connection without any response
-                so far is checked, since the check costs a system call.
+            behind: Whether the event loop is running late. Otherwise only connections without any response so
+                far and requests that took or waited for memory are checked, since the check costs a system
+                call. Such a request may take many reads, and the client's close stands behind all of them.
         """
-        return (behind or not self.answered) and peer_has_closed(self.transport)
+        return (behind or not self.answered or self._holds_memory) and peer_has_closed(self.transport)
 
     def on_hang_up(self) -> None:
         """Abort the connection: the client has disconnected while reading was paused."""
@@ -197,6 +199,7 @@
             if isinstance(item, RejectedRequest):
                 raise BadRequestError("request could not be parsed", item.status)
             self._keep_alive = item.keep_alive
+            self._holds_memory = item.reservation is not None
             if item.streamed_body is not None:
                 self._streamed_body = item.streamed_body
             self._route(item)
--- a/tests/net/test_client_disconnects.py
+++ b/tests/net/test_client_disconnects.py
@@ -6,12 +6,18 @@
 import socket
 import struct
 from pathlib import Path
+from typing import Any
 
 import pytest
-from conftest import Rig, Seen, instance, message, on_loop, read_message, reply
+from conftest import LOOP, Rig, Seen, instance, message, on_loop, read_message, reply
+from fakes.client_connection import RecordingHandler
 from fakes.raw import Peer, RawHost
 from fakes.system import UnreachableHost, count_sockets, has_unread_input
 
+from hillmux.net.forward_request import ForwardRequest
+from hillmux.net.memory_budget import MIB, MemoryBudget
+from hillmux.net.streaming_client import StreamingListener
+
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: the close sends a reset
 
 
@@ -83,6 +89,48 @@
     on_loop(scenario, 10)
 
 
+class DisconnectRecorder(RecordingHandler):
+    """Records at each request whether its client is seen to have left."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.seen_to_have_left: list[bool] = []
+
+    def request(self, client: Any, forward_request: ForwardRequest) -> str:
+        self.seen_to_have_left.append(client.has_disconnected(False))
+        request_id = super().request(client, forward_request)
+        if len(self.ids) == 1:
+            client.answer(200)
+            return ""
+        return request_id
+
+    def client_disconnected(self, request_id: str) -> None:
+        """Nothing to end."""
+
+
+@pytest.mark.parametrize("size", [10_000, 60_000, 70_000])
+def test_client_that_left_behind_a_long_body_is_seen_before_an_attempt_is_sent(size: int) -> None:
+    async def scenario() -> None:
+        handler = DisconnectRecorder()
+        loop = asyncio.get_running_loop()
+        memory = MemoryBudget(4 * MIB, 1024)  # the body takes many reads
+        listener = StreamingListener(handler, loop, 1024, memory)
+        ((host, port),) = listener.start((LOOP, 0))
+        sock = socket.create_connection((host, port))
+        sock.sendall(message(rid=b"first"))
+        while not handler.ids:
+            await asyncio.sleep(0.01)
+        assert sock.recv(1000)
+        sock.sendall(message("put", rid=b"second", body=b"x" * size))
+        sock.close()
+        while len(handler.ids) < 2:
+            await asyncio.sleep(0.01)
+        assert handler.seen_to_have_left[1]
+        listener.stop_accepting()
+
+    on_loop(scenario)
+
+
 def test_half_closed_client_that_does_not_read_is_closed(tmp_path: Path) -> None:
     """The transport closes only after the client has read its response; the attempt must end before that."""
 
