--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -196,8 +196,7 @@
         self.entries = {entry["instanceId"]: entry for entry in entries}
         self._changes: list[tuple[int, dict[str, Any]]] = []
         self._changed = asyncio.Event()
-        self.delay_s = 0.0  # before each answer
-        self.calls = 0
+        self.silent = False  # while discovery is down: calls wait for its return
 
     def change(self, *entries: dict[str, Any]) -> float:
         """Publish changed entries as one version; returns the time."""
@@ -226,7 +225,6 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer calls and watches."""
         while (message := await read_message(reader)) is not None:
-            self.calls += 1
             query = dict(p.partition("=")[::2] for p in message.target.partition("?")[2].split("&"))
             if "after" in query:
                 after = int(query["after"])
@@ -238,8 +236,8 @@
                 body = self.body(False, [entry for version, entry in self._changes if version > after])
             else:
                 body = self.body(True, self.entries.values())
-            if self.delay_s:
-                await asyncio.sleep(self.delay_s)
+            while self.silent:
+                await asyncio.sleep(0.01)
             version = self.version
             await self.send(body, writer)
             self.record.note(f"agent {self.name} wrote an answer with version {version}: {message.target}")
@@ -519,6 +517,7 @@
         self._idle: dict[str, list[Client]] = {gateway.name: [] for gateway in gateways}
         self._tasks: set[asyncio.Task[None]] = set()
         self.statuses: dict[int, int] = {}  # 0: no answer
+        self.bodies: list[tuple[str, bytes]] = []  # of the requests that were served, by id
 
     async def run(self, duration_s: float) -> None:
         """Send for so long."""
@@ -545,6 +544,8 @@
             message = None
             client.close()
         status = 0 if message is None else message.status
+        if message is not None and status == 200:
+            self.bodies.append((rid, message.body))
         self.statuses[status] = self.statuses.get(status, 0) + 1
         idle.append(client)
 
@@ -577,8 +578,18 @@
             await gateway.wait_ready()
 
 
+def end_by_signal(number: int, frame: object) -> None:
+    """End the case in order when it is told to end.
+
+    Raises:
+        SystemExit: Always.
+    """
+    raise SystemExit(COULD_NOT_RUN)
+
+
 def main(file: str, case: Callable[[World], Awaitable[int]]) -> int:
     """Run a case, write its record, and end all that it started."""
+    signal.signal(signal.SIGTERM, end_by_signal)
 
     async def run(world: World) -> int:
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
