--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,115 +1,136 @@
-"""Commands sent at once, in pieces: the time that a later one has lain unparsed is not taken off its time."""
+"""A few bad clients name units that are out of range; a host that has come back cold is then pushed over."""
 
 from __future__ import annotations
 
 import asyncio
 import sys
 import time
+from collections import deque
+from math import sqrt
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 import standins_2 as s
 
-LATE_S = 0.5  # an answer later than this after the request's time is lost
-DEADLINE_SLACK_S = 0.15  # of the time that an attempt tells its host
-DEADLINE_MS = 3000  # half of the class's time: a try is given up after 50 to 100% of it
-CLIENTS, AT_ONCE, WORK_S = 4, 10, 0.45
-BETWEEN_PIECES_S = 0.02
+# Figures of a deployment whose units are not settled afterwards.
+HOSTS, CORES, WORK_S, QUEUE_PER_CORE = 11, 2, 0.06, 14
+COLD_FROM, COLD_S, FALL_MULTIPLE, TIP_AFTER_S = 0.21, 16.0, 2.0, 1.0
+LOAD = 0.7
+RATE = LOAD * (HOSTS - 1) * CORES / WORK_S
+BAD_CLIENTS, BAD_UNITS = 6, b"0.001"
 
 
-class TellingHost(s.Host):
-    """A host that keeps the time that each attempt tells it."""
+class ModelHost(s.Host):
+    """A host with cores, a waiting room and a cold start."""
 
     def __init__(self, name: str, record: s.Record) -> None:
         super().__init__(name, record, WORK_S)
-        self.told: dict[str, tuple[float, float]] = {}  # by id: when it came whole, and the time told, in s
-
-    async def answer(self, message: s.Message, rid: str, writer: asyncio.StreamWriter) -> None:
-        """Keep the time that the attempt tells, and answer."""
-        text = message.headers["x-deadline"]
-        self.told[rid] = (time.monotonic(), float(text[:-1]) / (1e3 if text[-1] == "m" else 1e6))
-        self.record.note(f"host {self.name}: {rid} tells X-Deadline {text}")
-        await super().answer(message, rid, writer)
+        self._waiting: deque[asyncio.Future[None]] = deque()
+        self._busy = 0
+        self.started_at = 0.0  # seconds since the start of the case; 0: long ago
 
+    def share(self, at: float) -> float:
+        """The share of its capacity that it has at a time: evenly from COLD_FROM to 1 over COLD_S."""
+        if not self.started_at:
+            return 1.0
+        return min(1.0, COLD_FROM + (1 - COLD_FROM) * max(at - self.started_at, 0.0) / COLD_S)
 
-class Sent:
-    """A request of the case, by monotonic times."""
+    def bears(self, at: float) -> float:
+        """The requests that it bears in TIP_AFTER_S."""
+        n = FALL_MULTIPLE * self.share(at) * CORES / WORK_S * TIP_AFTER_S
+        return n + (3 * sqrt(n) + 3 if n < 30 else 2 * sqrt(n) + 2)
 
-    def __init__(self, rid: str, data: bytes) -> None:
-        self.rid, self.data = rid, data
-        self.sent_at = self.answered_at = 0.0
-        self.status = 0
+    async def answer(self, message: s.Message, rid: str, writer: asyncio.StreamWriter) -> None:
+        """Turn a request away if the waiting room is full; otherwise run it on a core."""
+        if self._busy >= CORES:
+            if len(self._waiting) >= QUEUE_PER_CORE * CORES:
+                self.record.note(f"host {self.name} turns {rid} away")
+                writer.write(s.response(503, b"", "X-Not-Run: 1\r\n"))
+                return
+            turn = asyncio.get_running_loop().create_future()
+            self._waiting.append(turn)
+            await turn
+        else:
+            self._busy += 1
+        try:
+            await asyncio.sleep(WORK_S / self.share(self.record.now()))
+        finally:
+            if self._waiting:
+                self._waiting.popleft().set_result(None)
+            else:
+                self._busy -= 1
+        self.record.note(f"host {self.name} ran {rid}")
+        writer.write(s.response(200, rid.encode()))
+
+
+def settings(number: int) -> dict[str, Any]:
+    """The settings of that deployment."""
+    result = s.settings(number, 2)
+    result["family_info"]["trued_up"] = False
+    result["rules"].update(
+        cold_from=COLD_FROM,
+        cold_ms=1000 * COLD_S,
+        fall_multiple=FALL_MULTIPLE,
+        tip_after_ms=1000 * TIP_AFTER_S,
+    )
+    result["grades"][0].update(objective_ms=600.0, deadline_ms=1500.0)
+    result["grades"][1].update(objective_ms=400.0, deadline_ms=1200.0, window_ms=1200.0)
+    return result
 
 
-async def ask(world: s.World, gateway: s.Gateway, number: int, requests: list[Sent]) -> None:
-    """Send requests on one connection, in pieces or as one, and read their answers in order."""
-    record = world.record
-    reader, writer = await asyncio.open_connection(s.LOOPBACK, gateway.port)
-    writer.get_extra_info("socket").setsockopt(s.socket.IPPROTO_TCP, s.socket.TCP_NODELAY, 1)
-
-    async def send() -> None:
-        if not s.TROUBLE:
-            writer.write(b"".join(request.data for request in requests))
-        for request in requests:
-            request.sent_at = time.monotonic()
-            record.note(f"client {number} sends {request.rid} to {gateway.name}, {DEADLINE_MS} ms")
-            if s.TROUBLE:
-                writer.write(request.data)
-                await asyncio.sleep(BETWEEN_PIECES_S)
-
-    sending = asyncio.create_task(send())
-    for request in requests:
-        message = await s.read_message(reader)
-        if message is None:
-            break
-        request.answered_at, request.status = time.monotonic(), message.status
-        record.note(f"client {number} got {message.status} for {request.rid}")
-    await sending
-    writer.close()
+async def bad_client(world: s.World, gateway: s.Gateway, number: int) -> None:
+    """Ask once with units that are out of range."""
+    rid, data = s.request_bytes(5000 + number, False, 2, deadline_ms=1500)
+    world.record.note(f"bad client {number} names {BAD_UNITS.decode()} units in {rid}")
+    client = s.Client(gateway, world.record)
+    await client.ask(rid, data.replace(b"units=1,", b"units=%b," % BAD_UNITS))
+    client.close()
 
 
 async def case(world: s.World) -> int:
-    """Play the case: clients send some commands at once, and each takes its usual work at a host."""
+    """Play the case."""
     record = world.record
-    hosts = [TellingHost(f"s-{letter}", record) for letter in "abcdefghij"]
+    hosts = [ModelHost(f"s-{letter}", record) for letter in "abcdefghijk"[:HOSTS]]
+    cold = hosts[-1]
     agents = [s.Agent(name, record, [host.entry() for host in hosts]) for name in ("g0", "g1")]
     counter = s.Counter()
     await world.opened(*hosts, *agents, counter)
-    gateways = [
-        s.Gateway(f"g{n}", record, world.scratch, agents[n], counter, s.settings(n, 2)) for n in range(2)
-    ]
+    gateways = [s.Gateway(f"g{n}", record, world.scratch, agents[n], counter, settings(n)) for n in range(2)]
     await world.started(*gateways)
-    by_client = [
-        [
-            Sent(*s.request_bytes(100 * number + place, True, 2, deadline_ms=DEADLINE_MS))
-            for place in range(AT_ONCE)
-        ]
-        for number in range(CLIENTS)
-    ]
-    async with asyncio.timeout(30):
-        await asyncio.gather(*(ask(world, gateways[n % 2], n, by_client[n]) for n in range(CLIENTS)))
-
-    requests = [request for requests in by_client for request in requests]
-    told = {rid: values for host in hosts for rid, values in host.told.items()}
-    late = unanswered = over = 0
-    for request in requests:
-        until = request.sent_at + DEADLINE_MS / 1000
-        unanswered += not request.status
-        if request.status and request.answered_at > until + LATE_S:
-            late += 1
-            record.note(f"{request.rid}: {request.status} {request.answered_at - until:.3f} s after its time")
-        if request.rid in told:
-            at, tells = told[request.rid]
-            if tells > until - at + DEADLINE_SLACK_S:
-                over += 1
-                record.note(f"{request.rid}: told {tells:.3f} s, its client had {until - at:.3f} s left")
-    record.note(
-        f"{len(requests)} sent, {unanswered} never answered, {late} over {LATE_S} s after their time;"
-        f" {len(told)} forwarded, {over} of them with more time than the client had left"
-    )
-    if len(told) < CLIENTS:
+    traffic = s.Traffic(gateways, record, RATE, 2, deadlines_ms=(1500, 1200))
+    load = asyncio.create_task(traffic.run(25))
+    await asyncio.sleep(6)
+    record.note(f"host {cold.name} ends")
+    cold.close()
+    await asyncio.sleep(1)
+    cold.started_at, cold.started_at_ms = record.now(), time.time() * 1000
+    await cold.open()
+    record.note(f"host {cold.name} starts again, cold")
+    await asyncio.sleep(1)
+    told = max(agent.change(cold.entry()) for agent in agents)
+    await asyncio.sleep(2)
+    if s.TROUBLE:
+        await asyncio.gather(*(bad_client(world, gateways[n % 2], n) for n in range(BAD_CLIENTS)))
+    await load
+    await traffic.finish()
+
+    worst, window = 0.0, deque[float]()
+    arrivals = [at for at in cold.first_bytes if told < at < cold.started_at + COLD_S]
+    for at in arrivals:
+        window.append(at)
+        while window[0] < at - TIP_AFTER_S:
+            window.popleft()
+        if len(window) / cold.bears(at) > worst:
+            worst = len(window) / cold.bears(at)
+            record.note(
+                f"{cold.name} at {at:.3f}, {at - cold.started_at:.2f} s after its start: {len(window)}"
+                f" requests in {TIP_AFTER_S} s, it bears {cold.bears(at):.1f}"
+            )
+    record.note(f"answers by status: {traffic.statuses}; most of what it bears: {worst:.2f}")
+    if traffic.statuses.get(200, 0) < 1000 or len(arrivals) < 20:
         return s.COULD_NOT_RUN
-    return s.BROKEN if late or unanswered else s.HELD
+    return s.BROKEN if worst > 1 else s.HELD
 
 
 if __name__ == "__main__":
