--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -10,6 +10,7 @@
 import itertools
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -23,15 +24,18 @@
 
 ROOT = Path(__file__).resolve().parents[1]
 LOOPBACK = "127.0.0.1"
+PORTS = (12000, 30000)
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
 
 def free_port() -> int:
-    """A port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return int(sock.getsockname()[1])
+    """A free port under those that the system deals out to connections, so that none of these takes it."""
+    while True:
+        port = random.SystemRandom().randrange(*PORTS)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((LOOPBACK, port))
+            return port
 
 
 class Record:
