--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -10,7 +10,7 @@
 import itertools
 import json
 import os
-import random
+import secrets
 import signal
 import socket
 import subprocess
@@ -24,18 +24,19 @@
 
 ROOT = Path(__file__).resolve().parents[1]
 LOOPBACK = "127.0.0.1"
-PORTS = (12000, 30000)
+FIRST_PORT, PARTS, PORTS_PER_PART = 12000, 180, 100
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+OWN_PORTS = iter(range(FIRST_PORT + os.getpid() % PARTS * PORTS_PER_PART, 30000))
 
 
 def free_port() -> int:
-    """A free port under those that the system deals out to connections, so that none of these takes it."""
-    while True:
-        port = random.SystemRandom().randrange(*PORTS)
+    """A free port, from this process's own part of those that the system does not deal out to connections."""
+    for port in OWN_PORTS:
         with socket.socket() as sock, contextlib.suppress(OSError):
             sock.bind((LOOPBACK, port))
             return port
+    raise OSError("no free port")
 
 
 class Record:
@@ -371,7 +372,7 @@
             "listen": f"{LOOPBACK}:{self.port}",
             "discovery": agent.address,
             "counter": counter.address,
-            "seed": f"{record.started_at.hex()}"[4:12].replace(".", "0"),
+            "seed": secrets.token_hex(8),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "settings": gateway_settings,
         }
