--- a/review/7/case.py
+++ b/review/7/case.py
@@ -29,24 +29,24 @@
     traffic = s.Traffic(gateways, record, 40, 2)
     load = asyncio.create_task(traffic.run(17))
 
-    await asyncio.sleep(2)
+    await asyncio.sleep(4)
     record.note("host s-a ends; discovery has not noticed it")
     a.close()
-    await asyncio.sleep(1)
+    await asyncio.sleep(0.5)
     b = s.Host("s-b", record, 0.3, port=a.port if s.TROUBLE else 0)
     b.started_at_ms = time.time() * 1000
     await world.opened(b)
     record.note(f"host s-b starts at {'the address of s-a' if s.TROUBLE else 'an address of its own'}")
-    await asyncio.sleep(1)
+    await asyncio.sleep(0.9)
     for agent in agents:
         agent.change(b.entry())
-    await asyncio.sleep(3)
+    await asyncio.sleep(0.8)
     record.note("host s-b ends")
     b.close()
-    await asyncio.sleep(1)
+    await asyncio.sleep(1.1)
     for agent in agents:
         agent.change(b.entry("gone"))
-    await asyncio.sleep(1)
+    await asyncio.sleep(1.2)
     told = [agent.change(a.entry("gone"), draining.entry("draining")) for agent in agents]
     await load
     await traffic.finish()
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -16,9 +16,9 @@
 # Figures of a deployment whose units are not settled afterwards.
 HOSTS, CORES, WORK_S, QUEUE_PER_CORE = 11, 2, 0.06, 14
 COLD_FROM, COLD_S, FALL_MULTIPLE, TIP_AFTER_S = 0.21, 16.0, 2.0, 1.0
-LOAD = 0.7
+GATEWAYS, LOAD = 2, 0.63
 RATE = LOAD * (HOSTS - 1) * CORES / WORK_S
-BAD_CLIENTS, BAD_UNITS = 6, b"0.001"
+BAD_CLIENTS, BAD_UNITS = 6, b"0.0001"
 
 
 class ModelHost(s.Host):
@@ -66,7 +66,7 @@
 
 def settings(number: int) -> dict[str, Any]:
     """The settings of that deployment."""
-    result = s.settings(number, 2)
+    result = s.settings(number, GATEWAYS)
     result["family_info"]["trued_up"] = False
     result["rules"].update(
         cold_from=COLD_FROM,
@@ -81,7 +81,7 @@
 
 async def bad_client(world: s.World, gateway: s.Gateway, number: int) -> None:
     """Ask once with units that are out of range."""
-    rid, data = s.request_bytes(5000 + number, False, 2, deadline_ms=1500)
+    rid, data = s.request_bytes(5000 + number, False, GATEWAYS, deadline_ms=1500)
     world.record.note(f"bad client {number} names {BAD_UNITS.decode()} units in {rid}")
     client = s.Client(gateway, world.record)
     await client.ask(rid, data.replace(b"units=1,", b"units=%b," % BAD_UNITS))
@@ -93,12 +93,16 @@
     record = world.record
     hosts = [ModelHost(f"s-{letter}", record) for letter in "abcdefghijk"[:HOSTS]]
     cold = hosts[-1]
-    agents = [s.Agent(name, record, [host.entry() for host in hosts]) for name in ("g0", "g1")]
+    agents = [
+        s.Agent(name, record, [host.entry() for host in hosts]) for name in (f"g{n}" for n in range(GATEWAYS))
+    ]
     counter = s.Counter()
     await world.opened(*hosts, *agents, counter)
-    gateways = [s.Gateway(f"g{n}", record, world.scratch, agents[n], counter, settings(n)) for n in range(2)]
+    gateways = [
+        s.Gateway(f"g{n}", record, world.scratch, agents[n], counter, settings(n)) for n in range(GATEWAYS)
+    ]
     await world.started(*gateways)
-    traffic = s.Traffic(gateways, record, RATE, 2, deadlines_ms=(1500, 1200))
+    traffic = s.Traffic(gateways, record, RATE, GATEWAYS, deadlines_ms=(1500, 1200))
     load = asyncio.create_task(traffic.run(25))
     await asyncio.sleep(6)
     record.note(f"host {cold.name} ends")
@@ -111,7 +115,7 @@
     told = max(agent.change(cold.entry()) for agent in agents)
     await asyncio.sleep(2)
     if s.TROUBLE:
-        await asyncio.gather(*(bad_client(world, gateways[n % 2], n) for n in range(BAD_CLIENTS)))
+        await asyncio.gather(*(bad_client(world, gateways[n % GATEWAYS], n) for n in range(BAD_CLIENTS)))
     await load
     await traffic.finish()
 
