A request's unfinished element is limited, charged, and released with its rejection

Callers saw a process over its memory limit: 600 clients that stop in a trailer field of 300 KB took 184.6 MB of 64, with 3 MB charged, and endless heads took 37.9 of 32.

Cause: the parser holds a field until it ends. In a trailer nothing limited it but the longest request (132 MB) and nothing charged it; a head that began in the middle of a read was not charged either. A rejected request released its reservation at once, its parser only when the connection was lost, up to 1 s later; the same for a close after the last response.

Change: after each slice of input, a bound on what the parser holds is counted and charged; a trailer field or chunk extension over 8 KB ends its request with 400. Parser and incomplete message are released with the reservation. The hosted service charges the same bound to the buffer share.

--- a/hillmux/hosted/tenant_connection.py
+++ b/hillmux/hosted/tenant_connection.py
@@ -55,7 +55,8 @@
 def _memory_of(message: RequestMessage) -> int:
     """The memory that a received request takes, in bytes."""
     fields = len(message.other_headers) if isinstance(message, TenantMessage) else 0
-    return message.head_bytes + fields * FIELD_OBJECTS_BYTES + message.body_bytes
+    held = message.head_bytes + message.unfinished_bytes + message.body_bytes
+    return held + fields * FIELD_OBJECTS_BYTES
 
 
 class TenantConnection(ClientConnection):
--- a/hillmux/net/client_connection.py
+++ b/hillmux/net/client_connection.py
@@ -106,7 +106,6 @@
         self._unsent = None
         self._on_client_disconnected()
         self._streamed_body = None
-        self.release_parser()
 
     def has_disconnected(self, behind: bool) -> bool:
         """Whether the client has closed or reset the connection, even if the loop has not processed that yet.
@@ -128,6 +127,7 @@
         self._closing = True
         self._queue.clear()
         self._unparsed.clear()
+        self.release_parser()
         self._release_incomplete()
         self._listener.hang_up_detector.unwatch(self)
         request_id, self._request_id = self._request_id, None
@@ -308,6 +308,7 @@
         self._closing = True
         self._queue.clear()
         self._unparsed.clear()
+        self.release_parser()
         self._release_incomplete()
         self._received_bytes = 0
         self.waiting_since = self._loop.time()
--- a/hillmux/net/client_input.py
+++ b/hillmux/net/client_input.py
@@ -10,7 +10,7 @@
 from hillmux.net.diagnostics import CloseReason
 from hillmux.net.lingering_close import MAX_LINGER_BYTES
 from hillmux.net.parse_scheduler import MAX_PIECES_PER_READ, PARSE_SLICE_BYTES, running_loop_scheduler
-from hillmux.net.request_parser import MAX_HEAD_BYTES
+from hillmux.net.request_parser import MAX_HEAD_BYTES, MAX_TRAILER_FIELD_BYTES
 from hillmux.net.requests import RejectedRequest, RequestMessage
 from hillmux.net.reserving_parser import ReservingParser
 from hillmux.net.unparsed_input import UnparsedInput
@@ -146,19 +146,33 @@
     def _parse_slice(self, data: bytes | memoryview) -> None:
         self._received_bytes += len(data)
         is_between_messages = self._message is None
+        pieces_before = self._pieces
         try:
             self._parser.feed_data(data)
             if is_between_messages and self._message is not None and not self._answer_due and self.answered:
                 self._listener.mark_receiving(self)
             self.on_input_parsed()
-            in_head = self._message is not None and self._message.method == b""
-            if self._received_bytes > (MAX_HEAD_BYTES if in_head else self.max_request_bytes):
-                self.reject(400)  # bounds the memory used by a head that never ends
+            message = self._message
+            if message is not None:
+                self.count_unfinished(message, len(data), self._pieces > pieces_before)
+                if self._exceeds_limits(message):
+                    self.reject(400)
+            elif self._received_bytes > self.max_request_bytes:
+                self.reject(400)
         except httptools.HttpParserUpgrade:
             self._end_at_upgrade()
         except httptools.HttpParserError:
             self.reject(self._parse_error_status)
 
+    def _exceeds_limits(self, message: RequestMessage) -> bool:
+        """Whether an incomplete request is longer than allowed; bounds the memory of one that never ends."""
+        if message.method == b"":
+            return self._received_bytes > MAX_HEAD_BYTES
+        is_chunked = b"transfer-encoding" in message.headers
+        return (is_chunked and message.silent_bytes > MAX_TRAILER_FIELD_BYTES) or (
+            self._received_bytes > self.max_request_bytes
+        )
+
     def _end_at_upgrade(self) -> None:
         """Let the request that asks for an upgrade, which is not supported, be the last of its connection.
 
@@ -176,7 +190,7 @@
         if not self._closing:
             self._closing = True
             self.note_close(CloseReason.REQUEST_TIMEOUT if status == 408 else CloseReason.REJECTED)
-            self._message = None
+            self.release_parser()
             self._received_bytes = 0
             self._release_incomplete()
             self._queue.append(RejectedRequest(status))
--- a/hillmux/net/request_parser.py
+++ b/hillmux/net/request_parser.py
@@ -21,6 +21,8 @@
 
 MAX_HEAD_BYTES: Final = 32 * 1024
 MAX_FRAMED_BODY_BYTES: Final = 2 * MAX_BUFFERED_BODY_BYTES  # a buffered body including its chunk lines
+# Of a trailer field, which the parser holds until it ends, or a chunk extension (RFC 9112 section 7.1.1).
+MAX_TRAILER_FIELD_BYTES: Final = 8 * 1024
 MAX_PIPELINED: Final = 32  # complete requests queued behind the open one; more in one read are a flood
 MAX_FLOOD_ANSWERS: Final = 17  # requests of a flood that are processed before it is rejected
 # Replaces the parser of a closed connection: a parser refers to its connection, so both would stay in memory
@@ -44,6 +46,7 @@
         self._loop = loop
         self.transport = NOT_CONNECTED
         self._parser = httptools.HttpRequestParser(self)
+        self._is_http_1_0 = False  # the latest request before the parser was released
         self._message: RequestMessage | None = None  # the message being received
         self._queue: deque[RequestMessage | RejectedRequest] = deque()  # requests in order of arrival
         self._answer_due = False  # a request is open: its response has not been sent
@@ -148,6 +151,23 @@
             if self._message is not None:
                 self._message.last_data_at = self._loop.time()
 
+    def count_unfinished(self, message: RequestMessage, size: int, element_ended: bool) -> None:
+        """Count what the parser may hold of an element that has not ended; called after each slice of input.
+
+        Args:
+            message: The incomplete message.
+            size: The length of the slice.
+            element_ended: Whether the parser has reported an element of it.
+        """
+        delivered = message.head_bytes + len(message.url) + message.body_bytes
+        if element_ended or not message.unfinished_bytes:
+            message.unfinished_bytes = max(size - (delivered - message.delivered_bytes), 0)
+            message.silent_bytes = 0
+        else:
+            message.unfinished_bytes += size
+            message.silent_bytes += size
+        message.delivered_bytes = delivered
+
     def on_streamed_body_complete(self) -> None:
         """Called when the last byte of a streamed body has arrived."""
 
@@ -165,10 +185,16 @@
         self.queue_complete(message)
 
     def release_parser(self) -> None:
-        """Release the parser and the incomplete request; no further input follows."""
-        self._parser = CLOSED_PARSER
+        """Release the parser and the incomplete request; no further input is parsed."""
+        if self._parser is not CLOSED_PARSER:
+            self._is_http_1_0 = self._parser.get_http_version() == "1.0"
+            self._parser = CLOSED_PARSER
         self._message = None
 
+    def is_http_1_0(self) -> bool:
+        """Whether the latest request is one of HTTP/1.0."""
+        return self._is_http_1_0 or self._parser.get_http_version() == "1.0"
+
     def queue_complete(self, message: RequestMessage) -> None:
         """Queue a complete request."""
         self._queue.append(message)
--- a/hillmux/net/requests.py
+++ b/hillmux/net/requests.py
@@ -82,6 +82,9 @@
         "streamed_body",
         "reservation",
         "unread_s",
+        "delivered_bytes",
+        "unfinished_bytes",
+        "silent_bytes",
     )
 
     def __init__(self) -> None:
@@ -99,6 +102,10 @@
         self.streamed_body: Any = None  # a `StreamedBody`, if the body is streamed
         self.reservation: Reservation | None = None  # memory of a message that is not small
         self.unread_s = 0.0  # time for which its input was not read; the client may have sent all before
+        self.delivered_bytes = 0  # of target, head and body, up to the end of the latest slice of input
+        # Bound on what the parser holds of an element that has not ended, such as a field
+        self.unfinished_bytes = 0
+        self.silent_bytes = 0  # input since the latest slice in which an element ended
         self.is_http_1_0 = False  # set only by connections of the multi-tenant listener
 
 
--- a/hillmux/net/reserving_parser.py
+++ b/hillmux/net/reserving_parser.py
@@ -138,10 +138,15 @@
 
     def needed_bytes(self, message: RequestMessage) -> int:
         """The memory that an incomplete request needs until it is complete; 0 if it is small so far."""
+        unfinished = message.unfinished_bytes
         if message.method == b"":
-            return MAX_HEAD_BYTES if self._received_bytes > UNRESERVED_MESSAGE_BYTES else 0
-        if message.head_bytes + len(message.url) + message.body_bytes <= UNRESERVED_MESSAGE_BYTES:
-            return 0
+            if max(self._received_bytes, unfinished) <= UNRESERVED_MESSAGE_BYTES:
+                return 0
+            # `_received_bytes` leaves out the beginning of a head that began within a slice of input.
+            return MAX_HEAD_BYTES + (unfinished if unfinished > self._received_bytes else 0)
         length = message.headers.get(b"content-length")
+        kept = message.head_bytes + len(message.url) + (unfinished if length is None else 0)
+        if kept + message.body_bytes <= UNRESERVED_MESSAGE_BYTES:
+            return 0
         body_bytes = MAX_BUFFERED_BODY_BYTES if length is None else min(int(length), MAX_BUFFERED_BODY_BYTES)
-        return message.head_bytes + len(message.url) + COPIES * body_bytes
+        return kept + COPIES * body_bytes
--- a/hillmux/net/streaming_client.py
+++ b/hillmux/net/streaming_client.py
@@ -149,8 +149,7 @@
     def start_response(self, response: Response, source: StreamingUpstreamConnection) -> None:
         """Write the head of a streamed response; its body follows from `source`."""
         self._upstream = source
-        is_http_1_0 = self._parser.get_http_version() == "1.0"
-        self._response_chunked = response.content_length is None and not is_http_1_0
+        self._response_chunked = response.content_length is None and not self.is_http_1_0()
         self._keep_alive = self._keeps_alive() and (
             response.content_length is not None or self._response_chunked
         )
--- a/tests/net/test_memory_limit.py
+++ b/tests/net/test_memory_limit.py
@@ -49,7 +49,8 @@
                 await asyncio.gather(*clients)
                 peak_mb = peak_resident_mb(rig.process.pid)
                 print(
-                    f"{habit} of {memory_mb} MB, {sockets} descriptors: peak {peak_mb:.1f}, {shares(statuses)}"
+                    f"{habit} of {memory_mb} MB, {sockets} descriptors:"
+                    f" peak {peak_mb:.1f}, {shares(statuses)}"
                 )
                 assert peak_mb <= memory_mb
             assert statuses[CUT] == statuses[UNREAD] == 0, shares(statuses)
