A response's head waits for memory, its trailer is limited, unused fields are not kept

Callers saw a process over its limit: answers of 64 KB with an endless trailer 96.2 MB of 64, heads of 60 KB 34.6 of 32, heads of 1,000 tiny fields 33.2 of 32.

Cause: what is not body of a response was limited by 17 times its body, and all fields of a head were kept as objects. If there was no memory to reserve, a response whose head was incomplete was read on with two windows charged.

--- a/hillmux/net/http1.py
+++ b/hillmux/net/http1.py
@@ -19,12 +19,24 @@
 MAX_BUFFERED_BODY_BYTES: Final = 64 * 1024
 MAX_ENDPOINT_LIST_BYTES: Final = 4 * 1024 * 1024
 MAX_FRAMING_BYTES: Final = 64 * 1024  # bytes per response that are not body: head and interim responses
+MAX_TRAILER_FIELD_BYTES: Final = 8 * 1024  # also of a chunk extension; the parser holds a field until it ends
 MAX_HEADER_FIELDS: Final = 1024  # per response head, as each field is held as objects of its own
 MAX_CHUNK_OVERHEAD: Final = 16  # bytes of chunk framing per body byte, as a chunk may hold a single byte
 MAX_STREAMED_BODY_BYTES: Final = 64 * 1024 * 1024  # per streamed response
 RESPONSE_STALL_S: Final = 1.0  # without a byte, from which a response counts as no longer arriving
 DECIMAL_NUMBER: Final = re.compile(rb"-?[0-9]{1,15}(?:\.[0-9]{1,15})?(?:[eE][+-]?[0-9]{1,2})?")
 OPTIONAL_WHITESPACE: Final = b" \t"  # RFC 9110 section 5.5; httptools leaves it after a value
+# Of a response; other fields are neither used nor forwarded.
+KEPT_HEADERS: Final = frozenset(
+    (
+        b"content-length",
+        b"transfer-encoding",
+        b"connection",
+        b"content-type",
+        b"x-not-run",
+        b"billed-units",
+    )
+)
 BODILESS_STATUSES: Final = frozenset((204, 304))
 NOT_CONNECTED: Final = cast(asyncio.Transport, None)  # the transport before the connection is set up
 # Replaces the parser of a closed connection: a parser refers to its connection, so both would stay in memory
@@ -95,9 +107,11 @@
         self._responses_due = 0
         self._received_bytes = 0  # bytes received of the current response, including interim responses
         self._complete_responses: list[Response] = []
+        self._silent_bytes = 0  # input since the latest slice in which the parser reported an element
         self._pieces = 0  # header fields, pieces of bodies and responses parsed since the latest read
         self._piece_budget = MAX_PIECES_PER_READ  # value of `_pieces` above which parsing is deferred
         self._deferred: bytes = b""  # input that waits for a turn of the event loop
+        self._awaits_memory = False  # reading is paused until there is memory for the response
         self._pauses_requested = False  # `pause_reading` was called last, not `resume_reading`
         self._stream_part: Body = b""  # parsed data of a streamed body that is not passed on yet
         self._reset()
@@ -227,7 +241,9 @@
                 well_formed = False
             if self._deferred:
                 return
-        if self._received_bytes > MAX_FRAMING_BYTES + (MAX_CHUNK_OVERHEAD + 1) * self._body_bytes:
+        if self._received_bytes > MAX_FRAMING_BYTES + (MAX_CHUNK_OVERHEAD + 1) * self._body_bytes or (
+            self._in_trailers and self._silent_bytes > MAX_TRAILER_FIELD_BYTES
+        ):
             well_formed = False
         responses, self._complete_responses = self._complete_responses, []
         requested = responses[: self._responses_due]
@@ -258,12 +274,17 @@
             data = data[PARSE_SLICE_BYTES:]
 
     def _parse_slice(self, data: bytes | memoryview) -> None:
+        pieces_before = self._pieces
         try:
             self._parser.feed_data(data)
         finally:  # what was parsed before a fault is valid
             if self._stream_part:
                 part, self._stream_part = self._stream_part, b""
                 self.on_stream_data(to_bytes(part))
+        if self._pieces > pieces_before:
+            self._silent_bytes = 0
+        else:
+            self._silent_bytes += len(data)
 
     def _defer(self, data: bytes | memoryview) -> None:
         """Pause reading, and parse a copy of the input in later turns of the event loop."""
@@ -290,7 +311,7 @@
     def _update_reading(self) -> None:
         if self.transport.is_closing():
             return
-        if self._pauses_requested or self._deferred:
+        if self._pauses_requested or self._deferred or self._awaits_memory:
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
@@ -335,7 +356,7 @@
             raise MalformedResponseError("unrequested response")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header under its name in lower case; trailers are ignored.
+        """Store a header of KEPT_HEADERS under its name in lower case; trailers are ignored.
 
         Raises:
             MalformedResponseError: There is a second Content-Length, or more than MAX_HEADER_FIELDS.
@@ -347,6 +368,8 @@
         self._header_fields += 1
         if self._header_fields > MAX_HEADER_FIELDS:
             raise MalformedResponseError("too many header fields")
+        if name not in KEPT_HEADERS:
+            return
         if name == b"content-length" and name in self._headers:
             raise MalformedResponseError("two Content-Length headers")
         self._headers[name] = value.strip(OPTIONAL_WHITESPACE)
@@ -396,10 +419,8 @@
             raise MalformedResponseError("response may not be streamed")
 
     def buffered_bytes(self) -> int:
-        """The bytes that are kept of the incomplete response."""
-        if self._streaming:
-            return 0
-        return len(self._body) if self._body else min(self._received_bytes, MAX_FRAMING_BYTES)
+        """A bound on the bytes that are kept of the incomplete response."""
+        return 0 if self._streaming else self._received_bytes
 
     def expected_bytes(self) -> int:
         """The length of the body that is being buffered, or the longest that may be if it is unknown."""
--- a/hillmux/net/memory_waiters.py
+++ b/hillmux/net/memory_waiters.py
@@ -1,4 +1,4 @@
-"""Client connections whose request is larger than the free memory: they wait, unread, for a short time.
+"""Connections whose message is larger than the free memory: they wait, unread, for a short time.
 
 Waiting connections are served in the order of their arrival. Meanwhile those that hold memory for an
 incomplete request whose client has stopped sending are rejected, since nobody waits for their answer yet.
@@ -15,15 +15,15 @@
 
 
 class MemoryUser(Protocol):
-    """A connection that holds memory for an incomplete request, or waits for it."""
+    """A connection that holds memory for an incomplete message, or waits for it."""
 
     last_input_at: float  # loop time
 
     def retry_reservation(self) -> bool:
-        """Reserve the memory that the request needs; True also if it needs none any more."""
+        """Reserve the memory that the message needs; True also if it needs none any more."""
 
     def reject_for_memory(self) -> None:
-        """Reject the incomplete request."""
+        """Reject the incomplete request, or end the attempt of the incomplete response."""
 
 
 class MemoryWaiters:
--- a/hillmux/net/upstream_connection.py
+++ b/hillmux/net/upstream_connection.py
@@ -38,6 +38,7 @@
         self._pool, self.host = pool, host
         self._read_buffer = pool.memory.read_buffer
         self._reservation: Reservation | None = None  # memory of an incomplete response that is not small
+        self.last_input_at = 0.0  # loop time of the latest input of a response that waits for memory
         self._loop = pool.loop
         self.attempt: Attempt | None = None
         self.reused = False  # whether the connection was idle before the current attempt
@@ -113,15 +114,41 @@
         return not self._framing_known or self._pool.classify(self._make_response(False)) == AttemptResult.OK
 
     def on_incomplete_response(self) -> None:
-        """Reserve memory for a response that is not small; without memory, pass it on as it arrives."""
+        """Reserve memory for a response that is not small.
+
+        Without memory, it is passed on as it arrives, or waits for memory unread if its head is incomplete.
+        """
         if self._reservation is not None or self.buffered_bytes() <= UNRESERVED_MESSAGE_BYTES:
             return
         memory = self._pool.memory
         self._reservation = memory.reserve(COPIES * self.expected_bytes())
-        if self._reservation is None:
-            self._reservation = memory.force(COPIES * len(self._read_buffer))
-            if self.can_stream():
-                self.stream_early()
+        if self._reservation is not None:
+            return
+        self._reservation = memory.force(COPIES * len(self._read_buffer))
+        if self.can_stream():
+            self.stream_early()
+            return
+        self._awaits_memory = True
+        self.last_input_at = self._loop.time()
+        self._pool.memory_waiters.add(self)
+        self._update_reading()
+
+    def retry_reservation(self) -> bool:
+        """Reserve the memory that the response needs; True also if it needs none any more."""
+        if self._reservation is not None and not self._reservation.grow(COPIES * self.expected_bytes()):
+            return False
+        self._awaits_memory = False
+        self._update_reading()
+        return True
+
+    def reject_for_memory(self) -> None:
+        """End the attempt: there is no memory for its response."""
+        self._awaits_memory = False
+        if self.transport.is_closing():
+            return
+        self._pool.memory.rejections += 1
+        self.on_malformed_response()
+        self.abort()
 
     def on_malformed_response(self) -> None:
         """Report a malformed response to the pool."""
@@ -134,4 +161,5 @@
     def on_connection_lost(self) -> None:
         """Report the end of the connection to the pool."""
         self._reservation = None
+        self._pool.memory_waiters.discard(self)
         self._pool.connection_closed(self)
--- a/hillmux/net/upstream_pool.py
+++ b/hillmux/net/upstream_pool.py
@@ -21,6 +21,7 @@
 from hillmux.net.http1 import RESPONSE_STALL_S, Response
 from hillmux.net.idle_connections import IdleConnections
 from hillmux.net.memory_budget import HOST_CONNECTION_BYTES, MemoryBudget
+from hillmux.net.memory_waiters import MemoryWaiters
 from hillmux.net.upstream_connection import UpstreamConnection, UpstreamHost
 
 IDLE_TIMEOUT_SHARE: Final = 0.5  # connections are closed after this fraction of the hosts' idle time-out
@@ -57,6 +58,7 @@
         """
         self.loop = loop
         self.memory = memory or MemoryBudget()
+        self.memory_waiters = MemoryWaiters(loop)
         self._max_connections, self._on_ended, self._may_still_send = (
             max_connections,
             on_ended,
