Near its memory limit the process gives memory back and rejects the largest requests

Callers saw a process whose size climbed past its limit (66 to 74 MB) while its charged use fell (18 to 7 MB).

Cause: the C library's heap and the interpreter's arenas each keep the most that they have held. The guard lowered the budget below the peak of the use, which did not bind.

Change: from 75% of the limit on free memory is given back every 0.5 s, and before the budget is lowered; from 98% on the budget is lowered below the use, so that nothing new is taken in and no client is accepted, and the largest incomplete requests are rejected with 503. A lowered budget rises by 2% of the plan every 0.1 s. 1 MiB is kept back in the plan, the least budget is 256 KiB, and connections to hosts are limited by the budget as those of clients are. The log has the size at the start; vars has what the guard did. The counter's server releases its parser when it begins to close.

--- a/hillmux/__main__.py
+++ b/hillmux/__main__.py
@@ -72,7 +72,7 @@
     logging.info("listening on %s:%d", host, port)
     gc.freeze()
     gc.set_threshold(GC_ALLOCATIONS)
-    gateway.measure_memory()
+    gateway.measure_memory(server.memory_waiters)
     await shutdown.done.wait()
     # The loop removes its signal handlers before the process exits. A SIGHUP in between would kill the
     # process, and the exit status would be that of a failure.
--- a/hillmux/counter/service.py
+++ b/hillmux/counter/service.py
@@ -167,6 +167,7 @@
         Closing with unread input would reset the connection, and destroy responses that are not read yet.
         """
         if self._linger_timer is None:
+            self._parser = CLOSED_PARSER
             self._transport.write_eof()
             self._linger_timer = asyncio.get_running_loop().call_later(LINGER_TIMEOUT_S, self.abort)
             self._transport.resume_reading()
--- a/hillmux/net/managed_gateway.py
+++ b/hillmux/net/managed_gateway.py
@@ -253,6 +253,12 @@
             "peak": self.memory.peak,
             "rejections": self.memory.rejections,
         }
+        if self._memory_guard is not None:
+            by_name["memory_guard"] = {
+                "given_back_bytes": self._memory_guard.given_back_bytes,
+                "lowerings": self._memory_guard.lowerings,
+                "rejected_bytes": self._memory_guard.rejected_bytes,
+            }
         return by_name
 
     def override_host(self, host: str, disabled: bool) -> str:
--- a/hillmux/net/memory_budget.py
+++ b/hillmux/net/memory_budget.py
@@ -28,10 +28,13 @@
 FORGOTTEN_CEILINGS_BYTES: Final = 512 * KIB  # hillmux/quotas/latest_times.py
 MIN_CUSTOMERS: Final = 256
 
-PEER_SHARE: Final = 0.65  # of what the process may still take after its start
-CUSTOMER_SHARE: Final = 0.2  # the rest is a reserve for fragmentation and for objects of a moment
-MIN_PEER_BYTES: Final = 1 * MIB  # keeps a process serving whose limit leaves it nothing
-CONNECTION_SHARE: Final = 0.5  # of the budget, for the connections of clients
+# Kept back from what the process may still take after its start: what its first requests touch, and the step
+# by which the interpreter's allocator grows.
+RESERVE_BYTES: Final = 1 * MIB
+PEER_SHARE: Final = 0.65  # of the rest
+CUSTOMER_SHARE: Final = 0.2  # what remains is left to fragmentation and to objects of a moment
+MIN_PEER_BYTES: Final = 256 * KIB  # keeps a process serving whose limit leaves it nothing
+CONNECTION_SHARE: Final = 0.5  # of the budget, for the connections of clients; the same for those to hosts
 # Up to this use large messages are taken, and input of waiting requests is read. The rest is left to small
 # requests, which are answered whatever other clients make the process keep.
 RESERVABLE_SHARE: Final = 0.75
@@ -62,7 +65,7 @@
         limit_bytes: what the configuration allows the process.
         resident_bytes: what the process holds before it serves.
     """
-    left = max(limit_bytes - resident_bytes, 0)
+    left = max(limit_bytes - resident_bytes - RESERVE_BYTES, 0)
     customer_bytes = int(CUSTOMER_SHARE * left) - FORGOTTEN_CEILINGS_BYTES
     return MemoryPlan(
         max(int(PEER_SHARE * left), MIN_PEER_BYTES), max(customer_bytes // CUSTOMER_BYTES, MIN_CUSTOMERS)
@@ -124,6 +127,10 @@
         """The number of client connections that there is memory for."""
         return int(CONNECTION_SHARE * self.limit) // CLIENT_CONNECTION_BYTES
 
+    def max_host_connections(self) -> int:
+        """The number of connections to hosts that there is memory for."""
+        return int(CONNECTION_SHARE * self.limit) // HOST_CONNECTION_BYTES
+
     def has_room(self, size: int) -> bool:
         """Whether `size` bytes may be reserved."""
         return self.used + size <= self.reservable
--- a/hillmux/net/memory_waiters.py
+++ b/hillmux/net/memory_waiters.py
@@ -19,6 +19,9 @@
 
     last_input_at: float  # loop time
 
+    def reserved_bytes(self) -> int:
+        """The bytes that are reserved for the incomplete message."""
+
     def retry_reservation(self) -> bool:
         """Reserve the memory that the message needs; True also if it needs none any more."""
 
@@ -46,6 +49,17 @@
         self._waiting.pop(connection, None)
         self.holders.pop(connection, None)
 
+    def reject_largest_holders(self, size: int) -> int:
+        """Reject holders, largest first, until their reservations add up to `size` bytes; return the sum."""
+        released = 0
+        for connection in sorted(self.holders, key=lambda holder: -holder.reserved_bytes()):
+            if released >= size:
+                break
+            released += connection.reserved_bytes()
+            self.discard(connection)
+            connection.reject_for_memory()
+        return released
+
     def _check(self) -> None:
         self._timer = None
         now = self._loop.time()
--- a/hillmux/net/platform_gateway.py
+++ b/hillmux/net/platform_gateway.py
@@ -28,6 +28,7 @@
 from hillmux.net.loop_lag import LoopLagMonitor
 from hillmux.net.memory_budget import MemoryBudget, MemoryPlan, plan_memory
 from hillmux.net.memory_guard import MemoryGuard
+from hillmux.net.memory_waiters import MemoryWaiters
 from hillmux.net.streaming_client import STREAMED_REQUEST_TIMEOUT_S, StreamingClientConnection
 from hillmux.net.streaming_upstream import StreamingUpstreamConnection, StreamingUpstreamPool
 
@@ -96,10 +97,20 @@
             return settings
         return replace(settings, max_customers=self._memory_plan.max_customers)
 
-    def measure_memory(self) -> None:
-        """Set the memory budget from what the process holds now; called once it accepts clients."""
+    def measure_memory(self, waiters: MemoryWaiters) -> None:
+        """Set the memory budget from what the process holds now; called once it accepts clients.
+
+        Args:
+            waiters: the connections that hold memory for incomplete requests.
+        """
         if self._memory_bytes is not None:
-            self._memory_guard = MemoryGuard(self.memory, self._memory_bytes, self.loop, self.log_message)
+            self._memory_guard = MemoryGuard(
+                self.memory,
+                self._memory_bytes,
+                self.loop,
+                self.log_message,
+                reject_largest=waiters.reject_largest_holders,
+            )
             self._memory_guard.start()
 
     def start(self) -> None:
--- a/hillmux/net/reserving_parser.py
+++ b/hillmux/net/reserving_parser.py
@@ -77,6 +77,10 @@
         self._waiters.add(self)
         self.update_reading()
 
+    def reserved_bytes(self) -> int:
+        """The bytes that are reserved for the incomplete request."""
+        return 0 if self._reservation is None else self._reservation.size
+
     def retry_reservation(self) -> bool:
         """Reserve the memory that the request needs; True also if it needs none any more."""
         message = self._message
--- a/hillmux/net/upstream_connection.py
+++ b/hillmux/net/upstream_connection.py
@@ -133,6 +133,10 @@
         self._pool.memory_waiters.add(self)
         self._update_reading()
 
+    def reserved_bytes(self) -> int:
+        """The bytes that are reserved for the incomplete response."""
+        return 0 if self._reservation is None else self._reservation.size
+
     def retry_reservation(self) -> bool:
         """Reserve the memory that the response needs; True also if it needs none any more."""
         if self._reservation is not None and not self._reservation.grow(COPIES * self.expected_bytes()):
--- a/hillmux/net/upstream_pool.py
+++ b/hillmux/net/upstream_pool.py
@@ -256,8 +256,13 @@
 
     def reserve_dial(self) -> bool:
         """Return whether another connection may be dialled, closing an idle one if the limit is reached."""
+        open_connections = len(self.connections) + self.dials
         return self.dials < MAX_DIALS and (
-            len(self.connections) + self.dials < self._max_connections or self.drop_idle()
+            (
+                open_connections < self._max_connections
+                and open_connections < self.memory.max_host_connections()
+            )
+            or self.drop_idle()
         )
 
     def release_dial(self) -> None:
--- a/tests/fakes/raw.py
+++ b/tests/fakes/raw.py
@@ -30,7 +30,7 @@
         if "transfer-encoding: chunked" not in head.lower():
             return b""
         pieces = []
-        while size := int(await self.reader.readline(), 16):
+        while size := int(await self.reader.readuntil(b"\n"), 16):
             pieces.append(await self.reader.readexactly(size))
             await self.reader.readexactly(2)
         await self.reader.readexactly(2)
--- a/tests/net/test_memory_budget.py
+++ b/tests/net/test_memory_budget.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 import tracemalloc
 
 import pytest
+from conftest import on_loop
 
 from hillmux.net.memory_budget import (
     CLIENT_CONNECTION_BYTES,
@@ -20,6 +22,7 @@
     plan_memory,
 )
 from hillmux.net.unparsed_input import UnparsedInput, UnparsedTotal
+from hillmux.net.upstream_pool import UpstreamPool
 
 RESIDENT_BYTES = 26 * MIB  # of a process at its start
 CLIENT_SHARE, HOST_SHARE = 0.5, 0.36  # of the descriptors
@@ -55,6 +58,18 @@
     assert hosts * HOST_CONNECTION_BYTES <= limit / 2
 
 
+def test_no_more_connections_to_hosts_are_opened_than_there_is_memory_for() -> None:
+    async def scenario() -> None:
+        memory = MemoryBudget(MIN_PEER_BYTES)
+        pool = UpstreamPool(asyncio.get_running_loop(), 1000, 100, 1000, lambda *ended: None, memory=memory)
+        while pool.reserve_dial():
+            pool.dials += 1
+            memory.charge(HOST_CONNECTION_BYTES)
+        assert 0 < memory.used <= MIN_PEER_BYTES // 2
+
+    on_loop(scenario)
+
+
 def test_reservation_is_released_with_its_last_holder() -> None:
     budget = MemoryBudget(1000)
     reservation = budget.reserve(700)
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -15,6 +15,7 @@
 PIECE_BYTES = 1500
 PIECE_INTERVAL_S = 0.04
 SMALL_RECEIVE_BUFFER = 4096
+CROWD_ID = "crowd-"  # how the request ids of a crowd begin
 
 
 class Behaviour(StrEnum):
@@ -69,11 +70,16 @@
 
     def __init__(self, rng: random.Random, runs: list[Run]) -> None:
         self._rng, self._runs = rng, runs
+        self.crowd_answer: bytes | None = None  # the answer to a crowd's requests; None: as to others
         self.raw = RawHost(self._serve)
 
     async def _serve(self, peer: Peer) -> None:
         while True:
             head = await peer.head()
+            if self.crowd_answer is not None and f"\r\nx-request-id: {CROWD_ID}" in head.lower():
+                await peer.write(self.crowd_answer)
+                await peer.closed()
+                return
             run = self._record(head)
             if run.behaviour == Behaviour.READ_SLOWLY:
                 await self._read_slowly(peer, head)
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -22,8 +22,9 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from conftest import GRADES, Rig, instance, on_loop
+from fakes.ballast import carry_ballast
 from fakes.build import build
-from fakes.crowd import Crowd, Habit, peak_resident_mb
+from fakes.crowd import ANSWERS, Crowd, Habit, peak_resident_mb
 from soak.clients import Sent, SoakClient
 from soak.hosts import Run, SoakHost
 from soak.rules import Life, broken_rules
@@ -36,6 +37,8 @@
 WATCH_INTERVAL_S = 0.02
 OWN_STALL_S = 0.05
 CROWD_CHANCE = 0.35
+BALLAST_MB = 11
+LEAST_MB = 32  # the least memory that the platform's pages name
 WAVE_CLIENTS = 600
 WAVE_S, WAVE_PAUSE_S = 1.0, 0.3
 PLANNED_CHANCE = 0.75  # of a process's end, that it begins with SIGTERM
@@ -53,6 +56,7 @@
     deadline_s: float
     objective_s: float
     waves: int  # in which the clients of a crowd come, if one comes
+    ballast_mb: int  # by which a process is larger at its start than its code makes it
     lives: list[Life] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     sent: list[Sent] = field(default_factory=list)
@@ -64,15 +68,19 @@
     """Draw the limits and deadlines of a day; its events follow from the same generator."""
     rng = random.Random(seed)
     deadline_s = rng.uniform(0.5, 2.0)
-    waves = random.Random(f"waves {seed}").choice((1, 2, 4))  # leaves the other draws as they were
+    # Generators of their own leave the other draws as they were.
+    waves = random.Random(f"waves {seed}").choice((1, 2, 4))
+    ballast_mb = random.Random(f"ballast {seed}").choice((0, 0, BALLAST_MB))
+    memory_mb = rng.choice((32, 40, 64, 192))
     return Day(
         seed,
         rng,
-        memory_mb=rng.choice((32, 40, 64, 192)),
+        memory_mb=memory_mb,
         sockets=rng.choice((256, 512, 1024)),
         deadline_s=deadline_s,
         objective_s=rng.uniform(0.3, 0.9) * deadline_s,
         waves=waves,
+        ballast_mb=ballast_mb if memory_mb > LEAST_MB else 0,
     )
 
 
@@ -85,6 +93,8 @@
         config["settings"]["grades"] = [{**grade, **times} for grade in GRADES]
 
     rig.change = change
+    if day.ballast_mb:
+        carry_ballast(rig, day.ballast_mb)
     return rig
 
 
@@ -159,25 +169,34 @@
                     await rig.discovery.send_update([change])
 
 
-async def send_crowds(day: Day, rig: Rig, until: asyncio.Event) -> None:
+async def send_crowds(day: Day, rig: Rig, hosts: list[SoakHost], until: asyncio.Event) -> None:
     """Perhaps let a crowd come for a while, or several in waves."""
     if day.rng.random() > CROWD_CHANCE:
         return
     await asyncio.sleep(day.rng.uniform(0.2, 2.0))
     habits = [h for h in Habit if not h.startswith(("ignore", "pipeline_behind"))]
     if day.waves == 1:
-        await send_crowd(day, rig, until, day.rng.choice(habits), day.sockets // 2, day.rng.uniform(1.0, 4.0))
+        habit = day.rng.choice(habits)
+        await send_crowd(day, rig, hosts, until, habit, day.sockets // 2, day.rng.uniform(1.0, 4.0))
         return
     for _ in range(day.waves):
-        await send_crowd(day, rig, until, day.rng.choice(habits), WAVE_CLIENTS, WAVE_S)
+        await send_crowd(day, rig, hosts, until, day.rng.choice(habits), WAVE_CLIENTS, WAVE_S)
         await asyncio.sleep(WAVE_PAUSE_S)
 
 
 async def send_crowd(
-    day: Day, rig: Rig, until: asyncio.Event, habit: Habit, count: int, seconds: float
+    day: Day,
+    rig: Rig,
+    hosts: list[SoakHost],
+    until: asyncio.Event,
+    habit: Habit,
+    count: int,
+    seconds: float,
 ) -> None:
-    """Let a crowd come, and leave together."""
+    """Let a crowd come, and leave together; the hosts answer it as its habit wants."""
     began_at = time.monotonic()
+    for host in hosts:
+        host.crowd_answer = ANSWERS.get(habit)
     async with Crowd(rig, habit, count):
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
@@ -201,7 +220,7 @@
         tasks = [asyncio.create_task(client.run(until)) for client in clients]
         tasks += [
             asyncio.create_task(change_hosts(day, rig, until)),
-            asyncio.create_task(send_crowds(day, rig, until)),
+            asyncio.create_task(send_crowds(day, rig, hosts, until)),
             asyncio.create_task(watch_own_stalls(day, until)),
         ]
         end = time.monotonic() + seconds
@@ -260,7 +279,8 @@
         longest_stall_s = max((until - since for since, until in day.stalls), default=0.0)
         peak = max(life.peak_mb for life in day.lives)
         print(
-            f"seed {seed}: {day.memory_mb} MB, {day.sockets} descriptors, deadline {day.deadline_s:.2f} s,"
+            f"seed {seed}: {day.memory_mb} MB, {day.sockets} descriptors,"
+            f" ballast {day.ballast_mb} MB, deadline {day.deadline_s:.2f} s,"
             f" {len(day.lives)} lives, {len(day.crowds)} crowds, {len(day.stalls)} own stalls"
             f" (longest {longest_stall_s:.2f} s):"
             f" {len(day.sent)} requests, {served} served, peak {peak:.1f} MB:"
