--- a/tests/net/test_unfinished_requests.py
+++ b/tests/net/test_unfinished_requests.py
@@ -27,6 +27,17 @@
 }
 
 
+class AbortedRequests(RecordingHandler):
+    """Records with which statuses requests are ended whose bodies will not be complete."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.aborted: list[int] = []
+
+    def abort_request(self, request_id: str, status: int) -> None:
+        self.aborted.append(status)
+
+
 class Client:
     """A client's connection without a socket."""
 
@@ -36,7 +47,7 @@
         )
         self.transport = FlowControlledTransport()
         self.connection = StreamingClientConnection(self.listener)
-        self.connection.connection_made(self.transport)  # type: ignore[arg-type]
+        self.connection.connection_made(self.transport)
         self.used_at_start = self.listener.memory.used
 
     def charged(self) -> int:
@@ -64,16 +75,9 @@
 
 @pytest.mark.parametrize("body", [ONE_BYTE_BODY, LONG_BODY], ids=["one_byte", "streamed"])
 def test_endless_trailer_field_ends_its_request_and_releases_its_memory(body: bytes) -> None:
-    class Handler(RecordingHandler):
-        aborted: list[int]
-
-        def abort_request(self, request_id: str, status: int) -> None:
-            self.aborted = [status]
-
     async def scenario() -> None:
         client = Client()
-        handler = client.connection._handler = Handler()
-        handler.aborted = []
+        handler = client.connection._handler = AbortedRequests()
         client.feed(body + b"0\r\nt: " + b"x" * MAX_TRAILER_FIELD_BYTES)
         assert not client.connection._closing
         client.feed(b"x" * 2 * PIECE_BYTES)
@@ -108,16 +112,9 @@
 
 
 def test_trailer_field_of_a_streamed_body_is_charged_or_ends_its_request() -> None:
-    class Handler(RecordingHandler):
-        aborted: list[int]
-
-        def abort_request(self, request_id: str, status: int) -> None:
-            self.aborted = [status]
-
     async def scenario() -> None:
         client = Client()
-        handler = client.connection._handler = Handler()
-        handler.aborted = []
+        handler = client.connection._handler = AbortedRequests()
         client.feed(LONG_BODY + b"0\r\nt: ")
         (body,) = handler.streamed_bodies
         window = COPIES * client.connection.window()
--- a/tests/net/test_unfinished_responses.py
+++ b/tests/net/test_unfinished_responses.py
@@ -25,11 +25,17 @@
     return (data[start : start + PIECE_BYTES] for start in range(0, len(data), PIECE_BYTES))
 
 
+def protocol_with_request() -> RecordingResponseProtocol:
+    """A connection to a host on which a request was written."""
+    protocol = RecordingResponseProtocol(MAX_BUFFERED_BODY_BYTES)
+    protocol.connection_made(FlowControlledTransport())
+    protocol.write(b"request")
+    return protocol
+
+
 def test_endless_trailer_field_of_a_response_is_malformed() -> None:
     async def scenario() -> None:
-        protocol = RecordingResponseProtocol(MAX_BUFFERED_BODY_BYTES)
-        protocol.connection_made(FlowControlledTransport())  # type: ignore[arg-type]
-        protocol.write(b"request")
+        protocol = protocol_with_request()
         body = b"%x\r\n" % 60_000 + b"x" * 60_000 + b"\r\n"
         for piece in pieces(CHUNKED_RESPONSE + body + b"0\r\nt: " + b"x" * MAX_TRAILER_FIELD_BYTES):
             protocol.data_received(piece)
@@ -43,9 +49,7 @@
 
 def test_response_with_a_trailer_field_within_the_limit_is_delivered() -> None:
     async def scenario() -> None:
-        protocol = RecordingResponseProtocol(MAX_BUFFERED_BODY_BYTES)
-        protocol.connection_made(FlowControlledTransport())  # type: ignore[arg-type]
-        protocol.write(b"request")
+        protocol = protocol_with_request()
         for piece in pieces(CHUNKED_RESPONSE + b"0\r\nt: " + b"x" * 7000 + b"\r\n\r\n"):
             protocol.data_received(piece)
         assert [response.body for response, _ in protocol.received] == [b"x"]
@@ -55,9 +59,7 @@
 
 def test_fields_of_a_response_that_are_not_used_are_not_kept() -> None:
     async def scenario() -> None:
-        protocol = RecordingResponseProtocol(MAX_BUFFERED_BODY_BYTES)
-        protocol.connection_made(FlowControlledTransport())  # type: ignore[arg-type]
-        protocol.write(b"request")
+        protocol = protocol_with_request()
         fields = b"".join(b"f%d: v\r\n" % number for number in range(1000))
         protocol.data_received(b"HTTP/1.1 200 OK\r\n" + fields + b"Content-Length: 1\r\n\r\nx")
         ((response, _),) = protocol.received
@@ -76,7 +78,7 @@
         self.pool = UpstreamPool(loop, 1, 100, 1000, self._ended, memory=self.memory)
         self.transport = FlowControlledTransport()
         self.connection = UpstreamConnection(self.pool, UpstreamHost("h", ("127.0.0.1", 1)))
-        self.connection.connection_made(self.transport)  # type: ignore[arg-type]
+        self.connection.connection_made(self.transport)
         self.others = self.memory.force(self.memory.reservable)
         attempt = Attempt("r1", 0, "h", b"GET / HTTP/1.1\r\n", b"", 0.0, 1e9)
         self.connection.start_attempt(attempt)
